--- /dev/null
+++ b/src/main/java/wickdrift/bookkeeping/Bucket.java
@@ -0,0 +1,30 @@
+package wickdrift.bookkeeping;
+
+/** A token bucket holding one second's worth. */
+public final class Bucket {
+  private final double perSecond;
+  private double tokens;
+  private long lastMs;
+
+  public Bucket(double perSecond, long nowMs) {
+    this.perSecond = perSecond;
+    this.tokens = perSecond;
+    this.lastMs = nowMs;
+  }
+
+  /** Takes {@code n} unless that leaves less than {@code reserve}. */
+  public boolean take(double n, double reserve, long nowMs) {
+    tokens = Math.min(perSecond, tokens + perSecond * (nowMs - lastMs) / 1000.0);
+    lastMs = nowMs;
+    if (tokens - n < Math.min(reserve, perSecond - n)) {
+      return false;
+    }
+    tokens -= n;
+    return true;
+  }
+
+  /** The far side says that the limit is passed: what we thought we had is gone. */
+  public void drain() {
+    tokens = 0;
+  }
+}
--- /dev/null
+++ b/src/main/java/wickdrift/bookkeeping/Job.java
@@ -0,0 +1,274 @@
+package wickdrift.bookkeeping;
+
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.IntFunction;
+import wickdrift.protocol.BadMessage;
+import wickdrift.protocol.Doc;
+import wickdrift.protocol.JobSpec;
+
+/** One unfinished job: what was submitted, and its tasks, in chunks that are stored together. */
+public final class Job {
+  /** Tasks a chunk: all live, a chunk takes about 2 KB, below the smallest value limit known. */
+  public static final int CHUNK = 64;
+
+  /** The owner of a job that only the leader places. */
+  public static final String LEADER = "*";
+
+  private final String id;
+  private JobSpec spec;
+  private long stamp;
+  private long acceptedWallMs;
+  private String part;
+  private boolean withdrawn;
+  private TaskState[] tasks;
+  private long[] chunkStamps;
+  private int waiting;
+  private int live;
+  private int done;
+
+  // Known to this process only.
+  private long retryAtMs;
+  private int failures;
+  private long waitingSinceMs;
+
+  Job(String id) {
+    this.id = id;
+  }
+
+  public static String key(String id) {
+    return "w/j/" + id;
+  }
+
+  public static String finalKey(String id) {
+    return "w/d/" + id;
+  }
+
+  public String key() {
+    return key(id);
+  }
+
+  public String chunkKey(int chunk) {
+    return "w/t/" + id + "/" + chunk;
+  }
+
+  public static Map<String, Object> toStore(
+      JobSpec spec, long acceptedWallMs, String part, boolean withdrawn) {
+    Map<String, Object> m = new LinkedHashMap<>();
+    m.put("spec", spec.toStore());
+    m.put("at", acceptedWallMs);
+    m.put("part", part);
+    m.put("off", withdrawn);
+    return m;
+  }
+
+  void record(Doc d, long newStamp) throws BadMessage {
+    if (spec == null) {
+      spec = JobSpec.parse(Doc.of(d.raw("spec")));
+      tasks = new TaskState[spec.tasks()];
+      Arrays.fill(tasks, TaskState.NEW);
+      chunkStamps = new long[chunks()];
+      waiting = tasks.length;
+    }
+    acceptedWallMs = d.count("at");
+    part = d.text("part");
+    withdrawn = d.flag("off");
+    stamp = newStamp;
+  }
+
+  // ---- chunks ----
+
+  public int chunks() {
+    return (spec.tasks() + CHUNK - 1) / CHUNK;
+  }
+
+  public int chunkEnd(int chunk) {
+    return Math.min(spec.tasks(), (chunk + 1) * CHUNK);
+  }
+
+  public long chunkStamp(int chunk) {
+    return chunkStamps[chunk];
+  }
+
+  /** Ranges of finished tasks, live attempts, and waiting tasks that were tried before. */
+  public Map<String, Object> encodeChunk(int chunk, IntFunction<TaskState> states) {
+    List<Object> doneRanges = new ArrayList<>();
+    List<Object> liveOnes = new ArrayList<>();
+    List<Object> tried = new ArrayList<>();
+    int from = chunk * CHUNK;
+    int runStart = -1;
+    for (int i = from; i <= chunkEnd(chunk); i++) {
+      TaskState s = i < chunkEnd(chunk) ? states.apply(i) : null;
+      boolean isDone = s != null && s.phase() == TaskState.Phase.DONE;
+      if (isDone && runStart < 0) {
+        runStart = i;
+      } else if (!isDone && runStart >= 0) {
+        doneRanges.add(runStart);
+        doneRanges.add(i - runStart);
+        runStart = -1;
+      }
+      if (s != null && s.live()) {
+        liveOnes.add(
+            List.of(i, s.attempt(), s.machine().name(), s.placer(), s.stop().ordinal()));
+      } else if (s != null && !isDone && s.attempt() > 0) {
+        tried.add(List.of(i, s.attempt()));
+      }
+    }
+    Map<String, Object> m = new LinkedHashMap<>();
+    m.put("done", doneRanges);
+    m.put("live", liveOnes);
+    m.put("tried", tried);
+    return m;
+  }
+
+  /** Replaces a chunk's tasks by what is stored; null: nothing is stored. */
+  void applyChunk(int chunk, Doc d, long newStamp, java.util.function.Function<String, Machine> find)
+      throws BadMessage {
+    if (chunk < 0 || chunk >= chunkStamps.length) {
+      throw new BadMessage("no such chunk");
+    }
+    int from = chunk * CHUNK;
+    int end = chunkEnd(chunk);
+    TaskState[] fresh = new TaskState[end - from];
+    Arrays.fill(fresh, TaskState.NEW);
+    if (d != null) {
+      List<?> ranges = d.list("done");
+      for (int i = 0; i + 1 < ranges.size(); i += 2) {
+        int start = number(ranges.get(i));
+        int n = number(ranges.get(i + 1));
+        for (int k = start; k < start + n; k++) {
+          fresh[k - from] = TaskState.FINISHED;
+        }
+      }
+      for (Object o : d.list("live")) {
+        List<?> l = (List<?>) o;
+        fresh[number(l.get(0)) - from] =
+            new TaskState(
+                TaskState.Phase.LIVE,
+                number(l.get(1)),
+                find.apply((String) l.get(2)),
+                number(l.get(3)),
+                TaskState.Stop.values()[number(l.get(4))]);
+      }
+      for (Object o : d.list("tried")) {
+        List<?> l = (List<?>) o;
+        fresh[number(l.get(0)) - from] = TaskState.waiting(number(l.get(1)));
+      }
+    }
+    for (int i = from; i < end; i++) {
+      set(i, fresh[i - from]);
+    }
+    chunkStamps[chunk] = newStamp;
+  }
+
+  private static int number(Object o) {
+    return ((Number) o).intValue();
+  }
+
+  private void set(int index, TaskState next) {
+    TaskState old = tasks[index];
+    if (old.live() && old.machine() != next.machine()) {
+      old.machine().remove(this, index);
+    }
+    if (next.live() && old.machine() != next.machine()) {
+      next.machine().add(new Machine.Slot(this, index));
+    }
+    count(old.phase(), -1);
+    count(next.phase(), 1);
+    tasks[index] = next;
+  }
+
+  private void count(TaskState.Phase phase, int by) {
+    switch (phase) {
+      case WAITING -> waiting += by;
+      case LIVE -> live += by;
+      case DONE -> done += by;
+    }
+  }
+
+  /** The job is over: nothing of it is booked any more. */
+  void drop() {
+    if (spec == null) {
+      return;
+    }
+    for (int i = 0; i < tasks.length && live > 0; i++) {
+      if (tasks[i].live()) {
+        set(i, TaskState.waiting(tasks[i].attempt()));
+      }
+    }
+  }
+
+  // ---- reading ----
+
+  public String id() {
+    return id;
+  }
+
+  public JobSpec spec() {
+    return spec;
+  }
+
+  public long stamp() {
+    return stamp;
+  }
+
+  public long acceptedWallMs() {
+    return acceptedWallMs;
+  }
+
+  public String part() {
+    return part;
+  }
+
+  public boolean withdrawn() {
+    return withdrawn;
+  }
+
+  public TaskState task(int index) {
+    return tasks[index];
+  }
+
+  public int size() {
+    return tasks.length;
+  }
+
+  public int waiting() {
+    return waiting;
+  }
+
+  public int live() {
+    return live;
+  }
+
+  public int done() {
+    return done;
+  }
+
+  // ---- this process's own notes ----
+
+  public long retryAtMs() {
+    return retryAtMs;
+  }
+
+  /** A failed start: later and later, for a job with a mistake fails everywhere. */
+  public void failed(long nowMs) {
+    failures++;
+    if (failures > 3) {
+      retryAtMs = nowMs + Math.min(30_000L, 500L << Math.min(failures - 3, 6));
+    }
+  }
+
+  public long waitingSinceMs(long nowMs) {
+    if (waitingSinceMs == 0) {
+      waitingSinceMs = nowMs;
+    }
+    return waitingSinceMs;
+  }
+
+  public void notWaiting() {
+    waitingSinceMs = 0;
+  }
+}
--- /dev/null
+++ b/src/main/java/wickdrift/bookkeeping/Ledger.java
@@ -0,0 +1,487 @@
+package wickdrift.bookkeeping;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.HashSet;
+import java.util.function.Consumer;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import wickdrift.protocol.BadMessage;
+import wickdrift.protocol.Doc;
+import wickdrift.protocol.Pack;
+import wickdrift.transport.Caller;
+import wickdrift.transport.Timers;
+
+/**
+ * The state service's client. All our keys share one prefix, so that one watch shows every change
+ * in order and its revision says how new the tables are.
+ */
+public final class Ledger {
+  private static final Logger LOG = LoggerFactory.getLogger(Ledger.class);
+
+  /** Where all our keys live. */
+  public static final String PREFIX = "w/";
+
+  private static final long CALL_MS = 1500;
+  private static final long HOLD_MS = 10_000;
+  private static final int PAGE = 400;
+
+  /** Loading until a whole copy is there and has been caught up; then following. */
+  public enum Phase {
+    LOADING,
+    FOLLOWING
+  }
+
+  /** What became of a transaction. UNKNOWN: it may have been applied, or may yet be. */
+  public enum Outcome {
+    OK,
+    FAILED,
+    REFUSED,
+    UNKNOWN
+  }
+
+  public record Result(Outcome outcome, long rev, Set<String> failed, boolean noLease) {}
+
+  /** One key's state: value null when it is gone. */
+  public record Change(String key, Doc value, long stamp) {}
+
+  /** Takes the changes in order. */
+  public interface Applier {
+    void reset();
+
+    void apply(Change change);
+
+    /** Called after a run of changes that belong together. */
+    void applied();
+  }
+
+  /** The prefixes loaded at the start; finished jobs are read one by one when asked for. */
+  private static final List<String> LOADED = List.of("w/h/", "w/j/", "w/m/", "w/p/", "w/t/", "w/v");
+
+  private final Timers timers;
+  private final Caller caller;
+  private final String address;
+  private final Applier applier;
+  private final Bucket requests;
+  private final Bucket writes;
+  private final double requestReserve;
+  private final long syncGapMs;
+
+  private Phase phase = Phase.LOADING;
+  private long rev;
+  private long lastOkMs;
+  private boolean lastCallOk;
+  private int failures;
+
+  private boolean syncing;
+  private long lastSyncMs;
+  private boolean syncArmed;
+  private List<Waiter> waiters = new ArrayList<>();
+  private final List<RevWaiter> revWaiters = new ArrayList<>();
+
+  private record Waiter(Consumer<Boolean> done, long deadlineMs) {}
+
+  private record RevWaiter(long rev, Runnable done) {}
+
+  public Ledger(
+      Timers timers,
+      Caller caller,
+      String address,
+      double rps,
+      double writeRps,
+      int nodes,
+      Applier applier) {
+    this.timers = timers;
+    this.caller = caller;
+    this.address = address;
+    this.applier = applier;
+    long now = timers.nowMs();
+    // Nodes share the limits. Half of the writes each is more than a fair share: seldom do all
+    // write at once, and an answer of 429 only delays.
+    double requestShare = rps / nodes * 0.95;
+    this.requests = new Bucket(requestShare, now);
+    this.requestReserve = requestShare * 0.25;
+    this.writes = new Bucket(writeRps * Math.max(0.5, 1.0 / nodes), now);
+    this.syncGapMs = Math.max(5, (long) (1000 / (requestShare * 0.45)));
+    this.lastOkMs = now;
+  }
+
+  public Phase phase() {
+    return phase;
+  }
+
+  public long rev() {
+    return rev;
+  }
+
+  /** True unless the last calls say that the state service does not serve us. */
+  public boolean reachable() {
+    return lastCallOk;
+  }
+
+  public long lastOkMs() {
+    return lastOkMs;
+  }
+
+  // ---- loading and following ----
+
+  public void start() {
+    load(0, null, new ArrayList<>(), Long.MAX_VALUE);
+  }
+
+  private void load(int prefix, String from, List<Change> got, long minRev) {
+    if (prefix == LOADED.size()) {
+      phase = Phase.LOADING;
+      applier.reset();
+      got.forEach(applier::apply);
+      rev = minRev;
+      catchUp();
+      return;
+    }
+    String path = "/store?prefix=" + LOADED.get(prefix) + "&most=" + PAGE;
+    if (from != null) {
+      path += "&from=" + from;
+    }
+    call(
+        "GET",
+        path,
+        null,
+        CALL_MS,
+        a -> {
+          if (a.status() != 200) {
+            timers.after(backoff(), () -> load(prefix, from, got, minRev));
+            return;
+          }
+          try {
+            Doc d = Doc.parse(a.body());
+            long r = Math.min(minRev, d.count("ledgerRev"));
+            String last = null;
+            for (Doc e : d.docs("entries")) {
+              last = e.text("key");
+              got.add(new Change(last, Doc.of(e.raw("v")), e.count("stamp")));
+            }
+            if (d.flag("truncated", false) && last != null) {
+              load(prefix, last, got, r);
+            } else {
+              load(prefix + 1, null, got, r);
+            }
+          } catch (BadMessage e) {
+            malformed("list", e);
+            timers.after(backoff(), () -> load(prefix, from, got, minRev));
+          }
+        });
+  }
+
+  /** The first catching up makes the copy whole: pages were read at different revisions. */
+  private void catchUp() {
+    call(
+        "GET",
+        "/follow?prefix=" + PREFIX + "&from=" + rev + "&holdMs=0",
+        null,
+        CALL_MS,
+        a -> {
+          if (a.status() == 410) {
+            start();
+          } else if (a.status() != 200 || !take(a.body())) {
+            timers.after(backoff(), this::catchUp);
+          } else {
+            phase = Phase.FOLLOWING;
+            LOG.info("tables loaded at revision {}", rev);
+            applier.applied();
+            follow();
+          }
+        });
+  }
+
+  private void follow() {
+    call(
+        "GET",
+        "/follow?prefix=" + PREFIX + "&from=" + rev + "&holdMs=" + HOLD_MS,
+        null,
+        HOLD_MS + 60_000,
+        a -> {
+          if (a.status() == 410) {
+            phase = Phase.LOADING;
+            start();
+          } else if (a.status() != 200) {
+            timers.after(backoff(), this::follow);
+          } else if (take(a.body())) {
+            // A short pause lets changes gather: a watch per change would eat the request limit.
+            timers.after(syncGapMs, this::follow);
+          } else {
+            timers.after(backoff(), this::follow);
+          }
+        });
+  }
+
+  private boolean take(byte[] body) {
+    List<Change> news = new ArrayList<>();
+    long newRev;
+    try {
+      Doc d = Doc.parse(body);
+      newRev = d.count("ledgerRev");
+      for (Doc e : d.docs("news")) {
+        long stamp = e.count("stamp");
+        String written = e.textOrNull("write");
+        if (stamp <= rev) {
+          continue;
+        }
+        news.add(
+            written != null
+                ? new Change(written, Doc.of(e.raw("v")), stamp)
+                : new Change(e.text("delete"), null, stamp));
+      }
+    } catch (BadMessage e) {
+      malformed("watch", e);
+      return false;
+    }
+    news.forEach(applier::apply);
+    rev = Math.max(rev, newRev);
+    if (phase == Phase.FOLLOWING) {
+      if (!news.isEmpty()) {
+        applier.applied();
+      }
+      for (int i = 0; i < revWaiters.size(); ) {
+        RevWaiter w = revWaiters.get(i);
+        if (w.rev <= rev) {
+          revWaiters.remove(i);
+          w.done.run();
+        } else {
+          i++;
+        }
+      }
+    }
+    return true;
+  }
+
+  // ---- reading ----
+
+  /** Calls back once the tables hold everything that was durable when this was called. */
+  public void barrier(long waitMs, Consumer<Boolean> done) {
+    long deadline = timers.nowMs() + waitMs;
+    waiters.add(new Waiter(done, deadline));
+    timers.after(waitMs, this::expireWaiters);
+    armSync();
+  }
+
+  /** Runs once the tables have reached a revision, which a commit of ours returned. */
+  public void whenAt(long wanted, Runnable done) {
+    if (rev >= wanted && phase == Phase.FOLLOWING) {
+      done.run();
+      return;
+    }
+    revWaiters.add(new RevWaiter(wanted, done));
+    armSync();
+  }
+
+  private void expireWaiters() {
+    long now = timers.nowMs();
+    List<Waiter> late = new ArrayList<>();
+    waiters.removeIf(
+        w -> {
+          if (w.deadlineMs <= now) {
+            late.add(w);
+            return true;
+          }
+          return false;
+        });
+    late.forEach(w -> w.done.accept(false));
+  }
+
+  private void armSync() {
+    if (syncing || syncArmed) {
+      return;
+    }
+    long wait = lastSyncMs + syncGapMs - timers.nowMs();
+    if (wait <= 0) {
+      sync();
+      return;
+    }
+    syncArmed = true;
+    timers.after(
+        wait,
+        () -> {
+          syncArmed = false;
+          if (!syncing) {
+            sync();
+          }
+        });
+  }
+
+  private void sync() {
+    if (waiters.isEmpty() && revWaiters.isEmpty()) {
+      return;
+    }
+    lastSyncMs = timers.nowMs();
+    if (phase != Phase.FOLLOWING) {
+      failWaiters();
+      return;
+    }
+    syncing = true;
+    List<Waiter> mine = waiters;
+    waiters = new ArrayList<>();
+    call(
+        "GET",
+        "/follow?prefix=" + PREFIX + "&from=" + rev + "&holdMs=0",
+        null,
+        CALL_MS,
+        a -> {
+          syncing = false;
+          boolean ok = a.status() == 200 && take(a.body());
+          mine.forEach(w -> w.done.accept(ok));
+          if (!waiters.isEmpty() || !revWaiters.isEmpty()) {
+            armSync();
+          }
+        });
+  }
+
+  private void failWaiters() {
+    List<Waiter> mine = waiters;
+    waiters = new ArrayList<>();
+    mine.forEach(w -> w.done.accept(false));
+    if (!revWaiters.isEmpty()) {
+      armSync();
+    }
+  }
+
+  /** Reads one key: an empty value with {@code ok} means it is not there. */
+  public record Read(boolean ok, Doc value, long stamp) {}
+
+  public void read(String key, Consumer<Read> done) {
+    call(
+        "GET",
+        "/store/" + key,
+        null,
+        CALL_MS,
+        a -> {
+          try {
+            if (a.status() == 404) {
+              done.accept(new Read(true, null, 0));
+            } else if (a.status() == 200) {
+              Doc d = Doc.parse(a.body());
+              done.accept(new Read(true, Doc.of(d.raw("v")), d.count("stamp")));
+            } else {
+              done.accept(new Read(false, null, 0));
+            }
+          } catch (BadMessage e) {
+            malformed("read", e);
+            done.accept(new Read(false, null, 0));
+          }
+        });
+  }
+
+  // ---- writing ----
+
+  /**
+   * Commits. {@code urgent} transactions (views, leases, submissions) may use the last of the write
+   * budget; others leave a reserve.
+   */
+  public void commit(Txn txn, boolean urgent, Consumer<Result> done) {
+    long now = timers.nowMs();
+    if (txn.changes() > 0 && !writes.take(txn.changes(), urgent ? -1e9 : 3, now)) {
+      timers.after(1, () -> done.accept(new Result(Outcome.REFUSED, 0, Set.of(), false)));
+      return;
+    }
+    call(
+        "POST",
+        "/commit",
+        Pack.encode(txn.toWire()),
+        CALL_MS,
+        a -> done.accept(result(a)));
+  }
+
+  private Result result(Caller.Answer a) {
+    try {
+      switch (a.status()) {
+        case 200:
+          return new Result(Outcome.OK, Doc.parse(a.body()).count("ledgerRev"), Set.of(), false);
+        case 409:
+          Doc d = Doc.parse(a.body());
+          return new Result(
+              Outcome.FAILED, d.count("ledgerRev"), new HashSet<>(d.texts("failed")), false);
+        case 429:
+          writes.drain();
+          return new Result(Outcome.REFUSED, 0, Set.of(), false);
+        case 400:
+          String why = String.valueOf(Doc.parse(a.body()).raw("error"));
+          LOG.warn("state service refused a transaction: {}", why);
+          return new Result(Outcome.REFUSED, 0, Set.of(), why.contains("lease"));
+        case 503:
+          return new Result(Outcome.REFUSED, 0, Set.of(), false);
+        default:
+          return new Result(Outcome.UNKNOWN, 0, Set.of(), false);
+      }
+    } catch (BadMessage e) {
+      malformed("commit", e);
+      return new Result(Outcome.UNKNOWN, 0, Set.of(), false);
+    }
+  }
+
+  // ---- leases ----
+
+  public void grant(long lifeMs, Consumer<Long> done) {
+    call(
+        "POST",
+        "/grants",
+        Pack.encode(Map.of("lifeMs", lifeMs)),
+        CALL_MS,
+        a -> {
+          try {
+            done.accept(a.status() == 200 ? Doc.parse(a.body()).count("tether") : 0L);
+          } catch (BadMessage e) {
+            malformed("grant", e);
+            done.accept(0L);
+          }
+        });
+  }
+
+  public void extend(long tether, Consumer<Integer> done) {
+    call(
+        "POST",
+        "/grants/" + tether + "/extend",
+        Pack.encode(Map.of()),
+        CALL_MS,
+        a -> done.accept(a.status()));
+  }
+
+  // ---- calls ----
+
+  private void call(
+      String method, String path, byte[] body, long timeoutMs, Consumer<Caller.Answer> done) {
+    boolean vital = path.startsWith("/grants") || path.startsWith("/commit");
+    if (!requests.take(1, vital ? -1e9 : requestReserve, timers.nowMs())) {
+      timers.after(20, () -> call(method, path, body, timeoutMs, done));
+      return;
+    }
+    caller.call(
+        address,
+        method,
+        path,
+        body,
+        timeoutMs,
+        a -> {
+          boolean ok = a.status() != 0 && a.status() != 503;
+          if (a.status() == 429) {
+            requests.drain();
+          }
+          if (ok) {
+            lastOkMs = timers.nowMs();
+            failures = 0;
+          } else {
+            failures++;
+          }
+          lastCallOk = ok || failures < 3 && timers.nowMs() - lastOkMs < 1000;
+          done.accept(a);
+        });
+  }
+
+  private long backoff() {
+    return 100L + Math.floorMod(timers.nowMs() * 31, 100) + Math.min(failures, 5) * 50L;
+  }
+
+  private static void malformed(String what, BadMessage e) {
+    LOG.warn("state service: malformed answer to {}: {}", what, e.getMessage());
+  }
+}
--- /dev/null
+++ b/src/main/java/wickdrift/bookkeeping/Machine.java
@@ -0,0 +1,220 @@
+package wickdrift.bookkeeping;
+
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import wickdrift.protocol.BadMessage;
+import wickdrift.protocol.Doc;
+import wickdrift.protocol.Report;
+
+/** One machine: its durable record, what is booked on it, and what its owner last heard. */
+public final class Machine {
+  /** The life of a machine as the durable record tells it. */
+  public enum Phase {
+    /** Only named by a task's record; nothing else is known yet. */
+    UNKNOWN,
+    BOOTING,
+    UP,
+    /** Silent for too long: nothing new goes there. */
+    LOST,
+    /** On its way out: nothing new goes there. */
+    DRAINING,
+    /** The cloud answered its deletion: nothing runs there any more. */
+    GONE
+  }
+
+  /** The durable part. */
+  public record Info(String type, String zone, boolean spot, Phase phase, long atMs) {
+    public Info with(Phase next, long nowWallMs) {
+      return new Info(type, zone, spot, next, nowWallMs);
+    }
+
+    public Map<String, Object> toStore() {
+      Map<String, Object> m = new LinkedHashMap<>();
+      m.put("type", type);
+      m.put("zone", zone);
+      m.put("spot", spot);
+      m.put("phase", phase.name());
+      m.put("at", atMs);
+      return m;
+    }
+
+    static Info parse(Doc d) throws BadMessage {
+      try {
+        return new Info(
+            d.text("type"),
+            d.text("zone"),
+            d.flag("spot"),
+            Phase.valueOf(d.text("phase")),
+            d.count("at"));
+      } catch (IllegalArgumentException e) {
+        throw new BadMessage("phase is unknown");
+      }
+    }
+  }
+
+  /** A live attempt's place in its job. */
+  public record Slot(Job job, int index) {
+    public TaskState state() {
+      return job.task(index);
+    }
+  }
+
+  private static final int IMAGES = 32;
+
+  private final String name;
+  private final List<Slot> live = new ArrayList<>();
+  private final LinkedHashMap<String, Double> images = new LinkedHashMap<>(8, 0.75f, true);
+  private Info info;
+  private long stamp;
+  private double cpus;
+  private double gpus;
+  private double memoryGb;
+
+  // What only its owner knows, from reports; lost with the process.
+  Report report;
+  private long heardMs;
+  private long answeredMs;
+  private long lapseBaseMs;
+  private boolean synced;
+  private int errors;
+  private long shunUntilMs;
+
+  Machine(String name) {
+    this.name = name;
+  }
+
+  public String name() {
+    return name;
+  }
+
+  public String key() {
+    return "w/h/" + name;
+  }
+
+  public Info info() {
+    return info;
+  }
+
+  public Phase phase() {
+    return info == null ? Phase.UNKNOWN : info.phase();
+  }
+
+  public long stamp() {
+    return stamp;
+  }
+
+  public List<Slot> live() {
+    return live;
+  }
+
+  public double cpus() {
+    return cpus;
+  }
+
+  public double gpus() {
+    return gpus;
+  }
+
+  public double memoryGb() {
+    return memoryGb;
+  }
+
+  void record(Info newInfo, long newStamp) {
+    info = newInfo;
+    stamp = newStamp;
+  }
+
+  void add(Slot s) {
+    live.add(s);
+    images.put(s.job().spec().image(), s.job().spec().imageGb());
+    if (images.size() > IMAGES) {
+      images.remove(images.keySet().iterator().next());
+    }
+    recount();
+  }
+
+  void remove(Job job, int index) {
+    live.removeIf(s -> s.index() == index && s.job() == job);
+    recount();
+  }
+
+  /** Summed anew each time: adding and taking away doubles would drift. */
+  private void recount() {
+    cpus = 0;
+    gpus = 0;
+    memoryGb = 0;
+    for (Slot s : live) {
+      cpus += s.job().spec().cpus();
+      gpus += s.job().spec().gpus();
+      memoryGb += s.job().spec().memoryGb();
+    }
+  }
+
+  public boolean hasImage(String image) {
+    return images.containsKey(image);
+  }
+
+  // ---- the owner's own view ----
+
+  public Report report() {
+    return report;
+  }
+
+  public void heard(Report r, long nowMs) {
+    report = r;
+    heardMs = nowMs;
+  }
+
+  /** A new owner starts with no report: an old one proves nothing to it. */
+  public void forgetReports(long lapseBase) {
+    report = null;
+    synced = false;
+    lapseBaseMs = Math.max(lapseBaseMs, lapseBase);
+  }
+
+  public long heardMs() {
+    return heardMs;
+  }
+
+  public void answered(long nowMs) {
+    answeredMs = nowMs;
+    lapseBaseMs = Math.max(lapseBaseMs, nowMs);
+  }
+
+  public long answeredMs() {
+    return answeredMs;
+  }
+
+  /** The latest time at which anyone may have renewed the worker's lease. */
+  public long lapseBaseMs() {
+    return lapseBaseMs;
+  }
+
+  /** True once a report has shown our own epoch: then no older controller can command it. */
+  public boolean synced() {
+    return synced;
+  }
+
+  public void synced(boolean value) {
+    synced = value;
+  }
+
+  public int errors() {
+    return errors;
+  }
+
+  public void failed(long shunUntil) {
+    errors++;
+    shunUntilMs = shunUntil;
+  }
+
+  public void worked() {
+    errors = 0;
+  }
+
+  public long shunUntilMs() {
+    return shunUntilMs;
+  }
+}
--- /dev/null
+++ b/src/main/java/wickdrift/bookkeeping/Txn.java
@@ -0,0 +1,69 @@
+package wickdrift.bookkeeping;
+
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+
+/** A transaction being put together: conditions on stamps, then writes and deletions. */
+public final class Txn {
+  private final Map<String, Long> when = new LinkedHashMap<>();
+  private final Map<String, Map<String, Object>> then = new LinkedHashMap<>();
+
+  public Txn when(String key, long stamp) {
+    Long old = when.put(key, stamp);
+    if (old != null && old != stamp) {
+      throw new IllegalStateException("two stamps wanted of " + key);
+    }
+    return this;
+  }
+
+  public Txn write(String key, Map<String, Object> value) {
+    return write(key, value, 0);
+  }
+
+  public Txn write(String key, Map<String, Object> value, long tether) {
+    Map<String, Object> op = new LinkedHashMap<>();
+    op.put("write", key);
+    op.put("v", value);
+    if (tether > 0) {
+      op.put("tether", tether);
+    }
+    then.put(key, op);
+    return this;
+  }
+
+  public Txn delete(String key) {
+    Map<String, Object> op = new LinkedHashMap<>();
+    op.put("delete", key);
+    then.put(key, op);
+    return this;
+  }
+
+  /** Takes back whatever was said of a key. */
+  public void drop(String key) {
+    when.remove(key);
+    then.remove(key);
+  }
+
+  public int changes() {
+    return then.size();
+  }
+
+  public boolean touches(String key) {
+    return then.containsKey(key);
+  }
+
+  public Map<String, Long> conditions() {
+    return when;
+  }
+
+  Map<String, Object> toWire() {
+    List<Object> w = new ArrayList<>();
+    when.forEach((k, s) -> w.add(Map.of("key", k, "stamp", s)));
+    Map<String, Object> m = new LinkedHashMap<>();
+    m.put("when", w);
+    m.put("then", new ArrayList<Object>(then.values()));
+    return m;
+  }
+}
--- /dev/null
+++ b/src/main/java/wickdrift/coordination/Admission.java
@@ -0,0 +1,403 @@
+package wickdrift.coordination;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import wickdrift.bookkeeping.Job;
+import wickdrift.bookkeeping.Ledger;
+import wickdrift.bookkeeping.Machine;
+import wickdrift.bookkeeping.Tables;
+import wickdrift.bookkeeping.Txn;
+import wickdrift.bookkeeping.View;
+import wickdrift.daemon.Settings;
+import wickdrift.protocol.BadMessage;
+import wickdrift.protocol.Doc;
+import wickdrift.protocol.JobSpec;
+import wickdrift.transport.Exchange;
+import wickdrift.transport.Timers;
+
+/** The users' interface: submissions, status and withdrawals. */
+public final class Admission {
+  private static final Logger LOG = LoggerFactory.getLogger(Admission.class);
+  private static final String DONE = "done";
+  private static final String WITHDRAWN = "withdrawn";
+  private static final int MAX_QUEUE = 300;
+  private static final long BARRIER_MS = 1500;
+  private static final int TRIES = 6;
+  private static final long RETRY_MS = 120;
+  private static final long GIVE_UP_MS = 3000;
+
+  private record Submission(Exchange exchange, JobSpec spec, long sinceMs) {}
+
+  private final Timers timers;
+  private final Ledger ledger;
+  private final Tables tables;
+  private final Types types;
+  private final Settings settings;
+  private final Tuning tuning;
+  private final ArrayDeque<Submission> queue = new ArrayDeque<>();
+  private boolean busy;
+
+  public Admission(
+      Timers timers,
+      Ledger ledger,
+      Tables tables,
+      Types types,
+      Settings settings,
+      Tuning tuning) {
+    this.timers = timers;
+    this.ledger = ledger;
+    this.tables = tables;
+    this.types = types;
+    this.settings = settings;
+    this.tuning = tuning;
+  }
+
+  /** Whether requests can be served at all. */
+  public boolean ready() {
+    return ledger.phase() == Ledger.Phase.FOLLOWING && tables.view() != null && types.known();
+  }
+
+  private static void later(Exchange x) {
+    x.reply(503, Map.of("error", "try again"), 1);
+  }
+
+  // ---- submissions ----
+
+  public void submit(Exchange x) {
+    JobSpec spec;
+    try {
+      spec = JobSpec.parse(Doc.parse(x.body()));
+    } catch (BadMessage e) {
+      x.reply(400, Map.of("error", e.getMessage()));
+      return;
+    }
+    if (tables.job(spec.id()) != null || tables.finished(spec.id()) != null) {
+      status(x, spec.id());
+      return;
+    }
+    if (!ready() || !ledger.reachable()) {
+      later(x);
+      return;
+    }
+    if (queue.size() >= MAX_QUEUE) {
+      x.reply(429, Map.of("error", "too many submissions"), 2);
+      return;
+    }
+    queue.add(new Submission(x, spec, timers.nowMs()));
+    pump();
+  }
+
+  /** Why the job can never run, or null. */
+  String impossible(JobSpec s) {
+    Settings.Team team = Queue.team(settings, s.team());
+    if (team == null) {
+      return "unknown team";
+    }
+    if (types.all().stream().noneMatch(t -> t.canHold(s))) {
+      return "a task fits no allowed machine type";
+    }
+    int n = s.shape() == JobSpec.Shape.ARRAY ? 1 : s.tasks();
+    if (team.cpusMax() > 0 && n * s.cpus() > team.cpusMax() + Room.EPS
+        || team.gpusMax() > 0 && n * s.gpus() > team.gpusMax() + Room.EPS) {
+      return "more than the team's limit";
+    }
+    return null;
+  }
+
+  private void pump() {
+    if (busy || queue.isEmpty()) {
+      return;
+    }
+    busy = true;
+    // Submissions that arrive together are accepted in one transaction.
+    timers.after(2, this::accept);
+  }
+
+  private void accept() {
+    Map<String, List<Submission>> batch = new LinkedHashMap<>();
+    Txn txn = new Txn();
+    while (!queue.isEmpty() && batch.size() < settings.stateLimits().txnOps()) {
+      Submission s = queue.poll();
+      String id = s.spec.id();
+      if (timers.nowMs() - s.sinceMs > GIVE_UP_MS) {
+        later(s.exchange);
+        continue;
+      }
+      if (tables.job(id) != null || tables.finished(id) != null) {
+        status(s.exchange, id);
+        continue;
+      }
+      if (!batch.containsKey(id)) {
+        txn.when(Job.key(id), 0).when(Job.finalKey(id), 0);
+        txn.write(
+            Job.key(id), Job.toStore(s.spec, timers.wallMs(), route(s.spec), false));
+      }
+      batch.computeIfAbsent(id, k -> new ArrayList<>()).add(s);
+    }
+    // A job that can never run is refused only if it was not accepted before.
+    batch.entrySet().removeIf(
+        e -> {
+          String why = impossible(e.getValue().get(0).spec);
+          if (why == null) {
+            return false;
+          }
+          txn.drop(Job.key(e.getKey()));
+          txn.drop(Job.finalKey(e.getKey()));
+          e.getValue().forEach(s -> refuse(s, why));
+          return true;
+        });
+    if (batch.isEmpty()) {
+      busy = false;
+      pump();
+      return;
+    }
+    ledger.commit(txn, true, r -> accepted(r, batch));
+  }
+
+  private void refuse(Submission s, String why) {
+    ledger.barrier(
+        BARRIER_MS,
+        ok -> {
+          if (!ok) {
+            later(s.exchange);
+          } else if (tables.job(s.spec.id()) != null) {
+            answerStatus(s.exchange, s.spec.id());
+          } else {
+            ledger.read(
+                Job.finalKey(s.spec.id()),
+                read -> {
+                  if (!read.ok()) {
+                    later(s.exchange);
+                  } else if (read.value() != null) {
+                    answerFinal(s.exchange, s.spec.id(), read.value());
+                  } else {
+                    s.exchange.reply(422, Map.of("error", why));
+                  }
+                });
+          }
+        });
+  }
+
+  private void accepted(Ledger.Result r, Map<String, List<Submission>> batch) {
+    busy = false;
+    switch (r.outcome()) {
+      case OK ->
+          batch.forEach(
+              (id, all) ->
+                  all.forEach(s -> s.exchange.reply(201, Map.of("ref", id, "phase", "pending"))));
+      case FAILED ->
+          batch.forEach(
+              (id, all) -> {
+                boolean known =
+                    r.failed().contains(Job.key(id)) || r.failed().contains(Job.finalKey(id));
+                for (Submission s : all) {
+                  if (known) {
+                    status(s.exchange, id);
+                  } else {
+                    queue.addFirst(s);
+                  }
+                }
+              });
+      case REFUSED -> {
+        if (ledger.reachable()) {
+          batch.values().forEach(queue::addAll);
+          busy = true;
+          timers.after(
+              RETRY_MS,
+              () -> {
+                busy = false;
+                pump();
+              });
+          return;
+        }
+        batch.values().forEach(l -> l.forEach(s -> later(s.exchange)));
+      }
+      case UNKNOWN -> batch.values().forEach(l -> l.forEach(s -> later(s.exchange)));
+    }
+    pump();
+  }
+
+  /** The part with most free room; gangs and what is large against a part go to the leader. */
+  private String route(JobSpec s) {
+    if (s.shape() == JobSpec.Shape.GANG) {
+      return Job.LEADER;
+    }
+    View v = tables.view();
+    Map<String, double[]> free = new HashMap<>();
+    v.members().keySet().forEach(n -> free.put(n, new double[3]));
+    double total = 0;
+    for (Machine m : tables.machines()) {
+      TypeInfo t = m.phase() == Machine.Phase.UP ? types.find(m.info().type()) : null;
+      if (t == null) {
+        continue;
+      }
+      double[] f = free.get(v.owner(m.name()));
+      double share = roomFor(s, new Room(m, t));
+      f[0] += share;
+      total += t.canHold(s) ? 1 : 0;
+    }
+    String best = v.owner(s.id());
+    for (Map.Entry<String, double[]> e : free.entrySet()) {
+      if (e.getValue()[0] > free.get(best)[0]) {
+        best = e.getKey();
+      }
+    }
+    double partMachines = total / v.members().size();
+    double wanted = s.tasks() * largestShare(s);
+    return total > 0 && wanted > tuning.largeShare() * partMachines ? Job.LEADER : best;
+  }
+
+  /** How many more tasks of this kind the machine could take. */
+  private static double roomFor(JobSpec s, Room r) {
+    if (!r.type().canHold(s)) {
+      return 0;
+    }
+    double n = 1e9;
+    if (s.cpus() > 0) {
+      n = Math.min(n, r.freeCpus() / s.cpus());
+    }
+    if (s.gpus() > 0) {
+      n = Math.min(n, r.freeGpus() / s.gpus());
+    }
+    if (s.memoryGb() > 0) {
+      n = Math.min(n, r.freeMemoryGb() / s.memoryGb());
+    }
+    return Math.floor(n + Room.EPS);
+  }
+
+  private double largestShare(JobSpec s) {
+    double share = 0;
+    for (TypeInfo t : types.all()) {
+      if (t.canHold(s)) {
+        share =
+            Math.max(
+                share,
+                Math.max(
+                    s.cpus() / t.cpus(),
+                    Math.max(
+                        t.gpus() > 0 ? s.gpus() / t.gpus() : 0, s.memoryGb() / t.memoryGb())));
+      }
+    }
+    return share;
+  }
+
+  // ---- status ----
+
+  /** Answers from tables that are no older than this request. */
+  public void status(Exchange x, String id) {
+    String fin = tables.finished(id);
+    if (fin != null) {
+      // Final: no node can have told anyone anything newer.
+      x.reply(200, Map.of("ref", id, "phase", fin, "done", 0, "running", 0));
+      return;
+    }
+    if (ledger.phase() != Ledger.Phase.FOLLOWING) {
+      later(x);
+      return;
+    }
+    ledger.barrier(
+        BARRIER_MS,
+        ok -> {
+          if (ok) {
+            answerStatus(x, id);
+          } else {
+            later(x);
+          }
+        });
+  }
+
+  private void answerStatus(Exchange x, String id) {
+    Job job = tables.job(id);
+    if (job == null) {
+      ledger.read(
+          Job.finalKey(id),
+          r -> {
+            if (!r.ok()) {
+              later(x);
+            } else if (r.value() == null) {
+              x.reply(404, Map.of("error", "no such job"));
+            } else {
+              answerFinal(x, id, r.value());
+            }
+          });
+      return;
+    }
+    String phase = job.withdrawn() ? WITHDRAWN : job.live() > 0 ? "running" : "pending";
+    x.reply(
+        200, Map.of("ref", id, "phase", phase, "done", job.done(), "running", job.live()));
+  }
+
+  private void answerFinal(Exchange x, String id, Doc value) {
+    try {
+      String phase = value.text("phase");
+      tables.rememberFinished(id, phase);
+      long done = phase.equals(DONE) ? value.count("tasks", 0) : 0;
+      x.reply(200, Map.of("ref", id, "phase", phase, "done", done, "running", 0));
+    } catch (BadMessage e) {
+      LOG.error("unreadable final record of {}: {}", id, e.getMessage());
+      later(x);
+    }
+  }
+
+  // ---- withdrawals ----
+
+  public void withdraw(Exchange x, String id) {
+    if (ledger.phase() != Ledger.Phase.FOLLOWING) {
+      later(x);
+      return;
+    }
+    withdraw(x, id, TRIES);
+  }
+
+  private void withdraw(Exchange x, String id, int tries) {
+    if (tables.finished(id) != null) {
+      x.reply(200, Map.of("ref", id, "phase", tables.finished(id)));
+      return;
+    }
+    ledger.barrier(
+        BARRIER_MS,
+        ok -> {
+          Job job = tables.job(id);
+          if (!ok || tries == 0) {
+            later(x);
+          } else if (job == null) {
+            answerStatus(x, id);
+          } else if (job.withdrawn()) {
+            x.reply(200, Map.of("ref", id, "phase", WITHDRAWN));
+          } else {
+            commitWithdrawal(x, job, tries);
+          }
+        });
+  }
+
+  private void commitWithdrawal(Exchange x, Job job, int tries) {
+    Txn txn =
+        new Txn()
+            .when(job.key(), job.stamp())
+            .write(
+                job.key(), Job.toStore(job.spec(), job.acceptedWallMs(), job.part(), true));
+    ledger.commit(
+        txn,
+        true,
+        r -> {
+          switch (r.outcome()) {
+            case OK -> x.reply(200, Map.of("ref", job.id(), "phase", WITHDRAWN));
+            case FAILED -> withdraw(x, job.id(), tries - 1);
+            case REFUSED -> {
+              if (ledger.reachable()) {
+                timers.after(RETRY_MS, () -> withdraw(x, job.id(), tries - 1));
+              } else {
+                later(x);
+              }
+            }
+            case UNKNOWN -> later(x);
+          }
+        });
+  }
+}
--- /dev/null
+++ b/src/main/java/wickdrift/coordination/Fleet.java
@@ -0,0 +1,602 @@
+package wickdrift.coordination;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import wickdrift.bookkeeping.Bucket;
+import wickdrift.bookkeeping.Job;
+import wickdrift.bookkeeping.Ledger;
+import wickdrift.bookkeeping.Machine;
+import wickdrift.bookkeeping.Tables;
+import wickdrift.bookkeeping.View;
+import wickdrift.daemon.Settings;
+import wickdrift.protocol.BadMessage;
+import wickdrift.protocol.Doc;
+import wickdrift.protocol.Pack;
+import wickdrift.transport.Caller;
+import wickdrift.transport.Timers;
+
+/** The leader's dealings with the cloud: renting for what waits, returning what is idle or lost. */
+public final class Fleet {
+  private static final Logger LOG = LoggerFactory.getLogger(Fleet.class);
+  private static final long TICK_MS = 500;
+  private static final long CALL_MS = 4000;
+  private static final long TYPES_MS = 60_000;
+  private static final int PAGE = 500;
+  private static final int RENT_MOST = 50;
+  private static final int DELETE_MOST = 100;
+  private static final int TASKS_SEEN = 3000;
+  private static final int NEW_MOST = 200;
+  private static final long REFUSED_MS = 15_000;
+
+  private record Listed(String phase, String type, String zone, boolean spot, double ageS) {}
+
+  /** A kind of machine that can be asked for. */
+  private record Kind(String type, String zone, boolean spot) {}
+
+  private record Rental(String claim, Kind kind, int count) {}
+
+  private final Timers timers;
+  private final Caller caller;
+  private final Ledger ledger;
+  private final Tables tables;
+  private final Types types;
+  private final Membership membership;
+  private final Scribe scribe;
+  private final Tuning tuning;
+  private final Settings settings;
+  private final String incarnation;
+  private final Bucket calls;
+
+  private final Map<String, Long> absentSince = new HashMap<>();
+  private final Map<String, Boolean> everListed = new HashMap<>();
+  private final Map<String, Long> deleted = new HashMap<>();
+  private final Map<String, Long> emptySince = new HashMap<>();
+  private final Map<Kind, Long> refusedUntil = new HashMap<>();
+  private final List<Rental> rentals = new ArrayList<>();
+  private final Map<String, Machine.Info> rentedUnrecorded = new LinkedHashMap<>();
+  private long claimCounter;
+  private long lastListMs = Long.MIN_VALUE / 2;
+  private boolean listing;
+  private boolean deleting;
+  private boolean askingTypes;
+  private long typesAtMs = Long.MIN_VALUE / 2;
+  private long leadSinceMs = -1;
+
+  public Fleet(
+      Timers timers,
+      Caller caller,
+      Ledger ledger,
+      Tables tables,
+      Types types,
+      Membership membership,
+      Scribe scribe,
+      Tuning tuning,
+      Settings settings,
+      String incarnation) {
+    this.timers = timers;
+    this.caller = caller;
+    this.ledger = ledger;
+    this.tables = tables;
+    this.types = types;
+    this.membership = membership;
+    this.scribe = scribe;
+    this.tuning = tuning;
+    this.settings = settings;
+    this.incarnation = incarnation;
+    this.calls = new Bucket(settings.cloudLimits().rps() * 0.8, timers.nowMs());
+  }
+
+  public void start() {
+    tick();
+  }
+
+  private void tick() {
+    timers.after(TICK_MS, this::tick);
+    long now = timers.nowMs();
+    if (now - typesAtMs > (types.known() ? TYPES_MS : 1000)) {
+      askTypes();
+    }
+    if (!membership.leads()
+        || ledger.phase() != Ledger.Phase.FOLLOWING
+        || membership.outdated()
+        || !types.known()) {
+      leadSinceMs = -1;
+      return;
+    }
+    if (leadSinceMs < 0) {
+      leadSinceMs = now;
+      emptySince.clear();
+      absentSince.clear();
+      everListed.clear();
+      rentals.clear();
+    }
+    list();
+    recordRented();
+    retireIdle();
+    deleteUnwanted();
+    if (scribe.settled() && ledger.reachable()) {
+      rent();
+    }
+  }
+
+  // ---- types ----
+
+  private void askTypes() {
+    if (askingTypes || !calls.take(1, 0, timers.nowMs())) {
+      return;
+    }
+    askingTypes = true;
+    typesAtMs = timers.nowMs();
+    caller.call(
+        settings.cloud(),
+        "GET",
+        "/flavors",
+        null,
+        CALL_MS,
+        a -> {
+          askingTypes = false;
+          if (a.status() != 200) {
+            return;
+          }
+          try {
+            for (Doc d : Doc.parse(a.body()).docs("flavours")) {
+              types.put(TypeInfo.parse(d));
+            }
+          } catch (BadMessage e) {
+            LOG.warn("cloud: malformed types: {}", e.getMessage());
+          }
+        });
+  }
+
+  // ---- the list ----
+
+  private void list() {
+    long gap = Math.max(1000, (long) (settings.cloudLimits().listLagS() * 500));
+    if (listing || timers.nowMs() - lastListMs < gap) {
+      return;
+    }
+    listing = true;
+    lastListMs = timers.nowMs();
+    page("", new TreeMap<>());
+  }
+
+  private void page(String from, Map<String, Listed> got) {
+    if (!calls.take(1, 0, timers.nowMs())) {
+      listing = false;
+      return;
+    }
+    String path = "/hosts?most=" + PAGE + (from.isEmpty() ? "" : "&from=" + from);
+    caller.call(
+        settings.cloud(),
+        "GET",
+        path,
+        null,
+        CALL_MS,
+        a -> {
+          if (a.status() != 200) {
+            listing = false;
+            return;
+          }
+          try {
+            Doc d = Doc.parse(a.body());
+            String last = from;
+            for (Doc h : d.docs("hosts")) {
+              last = h.text("ref");
+              got.put(
+                  last,
+                  new Listed(
+                      h.text("phase"),
+                      h.text("flavour"),
+                      h.text("region"),
+                      h.flag("reclaimable", false),
+                      h.amount("ageS", 0)));
+            }
+            if (d.flag("truncated", false) && !last.equals(from)) {
+              page(last, got);
+              return;
+            }
+          } catch (BadMessage e) {
+            LOG.warn("cloud: malformed list: {}", e.getMessage());
+            listing = false;
+            return;
+          }
+          listing = false;
+          if (membership.leads()) {
+            compare(got);
+          }
+        });
+  }
+
+  private void compare(Map<String, Listed> got) {
+    long now = timers.nowMs();
+    long lag = (long) (settings.cloudLimits().listLagS() * 1000);
+    deleted.values().removeIf(t -> now - t > 20 * lag + 60_000);
+    got.forEach(
+        (name, l) -> {
+          everListed.put(name, true);
+          absentSince.remove(name);
+          if (deleted.containsKey(name)) {
+            return;
+          }
+          Machine m = tables.machineOrNew(name);
+          if (l.phase.equals("failed")) {
+            condemn(name, "it failed");
+          } else if (m.phase() == Machine.Phase.UNKNOWN && !scribe.recording(m)) {
+            scribe.record(
+                m,
+                new Machine.Info(
+                    l.type,
+                    l.zone,
+                    l.spot,
+                    Machine.Phase.BOOTING,
+                    timers.wallMs() - (long) (l.ageS * 1000)));
+          }
+        });
+    for (Machine m : tables.machines()) {
+      boolean known = m.info() != null && m.phase() != Machine.Phase.GONE;
+      if (!known || got.containsKey(m.name())) {
+        continue;
+      }
+      boolean couldBeListed =
+          everListed.containsKey(m.name()) || timers.wallMs() - m.info().atMs() > 3 * lag;
+      boolean heard = m.heardMs() > 0 && now - m.heardMs() < 2 * lag;
+      if (couldBeListed && !heard) {
+        absentSince.putIfAbsent(m.name(), now);
+        if (now - absentSince.get(m.name()) > 2 * lag) {
+          condemn(m.name(), "it is no longer listed");
+        }
+      }
+    }
+    everListed.keySet().removeIf(n -> tables.machine(n) == null && !got.containsKey(n));
+  }
+
+  // ---- deleting ----
+
+  private final Map<String, String> condemned = new LinkedHashMap<>();
+
+  private void condemn(String name, String why) {
+    if (!deleted.containsKey(name) && condemned.putIfAbsent(name, why) == null) {
+      LOG.info("deleting {}: {}", name, why);
+    }
+  }
+
+  private void deleteUnwanted() {
+    long wall = timers.wallMs();
+    for (Machine m : new ArrayList<>(tables.machines())) {
+      Machine.Info i = m.info();
+      if (i == null) {
+        continue;
+      }
+      long age = wall - i.atMs();
+      switch (i.phase()) {
+        case BOOTING -> {
+          TypeInfo t = types.find(i.type());
+          double boot = t == null ? 60 : t.bootS();
+          if (age > boot * 4000 + 5000) {
+            condemn(m.name(), "it does not come up");
+          }
+        }
+        case LOST -> {
+          if (age > tuning.lostMs()) {
+            condemn(m.name(), "it is silent");
+          }
+        }
+        case DRAINING -> {
+          if (m.live().isEmpty() && age > 1000) {
+            condemn(m.name(), "it is empty and not needed");
+          }
+        }
+        case GONE -> {
+          if (m.live().isEmpty() && !scribe.recording(m)) {
+            scribe.record(m, null);
+          }
+        }
+        default -> {}
+      }
+    }
+    if (condemned.isEmpty() || deleting || !calls.take(1, 0, timers.nowMs())) {
+      return;
+    }
+    List<String> names = new ArrayList<>();
+    for (String n : condemned.keySet()) {
+      if (names.size() < DELETE_MOST) {
+        names.add(n);
+      }
+    }
+    deleting = true;
+    caller.call(
+        settings.cloud(),
+        "POST",
+        "/hosts/delete",
+        Pack.encode(Map.of("hosts", names)),
+        CALL_MS,
+        a -> {
+          deleting = false;
+          if (a.status() != 200) {
+            return;
+          }
+          for (String n : names) {
+            condemned.remove(n);
+            deleted.put(n, timers.nowMs());
+            Machine m = tables.machine(n);
+            if (m != null && m.info() != null) {
+              // The answer is the proof that nothing runs there any more.
+              scribe.record(m, m.info().with(Machine.Phase.GONE, timers.wallMs()));
+            }
+          }
+        });
+  }
+
+  private void retireIdle() {
+    long now = timers.nowMs();
+    int idle = 0;
+    List<Machine> candidates = new ArrayList<>();
+    for (Machine m : tables.machines()) {
+      if (m.phase() != Machine.Phase.UP || !m.live().isEmpty()) {
+        emptySince.remove(m.name());
+        continue;
+      }
+      idle++;
+      if (now - emptySince.computeIfAbsent(m.name(), k -> now) > tuning.idleMs()) {
+        candidates.add(m);
+      }
+    }
+    for (Machine m : candidates) {
+      if (idle <= tuning.spareMachines() || anyWaiting()) {
+        return;
+      }
+      if (!scribe.recording(m)) {
+        scribe.record(m, m.info().with(Machine.Phase.DRAINING, timers.wallMs()));
+      }
+      idle--;
+    }
+  }
+
+  private boolean anyWaiting() {
+    return tables.jobs().stream().anyMatch(j -> j.waiting() > 0 && !j.withdrawn());
+  }
+
+  // ---- renting ----
+
+  private void recordRented() {
+    rentedUnrecorded
+        .entrySet()
+        .removeIf(
+            e -> {
+              Machine m = tables.machineOrNew(e.getKey());
+              if (m.phase() != Machine.Phase.UNKNOWN) {
+                return true;
+              }
+              if (!scribe.recording(m)) {
+                scribe.record(m, e.getValue());
+              }
+              return false;
+            });
+  }
+
+  /** Machines that are not there yet, plus what would have to be rented for all that waits. */
+  private void rent() {
+    List<Room> rooms = new ArrayList<>();
+    for (Machine m : tables.machines()) {
+      TypeInfo t = m.info() == null ? null : types.find(m.info().type());
+      if (t != null
+          && (m.phase() == Machine.Phase.UP || m.phase() == Machine.Phase.BOOTING)) {
+        rooms.add(new Room(m, t));
+      }
+    }
+    Map<Kind, Integer> coming = new LinkedHashMap<>();
+    rentals.forEach(r -> coming.merge(r.kind, r.count, Integer::sum));
+    rentedUnrecorded.forEach(
+        (n, i) -> {
+          if (tables.machineOrNew(n).phase() == Machine.Phase.UNKNOWN) {
+            coming.merge(new Kind(i.type(), i.zone(), i.spot()), 1, Integer::sum);
+          }
+        });
+    Map<Kind, Integer> wanted = Demand.of(tables, settings, types, rooms, toKinds(coming), this::pick);
+    for (Map.Entry<Kind, Integer> e : wanted.entrySet()) {
+      int n = Math.min(e.getValue(), RENT_MOST);
+      if (n > 0 && calls.take(1, 1, timers.nowMs())) {
+        View v = tables.view();
+        // Never used by anyone else: the epoch, this process and a counter are in it.
+        String claim = "r-" + v.epoch() + "-" + settings.node() + "-" + incarnation + "-" + ++claimCounter;
+        Rental r = new Rental(claim, e.getKey(), n);
+        rentals.add(r);
+        ask(r, 0);
+      }
+    }
+  }
+
+  private List<Demand.Virtual> toKinds(Map<Kind, Integer> coming) {
+    List<Demand.Virtual> out = new ArrayList<>();
+    coming.forEach(
+        (k, n) -> {
+          TypeInfo t = types.find(k.type);
+          for (int i = 0; t != null && i < n && out.size() < NEW_MOST; i++) {
+            out.add(new Demand.Virtual(t, k.zone, k.spot));
+          }
+        });
+    return out;
+  }
+
+  /** The kind to rent for a job: cheapest first, zones in turn, what was just refused not at all. */
+  private Kind pick(Job job, Map<String, Integer> perZone, String onlyZone) {
+    long now = timers.nowMs();
+    Kind best = null;
+    double bestCost = 0;
+    for (TypeInfo t : types.all()) {
+      if (!t.canHold(job.spec())) {
+        continue;
+      }
+      for (String zone : t.zones()) {
+        if (job.spec().zone() != null && !job.spec().zone().equals(zone)
+            || onlyZone != null && !onlyZone.equals(zone)) {
+          continue;
+        }
+        for (boolean spot : job.spec().spot() ? new boolean[] {true, false} : new boolean[] {false}) {
+          Kind k = new Kind(t.name(), zone, spot);
+          if (refusedUntil.getOrDefault(k, 0L) > now) {
+            continue;
+          }
+          double cost =
+              (spot ? t.spotPrice() : t.price()) * (1 + 0.001 * perZone.getOrDefault(zone, 0));
+          if (best == null || cost < bestCost) {
+            best = k;
+            bestCost = cost;
+          }
+        }
+      }
+    }
+    return best;
+  }
+
+  private void ask(Rental r, int tries) {
+    caller.call(
+        settings.cloud(),
+        "POST",
+        "/hosts",
+        Pack.encode(
+            Map.of(
+                "claim", r.claim,
+                "flavour", r.kind.type,
+                "region", r.kind.zone,
+                "reclaimable", r.kind.spot,
+                "count", r.count)),
+        CALL_MS,
+        a -> {
+          if (a.status() == 200) {
+            rentals.remove(r);
+            rented(r, a.body());
+          } else if (a.status() == 503 && !trouble(a.body())) {
+            rentals.remove(r);
+            LOG.info("no capacity: {}", r.kind);
+            refusedUntil.put(r.kind, timers.nowMs() + REFUSED_MS);
+          } else if (a.status() == 400) {
+            rentals.remove(r);
+            LOG.error("cloud refused the rental of {}", r.kind);
+            refusedUntil.put(r.kind, timers.nowMs() + 4 * REFUSED_MS);
+          } else if (tries < 20 && rentals.contains(r)) {
+            // Perhaps executed: the same claim gives the same answer and rents nothing twice.
+            timers.after(1000 + 200L * tries, () -> ask(r, tries + 1));
+          } else {
+            rentals.remove(r);
+          }
+        });
+  }
+
+  private static boolean trouble(byte[] body) {
+    try {
+      return "trouble".equals(Doc.parse(body).raw("error"));
+    } catch (BadMessage e) {
+      return true;
+    }
+  }
+
+  private void rented(Rental r, byte[] body) {
+    List<String> names;
+    try {
+      names = Doc.parse(body).texts("hosts");
+    } catch (BadMessage e) {
+      LOG.warn("cloud: malformed answer to a rental: {}", e.getMessage());
+      return;
+    }
+    LOG.info("rented {} of {} {}", names.size(), r.count, r.kind);
+    if (names.size() < r.count) {
+      refusedUntil.put(r.kind, timers.nowMs() + REFUSED_MS);
+    }
+    for (String n : names) {
+      rentedUnrecorded.put(
+          n,
+          new Machine.Info(
+              r.kind.type, r.kind.zone, r.kind.spot, Machine.Phase.BOOTING, timers.wallMs()));
+    }
+    recordRented();
+  }
+
+  /** What waits and fits nowhere, as machines to rent. */
+  static final class Demand {
+    /** A machine that is not in the tables yet. */
+    record Virtual(TypeInfo type, String zone, boolean spot) {}
+
+    interface Picker {
+      Kind pick(Job job, Map<String, Integer> perZone, String onlyZone);
+    }
+
+    private static final class Bin {
+      final Room room;
+      final String zone;
+      final boolean spot;
+      final Kind fresh;
+
+      Bin(Room room, String zone, boolean spot, Kind fresh) {
+        this.room = room;
+        this.zone = zone;
+        this.spot = spot;
+        this.fresh = fresh;
+      }
+    }
+
+    private Demand() {}
+
+    static Map<Kind, Integer> of(
+        Tables tables,
+        Settings settings,
+        Types types,
+        List<Room> rooms,
+        List<Virtual> coming,
+        Picker picker) {
+      List<Bin> bins = new ArrayList<>();
+      for (Room r : rooms) {
+        Machine.Info i = r.machine().info();
+        bins.add(new Bin(r, i.zone(), i.spot(), null));
+      }
+      for (Virtual c : coming) {
+        bins.add(new Bin(new Room(null, c.type), c.zone, c.spot, null));
+      }
+      Map<Kind, Integer> wanted = new LinkedHashMap<>();
+      Map<String, Integer> perZone = new HashMap<>();
+      bins.forEach(b -> perZone.merge(b.zone, 1, Integer::sum));
+      int seen = 0;
+      int fresh = 0;
+      for (Job job : Queue.order(tables, settings)) {
+        Settings.Team team = Queue.team(settings, job.spec().team());
+        if (team == null) {
+          continue;
+        }
+        for (int n = 0; n < job.waiting(); n++) {
+          if (++seen > TASKS_SEEN || fresh >= NEW_MOST) {
+            return wanted;
+          }
+          Bin bin = null;
+          for (Bin b : bins) {
+            if ((job.spec().spot() || !b.spot)
+                && (job.spec().zone() == null || job.spec().zone().equals(b.zone))
+                && b.room.type().canHold(job.spec())
+                && b.room.fits(job.spec())) {
+              bin = b;
+              break;
+            }
+          }
+          if (bin == null) {
+            Kind k = picker.pick(job, perZone, null);
+            if (k == null) {
+              break;
+            }
+            bin = new Bin(new Room(null, types.find(k.type)), k.zone, k.spot, k);
+            bins.add(bin);
+            fresh++;
+            wanted.merge(k, 1, Integer::sum);
+            perZone.merge(k.zone, 1, Integer::sum);
+          }
+          bin.room.book(job.spec());
+        }
+      }
+      return wanted;
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/wickdrift/coordination/Membership.java
@@ -0,0 +1,249 @@
+package wickdrift.coordination;
+
+import java.nio.ByteBuffer;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.function.Consumer;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import wickdrift.bookkeeping.Ledger;
+import wickdrift.bookkeeping.Part;
+import wickdrift.bookkeeping.Tables;
+import wickdrift.bookkeeping.Txn;
+import wickdrift.bookkeeping.View;
+import wickdrift.transport.Timers;
+
+/** This node's lease and membership, and the changes of view. */
+public final class Membership {
+  private static final Logger LOG = LoggerFactory.getLogger(Membership.class);
+  private static final long TICK_MS = 250;
+  private static final byte FRAME_VERSION = 1;
+  private static final long PEER_FRESH_MS = 2000;
+
+  /** How this node stands. */
+  public enum Standing {
+    /** No lease, or the view does not hold this incarnation. */
+    OUTSIDE,
+    /** In the view with a lease that surely holds. */
+    MEMBER,
+    /** Was a member; the lease may have ended, but within the grace reports are answered. */
+    GRACE
+  }
+
+  private record Heard(long epoch, boolean stateOk, long atMs) {}
+
+  private final Timers timers;
+  private final Ledger ledger;
+  private final Tables tables;
+  private final Tuning tuning;
+  private final String node;
+  private final int nodeIndex;
+  private final String incarnation;
+  private final Map<String, Consumer<ByteBuffer>> peers;
+  private final Map<Integer, Heard> heard = new HashMap<>();
+
+  private long tether;
+  private long leaseUntilMs = Long.MIN_VALUE / 2;
+  private boolean asking;
+  private boolean writing;
+  private long differsSinceMs = -1;
+  private boolean proposing;
+  private long peerEpoch;
+
+  public Membership(
+      Timers timers,
+      Ledger ledger,
+      Tables tables,
+      Tuning tuning,
+      String node,
+      int nodeIndex,
+      String incarnation,
+      Map<String, Consumer<ByteBuffer>> peers) {
+    this.timers = timers;
+    this.ledger = ledger;
+    this.tables = tables;
+    this.tuning = tuning;
+    this.node = node;
+    this.nodeIndex = nodeIndex;
+    this.incarnation = incarnation;
+    this.peers = peers;
+  }
+
+  public void start() {
+    tick();
+  }
+
+  public Standing standing() {
+    View v = tables.view();
+    if (v == null || !incarnation.equals(v.members().get(node))) {
+      return Standing.OUTSIDE;
+    }
+    long now = timers.nowMs();
+    if (now < leaseUntilMs) {
+      return Standing.MEMBER;
+    }
+    return now < leaseUntilMs + tuning.graceMs() ? Standing.GRACE : Standing.OUTSIDE;
+  }
+
+  public boolean leads() {
+    return standing() == Standing.MEMBER && node.equals(tables.view().leader());
+  }
+
+  /** True when a peer has shown a view newer than ours: ours must not be acted on. */
+  public boolean outdated() {
+    return tables.view() != null && peerEpoch > tables.view().epoch();
+  }
+
+  /** True when a peer says that it is served by the state service while we are not. */
+  public boolean aloneWithoutState() {
+    if (ledger.reachable()) {
+      return false;
+    }
+    long now = timers.nowMs();
+    return heard.values().stream().anyMatch(h -> h.stateOk && now - h.atMs < PEER_FRESH_MS);
+  }
+
+  private void tick() {
+    timers.after(TICK_MS, this::tick);
+    keepLease();
+    if (ledger.phase() == Ledger.Phase.FOLLOWING) {
+      keepMember();
+      considerView();
+    }
+    tellPeers();
+  }
+
+  // ---- the lease ----
+
+  private void keepLease() {
+    long now = timers.nowMs();
+    if (asking) {
+      return;
+    }
+    if (tether == 0) {
+      asking = true;
+      ledger.grant(
+          tuning.memberLeaseMs(),
+          t -> {
+            asking = false;
+            if (t > 0) {
+              tether = t;
+              renewed(now);
+            }
+          });
+    } else if (leaseUntilMs - now < tuning.memberLeaseMs() * 3 / 4) {
+      asking = true;
+      long asked = tether;
+      ledger.extend(
+          asked,
+          status -> {
+            asking = false;
+            if (status == 200) {
+              renewed(now);
+            } else if (status == 404) {
+              LOG.warn("our lease has ended");
+              tether = 0;
+            }
+          });
+    }
+  }
+
+  /** Measured from when the renewal was sent, less drift: never later than the state service's. */
+  private void renewed(long sentMs) {
+    leaseUntilMs = sentMs + tuning.memberLeaseMs() - tuning.memberLeaseMs() / 1000 - 1;
+  }
+
+  private void keepMember() {
+    if (tether == 0 || writing || incarnation.equals(tables.members().get(node))) {
+      return;
+    }
+    writing = true;
+    String key = "w/m/" + node;
+    Txn txn =
+        new Txn()
+            .when(key, tables.memberStamp(node))
+            .write(key, Map.of("inc", incarnation), tether);
+    ledger.commit(
+        txn,
+        true,
+        r -> {
+          if (r.noLease()) {
+            tether = 0;
+          }
+          ledger.barrier(2000, ok -> writing = false);
+        });
+  }
+
+  // ---- the view ----
+
+  private void considerView() {
+    View next = View.next(tables.view(), tables.members());
+    long now = timers.nowMs();
+    if (next == null
+        || !incarnation.equals(tables.members().get(node))
+        || now >= leaseUntilMs
+        || proposing) {
+      differsSinceMs = -1;
+      return;
+    }
+    if (differsSinceMs < 0) {
+      differsSinceMs = now;
+    }
+    // The coming leader proposes first; the others only if it does not.
+    long turn = next.leader().equals(node) ? 0 : 600L * (1 + nodeIndex);
+    if (now - differsSinceMs < turn) {
+      return;
+    }
+    propose(next);
+  }
+
+  private void propose(View next) {
+    proposing = true;
+    Txn txn = new Txn().when(View.KEY, tables.viewStamp()).write(View.KEY, next.toStore());
+    for (String m : next.members().keySet()) {
+      txn.when("w/m/" + m, tables.memberStamp(m));
+    }
+    // Rewriting every part makes whatever was prepared under the old view fail.
+    Map<String, Boolean> all = new TreeMap<>();
+    next.members().keySet().forEach(m -> all.put(m, true));
+    tables.parts().keySet().forEach(m -> all.put(m, true));
+    for (String m : all.keySet()) {
+      txn.write(Part.key(m), Part.toStore(next.epoch(), java.util.List.of()));
+    }
+    LOG.info(
+        "proposing epoch {}: members {}, leader {}",
+        next.epoch(),
+        next.members().keySet(),
+        next.leader());
+    ledger.commit(
+        txn, true, r -> ledger.barrier(2000, ok -> {
+          proposing = false;
+          differsSinceMs = -1;
+        }));
+  }
+
+  // ---- peers ----
+
+  private void tellPeers() {
+    ByteBuffer frame = ByteBuffer.allocate(16);
+    frame.put(FRAME_VERSION);
+    frame.put((byte) nodeIndex);
+    frame.put((byte) (ledger.reachable() ? 1 : 0));
+    frame.putLong(tables.view() == null ? 0 : tables.view().epoch());
+    frame.flip();
+    peers.values().forEach(p -> p.accept(frame.duplicate()));
+  }
+
+  public void peerFrame(ByteBuffer frame) {
+    if (frame.remaining() < 11 || frame.get() != FRAME_VERSION) {
+      LOG.debug("unreadable frame from a peer");
+      return;
+    }
+    int from = frame.get();
+    boolean ok = frame.get() == 1;
+    long epoch = frame.getLong();
+    heard.put(from, new Heard(epoch, ok, timers.nowMs()));
+    peerEpoch = Math.max(peerEpoch, epoch);
+  }
+}
--- /dev/null
+++ b/src/main/java/wickdrift/coordination/Tuning.java
@@ -0,0 +1,41 @@
+package wickdrift.coordination;
+
+import wickdrift.daemon.Settings;
+
+/**
+ * The operators' own settings, all with defaults that derive from what the platform hands over.
+ * Those that the design marks "ours" are here.
+ */
+public record Tuning(
+    long memberLeaseMs,
+    long graceMs,
+    long lostMs,
+    long lapseMs,
+    long settleMs,
+    long handoverMs,
+    long markWaitMs,
+    long idleMs,
+    double largeShare,
+    int spareMachines) {
+
+  /** Clocks drift apart by at most 0.05%; twice that, for a lease is measured by two clocks. */
+  private static final double DRIFT = 0.001;
+
+  private static final long SLACK_MS = 300;
+
+  public static Tuning defaults(Settings s) {
+    long lease = (long) (s.workers().leaseS() * 1000);
+    long report = (long) (s.workers().reportS() * 1000);
+    return new Tuning(
+        4000,
+        3 * lease,
+        lease,
+        (long) (lease * (1 + DRIFT)) + SLACK_MS,
+        report * 5 / 4 + SLACK_MS,
+        1500,
+        10_000,
+        45_000,
+        0.5,
+        1);
+  }
+}
--- /dev/null
+++ b/src/main/java/wickdrift/coordination/TypeInfo.java
@@ -0,0 +1,43 @@
+package wickdrift.coordination;
+
+import java.util.List;
+import wickdrift.protocol.BadMessage;
+import wickdrift.protocol.Doc;
+import wickdrift.protocol.JobSpec;
+
+/** A machine type as the cloud describes it. */
+public record TypeInfo(
+    String name,
+    double cpus,
+    double gpus,
+    double memoryGb,
+    double cacheGb,
+    double fetchGbPerS,
+    double price,
+    double spotPrice,
+    double bootS,
+    List<String> zones) {
+
+  public static TypeInfo parse(Doc d) throws BadMessage {
+    return new TypeInfo(
+        d.text("sku"),
+        d.amount("cores"),
+        d.amount("gpus", 0),
+        d.amount("memoryGb"),
+        d.amount("localGb", 0),
+        d.amount("fetchGbPerS", 0),
+        d.amount("rate", 0),
+        d.amount("lowPrice", 0),
+        d.amount("bootS", 0),
+        List.copyOf(d.texts("regions")));
+  }
+
+  /** Whether a task of the job could ever run on a machine of this type. */
+  public boolean canHold(JobSpec s) {
+    return s.allowsType(name)
+        && s.cpus() <= cpus + Room.EPS
+        && s.gpus() <= gpus + Room.EPS
+        && s.memoryGb() <= memoryGb + Room.EPS
+        && (s.zone() == null || zones.contains(s.zone()));
+  }
+}
--- /dev/null
+++ b/src/main/java/wickdrift/coordination/Types.java
@@ -0,0 +1,26 @@
+package wickdrift.coordination;
+
+import java.util.Collection;
+import java.util.LinkedHashMap;
+import java.util.Map;
+
+/** The machine types, as last read from the cloud. */
+public final class Types {
+  private final Map<String, TypeInfo> types = new LinkedHashMap<>();
+
+  public boolean known() {
+    return !types.isEmpty();
+  }
+
+  public TypeInfo find(String name) {
+    return types.get(name);
+  }
+
+  public Collection<TypeInfo> all() {
+    return types.values();
+  }
+
+  public void put(TypeInfo t) {
+    types.put(t.name(), t);
+  }
+}
--- /dev/null
+++ b/src/main/java/wickdrift/daemon/Controller.java
@@ -0,0 +1,156 @@
+package wickdrift.daemon;
+
+import java.nio.ByteBuffer;
+import java.util.Map;
+import java.util.function.Consumer;
+import wickdrift.bookkeeping.Ledger;
+import wickdrift.bookkeeping.Tables;
+import wickdrift.coordination.Admission;
+import wickdrift.coordination.Fleet;
+import wickdrift.coordination.Membership;
+import wickdrift.coordination.Reporting;
+import wickdrift.coordination.Scribe;
+import wickdrift.coordination.Tuning;
+import wickdrift.coordination.Types;
+import wickdrift.transport.Caller;
+import wickdrift.transport.Exchange;
+import wickdrift.transport.Timers;
+
+/** One controller, put together. It knows no sockets, so tests run it in a simulated world. */
+public final class Controller {
+  private static final String JOBS = "/api/jobs";
+
+  private final Ledger ledger;
+  private final Tables tables;
+  private final Membership membership;
+  private final Scribe scribe;
+  private final Reporting reporting;
+  private final Admission admission;
+  private final Fleet fleet;
+  private final Metrics metrics;
+
+  public Controller(
+      Settings settings,
+      Tuning tuning,
+      Timers timers,
+      Caller caller,
+      Map<String, Consumer<ByteBuffer>> peers,
+      String incarnation,
+      Metrics metrics) {
+    int index = settings.nodeNames().indexOf(settings.node());
+    this.metrics = metrics;
+    Types types = new Types();
+    tables = new Tables(this::tablesChanged);
+    ledger =
+        new Ledger(
+            timers,
+            caller,
+            settings.state(),
+            settings.stateLimits().rps(),
+            settings.stateLimits().writeRps(),
+            settings.peers().size() + 1,
+            tables);
+    membership =
+        new Membership(
+            timers, ledger, tables, tuning, settings.node(), index, incarnation, peers);
+    scribe = new Scribe(timers, ledger, tables, types, membership, tuning, settings, index);
+    reporting =
+        new Reporting(timers, ledger, tables, membership, scribe, tuning, settings.node());
+    admission = new Admission(timers, ledger, tables, types, settings, tuning);
+    fleet =
+        new Fleet(
+            timers,
+            caller,
+            ledger,
+            tables,
+            types,
+            membership,
+            scribe,
+            tuning,
+            settings,
+            incarnation);
+  }
+
+  public void start() {
+    ledger.start();
+    membership.start();
+    scribe.start();
+    reporting.start();
+    fleet.start();
+  }
+
+  private void tablesChanged() {
+    reporting.tablesChanged();
+    scribe.wake();
+  }
+
+  public void peerFrame(ByteBuffer frame) {
+    membership.peerFrame(frame);
+  }
+
+  /** Every request of users, workers and the load balancer comes in here. */
+  public void handle(Exchange x) {
+    metrics.request();
+    String path = x.path();
+    int query = path.indexOf('?');
+    if (query >= 0) {
+      path = path.substring(0, query);
+    }
+    boolean post = x.method().equals("POST");
+    boolean get = x.method().equals("GET");
+    if (path.equals("/hello")) {
+      if (post) {
+        reporting.hello(x);
+      } else {
+        wrongMethod(x);
+      }
+    } else if (path.equals("/up")) {
+      if (!get) {
+        wrongMethod(x);
+      } else if (healthy()) {
+        x.reply(200, Map.of("ok", true));
+      } else {
+        x.reply(503, Map.of("ok", false), 1);
+      }
+    } else if (path.equals("/metrics")) {
+      x.reply(200, metrics.snapshot());
+    } else if (path.equals(JOBS)) {
+      if (post) {
+        admission.submit(x);
+      } else {
+        wrongMethod(x);
+      }
+    } else if (path.startsWith(JOBS + "/")) {
+      job(x, path.substring(JOBS.length() + 1), get, post);
+    } else {
+      x.reply(404, Map.of("error", "no such path"));
+    }
+  }
+
+  private void job(Exchange x, String rest, boolean get, boolean post) {
+    int slash = rest.indexOf('/');
+    String id = slash < 0 ? rest : rest.substring(0, slash);
+    boolean withdraw = slash >= 0 && rest.substring(slash).equals("/withdraw");
+    if (slash >= 0 && !withdraw || !wickdrift.protocol.JobSpec.validId(id)) {
+      x.reply(404, Map.of("error", "no such job"));
+    } else if (withdraw && post) {
+      admission.withdraw(x, id);
+    } else if (!withdraw && get) {
+      admission.status(x, id);
+    } else {
+      wrongMethod(x);
+    }
+  }
+
+  private static void wrongMethod(Exchange x) {
+    x.reply(405, Map.of("error", "method not allowed"));
+  }
+
+  /**
+   * Healthy in an outage of the state service too, where no other node could serve better; not
+   * when a peer is served and we alone are not.
+   */
+  private boolean healthy() {
+    return admission.ready() && !membership.aloneWithoutState();
+  }
+}
--- /dev/null
+++ b/src/main/java/wickdrift/daemon/Main.java
@@ -0,0 +1,41 @@
+package wickdrift.daemon;
+
+import picocli.CommandLine;
+
+/** The command line. Sub-commands leave room for clients to come. */
+@CommandLine.Command(
+    name = "wickdrift",
+    description = "A cluster scheduler.",
+    mixinStandardHelpOptions = true,
+    version = "wickdrift 0.1.0",
+    subcommands = {Serve.class})
+public final class Main implements Runnable {
+  @CommandLine.Spec private CommandLine.Model.CommandSpec spec;
+
+  @Override
+  public void run() {
+    spec.commandLine().usage(System.err);
+  }
+
+  public static void main(String[] args) {
+    logging();
+    int code = new CommandLine(new Main()).execute(args);
+    if (code != Serve.RUNNING) {
+      System.exit(code);
+    }
+  }
+
+  /** Before the first logger is made. */
+  private static void logging() {
+    String level = System.getenv("LOG_LEVEL");
+    String known =
+        level != null && java.util.Set.of("error", "warn", "info", "debug").contains(level)
+            ? level
+            : "error";
+    System.setProperty("org.slf4j.simpleLogger.defaultLogLevel", known);
+    System.setProperty("org.slf4j.simpleLogger.log.io.netty", "error");
+    System.setProperty("org.slf4j.simpleLogger.showThreadName", "false");
+    System.setProperty("org.slf4j.simpleLogger.showShortLogName", "true");
+    System.setProperty("org.slf4j.simpleLogger.logFile", "System.err");
+  }
+}
--- /dev/null
+++ b/src/main/java/wickdrift/daemon/Serve.java
@@ -0,0 +1,68 @@
+package wickdrift.daemon;
+
+import java.nio.ByteBuffer;
+import java.nio.file.Path;
+import java.security.SecureRandom;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.concurrent.Callable;
+import java.util.function.Consumer;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import picocli.CommandLine;
+import wickdrift.coordination.Tuning;
+import wickdrift.transport.EventLoop;
+import wickdrift.transport.HttpClient;
+import wickdrift.transport.HttpServer;
+import wickdrift.transport.PeerLink;
+
+/** Runs a controller until the process is ended. */
+@CommandLine.Command(name = "serve", description = "Run a controller.")
+public final class Serve implements Callable<Integer> {
+  /** Not an exit code: the service goes on running on its own thread. */
+  static final int RUNNING = -1;
+
+  private static final int BAD_SETTINGS = 2;
+
+  @CommandLine.Option(
+      names = "--config",
+      required = true,
+      description = "The settings file that the platform hands over.")
+  private Path config;
+
+  @Override
+  public Integer call() throws Exception {
+    Settings settings;
+    try {
+      settings = Settings.load(config);
+    } catch (Settings.Invalid e) {
+      System.err.println("wickdrift: " + e.getMessage());
+      return BAD_SETTINGS;
+    }
+    Logger log = LoggerFactory.getLogger(Serve.class);
+    EventLoop loop = new EventLoop();
+    // Half of the sockets for what comes in; a quarter for what we open; the rest is slack.
+    HttpClient client = new HttpClient(loop.group(), settings.sockets() / 4);
+    Controller[] box = new Controller[1];
+    PeerLink link = new PeerLink(loop.group(), f -> box[0].peerFrame(f));
+    Map<String, Consumer<ByteBuffer>> peers = new HashMap<>();
+    settings.peers().forEach(p -> peers.put(p.node(), link.to(p.address())));
+    String incarnation = Long.toString(new SecureRandom().nextLong() >>> 24, 36);
+    Controller controller =
+        new Controller(
+            settings,
+            Tuning.defaults(settings),
+            loop,
+            client,
+            peers,
+            incarnation,
+            new Metrics());
+    box[0] = controller;
+    link.listen(HttpClient.parse(settings.back()));
+    new HttpServer(loop.group(), settings.sockets() / 2, controller::handle)
+        .listen(HttpClient.parse(settings.serveOn()));
+    loop.run(controller::start);
+    log.info("{} serves on {}", settings.node(), settings.serveOn());
+    return RUNNING;
+  }
+}
--- /dev/null
+++ b/src/main/java/wickdrift/daemon/Settings.java
@@ -0,0 +1,219 @@
+package wickdrift.daemon;
+
+import com.electronwill.nightconfig.core.UnmodifiableConfig;
+import com.electronwill.nightconfig.core.io.ParsingException;
+import com.electronwill.nightconfig.toml.TomlParser;
+import java.io.IOException;
+import java.io.Reader;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+
+/** The settings the platform hands over. Unknown fields are ignored, missing ones are named. */
+public record Settings(
+    String node,
+    String zone,
+    String serveOn,
+    String back,
+    List<Peer> peers,
+    String cloud,
+    String state,
+    List<String> zones,
+    List<Team> teams,
+    List<Objective> objectives,
+    Workers workers,
+    StateLimits stateLimits,
+    CloudLimits cloudLimits,
+    int sockets) {
+
+  public record Peer(String node, String address) {}
+
+  /** A limit of 0 means none; a guarantee of 0 means none is given. */
+  public record Team(String name, double cpus, double cpusMax, double gpus, double gpusMax) {}
+
+  public record Objective(String kind, String jobClass, double withinS, double share) {}
+
+  public record Workers(
+      double reportS, double leaseS, double gangWaitS, double gangPeerS, double cancelS) {}
+
+  public record StateLimits(double rps, double writeRps, double valueKb, int txnOps) {}
+
+  public record CloudLimits(double rps, double listLagS) {}
+
+  /** A setting that keeps the service from starting. */
+  public static final class Invalid extends Exception {
+    public Invalid(String message) {
+      super(message);
+    }
+  }
+
+  /** All controllers' names in one fixed order; a controller's dense number is its place here. */
+  public List<String> nodeNames() {
+    List<String> names = new ArrayList<>();
+    names.add(node);
+    peers.forEach(p -> names.add(p.node()));
+    Collections.sort(names);
+    return names;
+  }
+
+  public static Settings load(Path file) throws Invalid {
+    UnmodifiableConfig c;
+    try (Reader r = Files.newBufferedReader(file)) {
+      c = new TomlParser().parse(r);
+    } catch (IOException e) {
+      throw new Invalid("cannot read " + file + ": " + e.getMessage());
+    } catch (ParsingException e) {
+      throw new Invalid(file + " is not TOML: " + e.getMessage());
+    }
+    return parse(c);
+  }
+
+  public static Settings parse(UnmodifiableConfig c) throws Invalid {
+    String node = text(c, "host_name");
+    List<Peer> peers = new ArrayList<>();
+    for (UnmodifiableConfig p : tables(c, "peers")) {
+      peers.add(new Peer(text(p, "host_name"), address(p, "peer_addr")));
+    }
+    Set<String> names = new HashSet<>(List.of(node));
+    for (Peer p : peers) {
+      if (!names.add(p.node())) {
+        throw new Invalid("peers: host_name " + p.node() + " is used twice");
+      }
+    }
+    long nodes = (long) number(c, "cluster.nodes");
+    if (nodes != names.size()) {
+      throw new Invalid("cluster.nodes is " + nodes + ", but host_name and peers name " + names.size());
+    }
+    List<Team> teams = new ArrayList<>();
+    for (UnmodifiableConfig t : tables(c, "cluster.teams")) {
+      Team team =
+          new Team(
+              text(t, "name"),
+              number(t, "cpus", 0),
+              number(t, "cpus_max", 0),
+              number(t, "gpus", 0),
+              number(t, "gpus_max", 0));
+      if (team.cpusMax > 0 && team.cpus > team.cpusMax
+          || team.gpusMax > 0 && team.gpus > team.gpusMax) {
+        throw new Invalid("cluster.teams: " + team.name + " is guaranteed more than its limit");
+      }
+      teams.add(team);
+    }
+    List<Objective> objectives = new ArrayList<>();
+    for (UnmodifiableConfig o : tables(c, "cluster.objectives")) {
+      objectives.add(
+          new Objective(
+              text(o, "kind"),
+              o.get("class") instanceof String s ? s : null,
+              number(o, "within_s", 0),
+              number(o, "share", 0)));
+    }
+    Workers workers =
+        new Workers(
+            positive(c, "cluster.workers.report_s"),
+            positive(c, "cluster.workers.lease_s"),
+            positive(c, "cluster.workers.gang_wait_s"),
+            positive(c, "cluster.workers.gang_peer_s"),
+            positive(c, "cluster.workers.cancel_s"));
+    if (workers.leaseS <= workers.reportS) {
+      throw new Invalid("cluster.workers.lease_s is not longer than report_s");
+    }
+    StateLimits state =
+        new StateLimits(
+            positive(c, "cluster.state.rps"),
+            positive(c, "cluster.state.write_rps"),
+            positive(c, "cluster.state.value_kb"),
+            (int) positive(c, "cluster.state.txn_ops"));
+    if (state.txnOps < nodes + 1) {
+      throw new Invalid("cluster.state.txn_ops is too small to change the view of " + nodes + " nodes");
+    }
+    return new Settings(
+        node,
+        text(c, "location"),
+        address(c, "serve_on"),
+        address(c, "back"),
+        List.copyOf(peers),
+        address(c, "endpoints.cloud"),
+        address(c, "endpoints.state"),
+        List.copyOf(texts(c, "cluster.zones")),
+        List.copyOf(teams),
+        List.copyOf(objectives),
+        workers,
+        state,
+        new CloudLimits(positive(c, "cluster.cloud.rps"), positive(c, "cluster.cloud.list_lag_s")),
+        (int) positive(c, "cluster.quota.fd_limit"));
+  }
+
+  private static String text(UnmodifiableConfig c, String key) throws Invalid {
+    Object v = c.get(key);
+    if (v instanceof String s && !s.isEmpty()) {
+      return s;
+    }
+    throw new Invalid(key + (v == null ? " is missing" : " is not text"));
+  }
+
+  private static String address(UnmodifiableConfig c, String key) throws Invalid {
+    String s = text(c, key);
+    if (!s.matches("[0-9]{1,3}(\\.[0-9]{1,3}){3}:[0-9]{1,5}")) {
+      throw new Invalid(key + " is not an address of the form 10.0.0.1:8080");
+    }
+    return s;
+  }
+
+  private static double number(UnmodifiableConfig c, String key) throws Invalid {
+    if (c.get(key) == null) {
+      throw new Invalid(key + " is missing");
+    }
+    return number(c, key, 0);
+  }
+
+  private static double number(UnmodifiableConfig c, String key, double otherwise) throws Invalid {
+    Object v = c.get(key);
+    if (v == null) {
+      return otherwise;
+    }
+    if (v instanceof Number n && n.doubleValue() >= 0 && n.doubleValue() < 1e12) {
+      return n.doubleValue();
+    }
+    throw new Invalid(key + " is not a number of 0 or more");
+  }
+
+  private static double positive(UnmodifiableConfig c, String key) throws Invalid {
+    double d = number(c, key);
+    if (d <= 0) {
+      throw new Invalid(key + " is not above 0");
+    }
+    return d;
+  }
+
+  private static List<UnmodifiableConfig> tables(UnmodifiableConfig c, String key) throws Invalid {
+    Object v = c.get(key);
+    List<UnmodifiableConfig> out = new ArrayList<>();
+    if (v instanceof List<?> l) {
+      for (Object o : l) {
+        if (!(o instanceof UnmodifiableConfig t)) {
+          throw new Invalid(key + " is not a list of tables");
+        }
+        out.add(t);
+      }
+    } else if (v != null) {
+      throw new Invalid(key + " is not a list of tables");
+    }
+    return out;
+  }
+
+  private static List<String> texts(UnmodifiableConfig c, String key) throws Invalid {
+    List<String> out = new ArrayList<>();
+    if (c.get(key) instanceof List<?> l) {
+      for (Object o : l) {
+        out.add(String.valueOf(o));
+      }
+      return out;
+    }
+    throw new Invalid(key + " is missing");
+  }
+}
--- /dev/null
+++ b/src/main/java/wickdrift/protocol/Doc.java
@@ -0,0 +1,142 @@
+package wickdrift.protocol;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+
+/** Typed, checked reading of one decoded map. */
+public final class Doc {
+  private final Map<?, ?> map;
+
+  private Doc(Map<?, ?> map) {
+    this.map = map;
+  }
+
+  public static Doc of(Object value) throws BadMessage {
+    if (value instanceof Map<?, ?> m) {
+      return new Doc(m);
+    }
+    throw new BadMessage("not a map");
+  }
+
+  public static Doc parse(byte[] body) throws BadMessage {
+    return of(Pack.decode(body));
+  }
+
+  public Object raw(String key) {
+    return map.get(key);
+  }
+
+  public Object rawMap() {
+    return map;
+  }
+
+  public String text(String key) throws BadMessage {
+    String s = textOrNull(key);
+    if (s == null) {
+      throw new BadMessage(key + " is missing");
+    }
+    return s;
+  }
+
+  public String textOrNull(String key) throws BadMessage {
+    Object v = map.get(key);
+    if (v == null) {
+      return null;
+    }
+    if (v instanceof String s) {
+      return s;
+    }
+    throw new BadMessage(key + " is not text");
+  }
+
+  public long count(String key) throws BadMessage {
+    Object v = map.get(key);
+    if (v == null) {
+      throw new BadMessage(key + " is missing");
+    }
+    return asCount(key, v);
+  }
+
+  public long count(String key, long otherwise) throws BadMessage {
+    Object v = map.get(key);
+    return v == null ? otherwise : asCount(key, v);
+  }
+
+  private static long asCount(String key, Object v) throws BadMessage {
+    if (v instanceof Long l && l >= 0) {
+      return l;
+    }
+    throw new BadMessage(key + " is not a count");
+  }
+
+  /** A finite, non-negative amount. */
+  public double amount(String key) throws BadMessage {
+    Double d = amountOrNull(key);
+    if (d == null) {
+      throw new BadMessage(key + " is missing");
+    }
+    return d;
+  }
+
+  public double amount(String key, double otherwise) throws BadMessage {
+    Double d = amountOrNull(key);
+    return d == null ? otherwise : d;
+  }
+
+  public Double amountOrNull(String key) throws BadMessage {
+    Object v = map.get(key);
+    if (v == null) {
+      return null;
+    }
+    if (v instanceof Number n) {
+      double d = n.doubleValue();
+      if (d >= 0 && d <= 1e15) {
+        return d;
+      }
+    }
+    throw new BadMessage(key + " is not an amount");
+  }
+
+  public boolean flag(String key) throws BadMessage {
+    Object v = map.get(key);
+    if (v instanceof Boolean b) {
+      return b;
+    }
+    throw new BadMessage(key + (v == null ? " is missing" : " is not true or false"));
+  }
+
+  public boolean flag(String key, boolean otherwise) throws BadMessage {
+    return map.get(key) == null ? otherwise : flag(key);
+  }
+
+  public List<?> list(String key) throws BadMessage {
+    Object v = map.get(key);
+    if (v == null) {
+      return List.of();
+    }
+    if (v instanceof List<?> l) {
+      return l;
+    }
+    throw new BadMessage(key + " is not a list");
+  }
+
+  public List<Doc> docs(String key) throws BadMessage {
+    List<Doc> out = new ArrayList<>();
+    for (Object o : list(key)) {
+      out.add(of(o));
+    }
+    return out;
+  }
+
+  public List<String> texts(String key) throws BadMessage {
+    List<String> out = new ArrayList<>();
+    for (Object o : list(key)) {
+      if (!(o instanceof String s)) {
+        throw new BadMessage(key + " holds something that is not text");
+      }
+      out.add(s);
+    }
+    return out;
+  }
+}
--- /dev/null
+++ b/src/main/java/wickdrift/transport/HttpServer.java
@@ -0,0 +1,191 @@
+package wickdrift.transport;
+
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.buffer.ByteBufUtil;
+import io.netty.buffer.Unpooled;
+import io.netty.buffer.UnpooledByteBufAllocator;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFutureListener;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValues;
+import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpServerCodec;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.timeout.IdleStateEvent;
+import io.netty.handler.timeout.IdleStateHandler;
+import java.net.InetSocketAddress;
+import java.util.Map;
+import java.util.function.Consumer;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import wickdrift.protocol.Pack;
+
+/** HTTP/1.1 with MessagePack bodies. Bounds bodies, idle time and the number of connections. */
+public final class HttpServer {
+  private static final Logger LOG = LoggerFactory.getLogger(HttpServer.class);
+  private static final int MAX_BODY = 64 * 1024;
+  private static final int IDLE_S = 60;
+
+  private final EventLoopGroup group;
+  private final Consumer<Exchange> handler;
+  private final int maxConnections;
+  private int open;
+
+  public HttpServer(EventLoopGroup group, int maxConnections, Consumer<Exchange> handler) {
+    this.group = group;
+    this.maxConnections = maxConnections;
+    this.handler = handler;
+  }
+
+  public Channel listen(InetSocketAddress address) throws InterruptedException {
+    return new ServerBootstrap()
+        .group(group)
+        .channel(NioServerSocketChannel.class)
+        .option(ChannelOption.SO_REUSEADDR, true)
+        .option(ChannelOption.SO_BACKLOG, 256)
+        .childOption(ChannelOption.TCP_NODELAY, true)
+        .childOption(ChannelOption.ALLOCATOR, UnpooledByteBufAllocator.DEFAULT)
+        .childHandler(
+            new ChannelInitializer<SocketChannel>() {
+              @Override
+              protected void initChannel(SocketChannel ch) {
+                accept(ch);
+              }
+            })
+        .bind(address)
+        .sync()
+        .channel();
+  }
+
+  private void accept(SocketChannel ch) {
+    if (open >= maxConnections) {
+      ch.close();
+      return;
+    }
+    open++;
+    ch.closeFuture().addListener(f -> open--);
+    ch.pipeline()
+        .addLast(new IdleStateHandler(0, 0, IDLE_S))
+        .addLast(new HttpServerCodec(2048, 8192, 8192))
+        .addLast(new HttpObjectAggregator(MAX_BODY, true) {
+              @Override
+              protected void handleOversizedMessage(
+                  ChannelHandlerContext ctx, io.netty.handler.codec.http.HttpMessage oversized) {
+                // The protocol knows 400 for a body that is too large.
+                FullHttpResponse r =
+                    new DefaultFullHttpResponse(
+                        HttpVersion.HTTP_1_1, HttpResponseStatus.BAD_REQUEST);
+                r.headers().set(HttpHeaderNames.CONTENT_LENGTH, 0);
+                r.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
+                ctx.writeAndFlush(r).addListener(ChannelFutureListener.CLOSE);
+              }
+            })
+        .addLast(new Requests());
+  }
+
+  private final class Requests extends SimpleChannelInboundHandler<FullHttpRequest> {
+    @Override
+    protected void channelRead0(ChannelHandlerContext ctx, FullHttpRequest req) {
+      if (req.decoderResult().isFailure()) {
+        new Http(ctx, "", "", new byte[0], false).reply(400, null);
+        return;
+      }
+      Exchange x =
+          new Http(
+              ctx,
+              req.method().name(),
+              req.uri(),
+              ByteBufUtil.getBytes(req.content()),
+              HttpUtil.isKeepAlive(req));
+      try {
+        handler.accept(x);
+      } catch (RuntimeException e) {
+        LOG.error("request failed: {} {}", x.method(), x.path(), e);
+        x.reply(503, null, 1);
+      }
+    }
+
+    @Override
+    public void userEventTriggered(ChannelHandlerContext ctx, Object evt) {
+      if (evt instanceof IdleStateEvent) {
+        ctx.close();
+      }
+    }
+
+    @Override
+    public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+      LOG.debug("connection failed", cause);
+      ctx.close();
+    }
+  }
+
+  private static final class Http implements Exchange {
+    private final ChannelHandlerContext ctx;
+    private final String method;
+    private final String path;
+    private final byte[] body;
+    private final boolean keepAlive;
+    private boolean answered;
+
+    Http(ChannelHandlerContext ctx, String method, String path, byte[] body, boolean keepAlive) {
+      this.ctx = ctx;
+      this.method = method;
+      this.path = path;
+      this.body = body;
+      this.keepAlive = keepAlive;
+    }
+
+    @Override
+    public String method() {
+      return method;
+    }
+
+    @Override
+    public String path() {
+      return path;
+    }
+
+    @Override
+    public byte[] body() {
+      return body;
+    }
+
+    @Override
+    public void reply(int status, Object value, int retryAfterS) {
+      if (answered) {
+        return;
+      }
+      answered = true;
+      byte[] bytes = Pack.encode(value == null ? Map.of() : value);
+      FullHttpResponse r =
+          new DefaultFullHttpResponse(
+              HttpVersion.HTTP_1_1,
+              HttpResponseStatus.valueOf(status),
+              Unpooled.wrappedBuffer(bytes));
+      r.headers().set(HttpHeaderNames.CONTENT_TYPE, "application/msgpack");
+      r.headers().set(HttpHeaderNames.CONTENT_LENGTH, bytes.length);
+      if (retryAfterS > 0) {
+        r.headers().set(HttpHeaderNames.RETRY_AFTER, retryAfterS);
+      }
+      if (!keepAlive) {
+        r.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
+      }
+      var f = ctx.writeAndFlush(r);
+      if (!keepAlive) {
+        f.addListener(ChannelFutureListener.CLOSE);
+      }
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/wickdrift/transport/PeerLink.java
@@ -0,0 +1,142 @@
+package wickdrift.transport;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.ByteBufUtil;
+import io.netty.buffer.Unpooled;
+import io.netty.buffer.UnpooledByteBufAllocator;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandler;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.handler.codec.LengthFieldBasedFrameDecoder;
+import io.netty.handler.timeout.IdleStateHandler;
+import java.net.InetSocketAddress;
+import java.nio.ByteBuffer;
+import java.util.function.Consumer;
+
+/** Frames between controllers: a length, then bytes laid out by hand. One connection each way. */
+public final class PeerLink {
+  private static final int MAX_FRAME = 4096;
+  private static final int MAX_INBOUND = 64;
+  private static final int CONNECT_MS = 1000;
+  private static final int IDLE_S = 30;
+
+  private final EventLoopGroup group;
+  private final Consumer<ByteBuffer> handler;
+  private int inbound;
+
+  public PeerLink(EventLoopGroup group, Consumer<ByteBuffer> handler) {
+    this.group = group;
+    this.handler = handler;
+  }
+
+  public Channel listen(InetSocketAddress address) throws InterruptedException {
+    return new ServerBootstrap()
+        .group(group)
+        .channel(NioServerSocketChannel.class)
+        .option(ChannelOption.SO_REUSEADDR, true)
+        .childOption(ChannelOption.TCP_NODELAY, true)
+        .childOption(ChannelOption.ALLOCATOR, UnpooledByteBufAllocator.DEFAULT)
+        .childHandler(
+            new ChannelInitializer<SocketChannel>() {
+              @Override
+              protected void initChannel(SocketChannel ch) {
+                if (inbound >= MAX_INBOUND) {
+                  ch.close();
+                  return;
+                }
+                inbound++;
+                ch.closeFuture().addListener(f -> inbound--);
+                ch.pipeline()
+                    .addLast(new IdleStateHandler(IDLE_S, 0, 0))
+                    .addLast(new LengthFieldBasedFrameDecoder(MAX_FRAME, 0, 2, 0, 2))
+                    .addLast(new Frames());
+              }
+            })
+        .bind(address)
+        .sync()
+        .channel();
+  }
+
+  /** A lossy outgoing link: frames are dropped while there is no connection or it is clogged. */
+  public Consumer<ByteBuffer> to(String address) {
+    return new Outgoing(HttpClient.parse(address));
+  }
+
+  private final class Outgoing implements Consumer<ByteBuffer> {
+    private final InetSocketAddress address;
+    private Channel channel;
+
+    Outgoing(InetSocketAddress address) {
+      this.address = address;
+    }
+
+    @Override
+    public void accept(ByteBuffer frame) {
+      if (channel == null) {
+        connect();
+        return;
+      }
+      if (!channel.isActive() || !channel.isWritable()) {
+        return;
+      }
+      ByteBuf out = Unpooled.buffer(2 + frame.remaining());
+      out.writeShort(frame.remaining());
+      out.writeBytes(frame.duplicate());
+      channel.writeAndFlush(out);
+    }
+
+    private void connect() {
+      channel =
+          new Bootstrap()
+              .group(group)
+              .channel(NioSocketChannel.class)
+              .option(ChannelOption.TCP_NODELAY, true)
+              .option(ChannelOption.ALLOCATOR, UnpooledByteBufAllocator.DEFAULT)
+              .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_MS)
+              .handler(new Sink())
+              .connect(address)
+              .channel();
+      channel.closeFuture().addListener(f -> channel = null);
+    }
+  }
+
+  /** The outgoing side reads nothing; an error closes it and the next frame connects anew. */
+  @ChannelHandler.Sharable
+  private static final class Sink extends SimpleChannelInboundHandler<ByteBuf> {
+    @Override
+    protected void channelRead0(ChannelHandlerContext ctx, ByteBuf msg) {
+      ctx.close();
+    }
+
+    @Override
+    public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+      ctx.close();
+    }
+  }
+
+  private final class Frames extends SimpleChannelInboundHandler<ByteBuf> {
+    @Override
+    protected void channelRead0(ChannelHandlerContext ctx, ByteBuf msg) {
+      handler.accept(ByteBuffer.wrap(ByteBufUtil.getBytes(msg)));
+    }
+
+    @Override
+    public void userEventTriggered(ChannelHandlerContext ctx, Object evt) {
+      ctx.close();
+    }
+
+    @Override
+    public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+      ctx.close();
+    }
+  }
+}
