--- a/src/main/java/wickdrift/bookkeeping/Job.java
+++ b/src/main/java/wickdrift/bookkeeping/Job.java
@@ -111,8 +111,7 @@
         runStart = -1;
       }
       if (s != null && s.live()) {
-        liveOnes.add(
-            List.of(i, s.attempt(), s.machine().name(), s.placer(), s.stop().ordinal()));
+        liveOnes.add(List.of(i, s.attempt(), s.machine().name(), s.placer(), s.stop().ordinal()));
       } else if (s != null && !isDone && s.attempt() > 0) {
         tried.add(List.of(i, s.attempt()));
       }
@@ -125,7 +124,8 @@
   }
 
   /** Replaces a chunk's tasks by what is stored; null: nothing is stored. */
-  void applyChunk(int chunk, Doc d, long newStamp, java.util.function.Function<String, Machine> find)
+  void applyChunk(
+      int chunk, Doc d, long newStamp, java.util.function.Function<String, Machine> find)
       throws BadMessage {
     if (chunk < 0 || chunk >= chunkStamps.length) {
       throw new BadMessage("no such chunk");
--- a/src/main/java/wickdrift/bookkeeping/Ledger.java
+++ b/src/main/java/wickdrift/bookkeeping/Ledger.java
@@ -1,10 +1,10 @@
 package wickdrift.bookkeeping;
 
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
-import java.util.HashSet;
 import java.util.function.Consumer;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -384,12 +384,7 @@
       timers.after(1, () -> done.accept(new Result(Outcome.REFUSED, 0, Set.of(), false)));
       return;
     }
-    call(
-        "POST",
-        "/commit",
-        Pack.encode(txn.toWire()),
-        CALL_MS,
-        a -> done.accept(result(a)));
+    call("POST", "/commit", Pack.encode(txn.toWire()), CALL_MS, a -> done.accept(result(a)));
   }
 
   private Result result(Caller.Answer a) {
--- a/src/main/java/wickdrift/bookkeeping/Tables.java
+++ b/src/main/java/wickdrift/bookkeeping/Tables.java
@@ -9,7 +9,6 @@
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import wickdrift.protocol.BadMessage;
-import wickdrift.protocol.Doc;
 
 /** All that is durable, as of the ledger's revision. Changed by the ledger's changes alone. */
 public final class Tables implements Ledger.Applier {
@@ -170,7 +169,9 @@
       }
       case 'h' -> {
         Machine m = machineOrNew(name);
-        m.record(c.value() == null ? null : Machine.Info.parse(c.value()), c.value() == null ? 0 : c.stamp());
+        m.record(
+            c.value() == null ? null : Machine.Info.parse(c.value()),
+            c.value() == null ? 0 : c.stamp());
         if (c.value() == null && m.live().isEmpty()) {
           machines.remove(name);
         }
--- a/src/main/java/wickdrift/coordination/Admission.java
+++ b/src/main/java/wickdrift/coordination/Admission.java
@@ -44,12 +44,7 @@
   private boolean busy;
 
   public Admission(
-      Timers timers,
-      Ledger ledger,
-      Tables tables,
-      Types types,
-      Settings settings,
-      Tuning tuning) {
+      Timers timers, Ledger ledger, Tables tables, Types types, Settings settings, Tuning tuning) {
     this.timers = timers;
     this.ledger = ledger;
     this.tables = tables;
@@ -135,23 +130,24 @@
       }
       if (!batch.containsKey(id)) {
         txn.when(Job.key(id), 0).when(Job.finalKey(id), 0);
-        txn.write(
-            Job.key(id), Job.toStore(s.spec, timers.wallMs(), route(s.spec), false));
+        txn.write(Job.key(id), Job.toStore(s.spec, timers.wallMs(), route(s.spec), false));
       }
       batch.computeIfAbsent(id, k -> new ArrayList<>()).add(s);
     }
     // A job that can never run is refused only if it was not accepted before.
-    batch.entrySet().removeIf(
-        e -> {
-          String why = impossible(e.getValue().get(0).spec);
-          if (why == null) {
-            return false;
-          }
-          txn.drop(Job.key(e.getKey()));
-          txn.drop(Job.finalKey(e.getKey()));
-          e.getValue().forEach(s -> refuse(s, why));
-          return true;
-        });
+    batch
+        .entrySet()
+        .removeIf(
+            e -> {
+              String why = impossible(e.getValue().get(0).spec);
+              if (why == null) {
+                return false;
+              }
+              txn.drop(Job.key(e.getKey()));
+              txn.drop(Job.finalKey(e.getKey()));
+              e.getValue().forEach(s -> refuse(s, why));
+              return true;
+            });
     if (batch.isEmpty()) {
       busy = false;
       pump();
@@ -280,8 +276,7 @@
                 share,
                 Math.max(
                     s.cpus() / t.cpus(),
-                    Math.max(
-                        t.gpus() > 0 ? s.gpus() / t.gpus() : 0, s.memoryGb() / t.memoryGb())));
+                    Math.max(t.gpus() > 0 ? s.gpus() / t.gpus() : 0, s.memoryGb() / t.memoryGb())));
       }
     }
     return share;
@@ -329,8 +324,7 @@
       return;
     }
     String phase = job.withdrawn() ? WITHDRAWN : job.live() > 0 ? "running" : "pending";
-    x.reply(
-        200, Map.of("ref", id, "phase", phase, "done", job.done(), "running", job.live()));
+    x.reply(200, Map.of("ref", id, "phase", phase, "done", job.done(), "running", job.live()));
   }
 
   private void answerFinal(Exchange x, String id, Doc value) {
@@ -380,8 +374,7 @@
     Txn txn =
         new Txn()
             .when(job.key(), job.stamp())
-            .write(
-                job.key(), Job.toStore(job.spec(), job.acceptedWallMs(), job.part(), true));
+            .write(job.key(), Job.toStore(job.spec(), job.acceptedWallMs(), job.part(), true));
     ledger.commit(
         txn,
         true,
--- a/src/main/java/wickdrift/coordination/Draft.java
+++ b/src/main/java/wickdrift/coordination/Draft.java
@@ -66,7 +66,9 @@
       places = true;
     }
     liveDelta.merge(job, (next.live() ? 1 : 0) - (old.live() ? 1 : 0), Integer::sum);
-    chunks.computeIfAbsent(new Chunk(job, index / Job.CHUNK), k -> new HashMap<>()).put(index, next);
+    chunks
+        .computeIfAbsent(new Chunk(job, index / Job.CHUNK), k -> new HashMap<>())
+        .put(index, next);
     if (!touched.contains(job)) {
       touched.add(job);
     }
@@ -96,7 +98,8 @@
 
   /**
    * Ends a job in the same transaction: the final record appears and the job's goes, on condition
-   * that the job's record has not changed. So a job is either done or withdrawn, decided by one key.
+   * that the job's record has not changed. So a job is either done or withdrawn, decided by one
+   * key.
    */
   void end(Job job, String phase) {
     txn.when(job.key(), job.stamp());
--- a/src/main/java/wickdrift/coordination/Fleet.java
+++ b/src/main/java/wickdrift/coordination/Fleet.java
@@ -385,8 +385,7 @@
     List<Room> rooms = new ArrayList<>();
     for (Machine m : tables.machines()) {
       TypeInfo t = m.info() == null ? null : types.find(m.info().type());
-      if (t != null
-          && (m.phase() == Machine.Phase.UP || m.phase() == Machine.Phase.BOOTING)) {
+      if (t != null && (m.phase() == Machine.Phase.UP || m.phase() == Machine.Phase.BOOTING)) {
         rooms.add(new Room(m, t));
       }
     }
@@ -398,13 +397,15 @@
             coming.merge(new Kind(i.type(), i.zone(), i.spot()), 1, Integer::sum);
           }
         });
-    Map<Kind, Integer> wanted = Demand.of(tables, settings, types, rooms, toKinds(coming), this::pick);
+    Map<Kind, Integer> wanted =
+        Demand.of(tables, settings, types, rooms, toKinds(coming), this::pick);
     for (Map.Entry<Kind, Integer> e : wanted.entrySet()) {
       int n = Math.min(e.getValue(), RENT_MOST);
       if (n > 0 && calls.take(1, 1, timers.nowMs())) {
         View v = tables.view();
         // Never used by anyone else: the epoch, this process and a counter are in it.
-        String claim = "r-" + v.epoch() + "-" + settings.node() + "-" + incarnation + "-" + ++claimCounter;
+        String claim =
+            "r-" + v.epoch() + "-" + settings.node() + "-" + incarnation + "-" + ++claimCounter;
         Rental r = new Rental(claim, e.getKey(), n);
         rentals.add(r);
         ask(r, 0);
@@ -424,7 +425,9 @@
     return out;
   }
 
-  /** The kind to rent for a job: cheapest first, zones in turn, what was just refused not at all. */
+  /**
+   * The kind to rent for a job: cheapest first, zones in turn, what was just refused not at all.
+   */
   private Kind pick(Job job, Map<String, Integer> perZone, String onlyZone) {
     long now = timers.nowMs();
     Kind best = null;
@@ -438,7 +441,8 @@
             || onlyZone != null && !onlyZone.equals(zone)) {
           continue;
         }
-        for (boolean spot : job.spec().spot() ? new boolean[] {true, false} : new boolean[] {false}) {
+        for (boolean spot :
+            job.spec().spot() ? new boolean[] {true, false} : new boolean[] {false}) {
           Kind k = new Kind(t.name(), zone, spot);
           if (refusedUntil.getOrDefault(k, 0L) > now) {
             continue;
--- a/src/main/java/wickdrift/coordination/Membership.java
+++ b/src/main/java/wickdrift/coordination/Membership.java
@@ -217,10 +217,15 @@
         next.members().keySet(),
         next.leader());
     ledger.commit(
-        txn, true, r -> ledger.barrier(2000, ok -> {
-          proposing = false;
-          differsSinceMs = -1;
-        }));
+        txn,
+        true,
+        r ->
+            ledger.barrier(
+                2000,
+                ok -> {
+                  proposing = false;
+                  differsSinceMs = -1;
+                }));
   }
 
   // ---- peers ----
--- a/src/main/java/wickdrift/coordination/Placement.java
+++ b/src/main/java/wickdrift/coordination/Placement.java
@@ -23,9 +23,7 @@
    * first holds the fuller ones, and empty machines are left for gangs.
    */
   private static final Comparator<Room> RANK =
-      CAPABILITY
-          .thenComparingDouble(Room::load)
-          .thenComparing((Room r) -> r.machine().name());
+      CAPABILITY.thenComparingDouble(Room::load).thenComparing((Room r) -> r.machine().name());
 
   private Placement() {}
 
--- a/src/main/java/wickdrift/coordination/Reporting.java
+++ b/src/main/java/wickdrift/coordination/Reporting.java
@@ -166,8 +166,7 @@
           case DRAINING, GONE -> false;
         };
     if (change && !scribe.recording(m)) {
-      scribe.record(
-          m, new Machine.Info(r.type(), r.zone(), r.spot(), wanted, timers.wallMs()));
+      scribe.record(m, new Machine.Info(r.type(), r.zone(), r.spot(), wanted, timers.wallMs()));
     }
   }
 
@@ -202,7 +201,8 @@
       return out;
     }
     Map<String, Sent> sent = runs.computeIfAbsent(m, k -> new HashMap<>());
-    sent.keySet().removeIf(k -> m.live().stream().noneMatch(s -> k.equals(s.job().id() + "/" + s.index())));
+    sent.keySet()
+        .removeIf(k -> m.live().stream().noneMatch(s -> k.equals(s.job().id() + "/" + s.index())));
     for (Machine.Slot slot : m.live()) {
       TaskState s = slot.state();
       String task = slot.job().id() + "/" + slot.index();
--- a/src/main/java/wickdrift/coordination/Scribe.java
+++ b/src/main/java/wickdrift/coordination/Scribe.java
@@ -201,7 +201,9 @@
             return;
           }
           Txn txn =
-              new Txn().when(Part.key(node), p.stamp()).write(Part.key(node), Part.toStore(p.epoch(), p.taken()));
+              new Txn()
+                  .when(Part.key(node), p.stamp())
+                  .write(Part.key(node), Part.toStore(p.epoch(), p.taken()));
           ledger.commit(
               txn,
               true,
@@ -551,7 +553,9 @@
     }
   }
 
-  /** Machines for all waiting members, booked in {@code rooms}; null (and nothing booked) if not. */
+  /**
+   * Machines for all waiting members, booked in {@code rooms}; null (and nothing booked) if not.
+   */
   private static List<Room> gangRooms(Job job, List<Room> rooms, Quota quota) {
     JobSpec spec = job.spec();
     List<String> tries = new ArrayList<>();
--- a/src/main/java/wickdrift/daemon/Controller.java
+++ b/src/main/java/wickdrift/daemon/Controller.java
@@ -51,11 +51,9 @@
             settings.peers().size() + 1,
             tables);
     membership =
-        new Membership(
-            timers, ledger, tables, tuning, settings.node(), index, incarnation, peers);
+        new Membership(timers, ledger, tables, tuning, settings.node(), index, incarnation, peers);
     scribe = new Scribe(timers, ledger, tables, types, membership, tuning, settings, index);
-    reporting =
-        new Reporting(timers, ledger, tables, membership, scribe, tuning, settings.node());
+    reporting = new Reporting(timers, ledger, tables, membership, scribe, tuning, settings.node());
     admission = new Admission(timers, ledger, tables, types, settings, tuning);
     fleet =
         new Fleet(
@@ -147,8 +145,8 @@
   }
 
   /**
-   * Healthy in an outage of the state service too, where no other node could serve better; not
-   * when a peer is served and we alone are not.
+   * Healthy in an outage of the state service too, where no other node could serve better; not when
+   * a peer is served and we alone are not.
    */
   private boolean healthy() {
     return admission.ready() && !membership.aloneWithoutState();
--- a/src/main/java/wickdrift/daemon/Main.java
+++ b/src/main/java/wickdrift/daemon/Main.java
@@ -8,7 +8,7 @@
     description = "A cluster scheduler.",
     mixinStandardHelpOptions = true,
     version = "wickdrift 0.1.0",
-    subcommands = {Serve.class})
+    subcommands = {Serve.class, Rehearse.class})
 public final class Main implements Runnable {
   @CommandLine.Spec private CommandLine.Model.CommandSpec spec;
 
--- a/src/main/java/wickdrift/daemon/Serve.java
+++ b/src/main/java/wickdrift/daemon/Serve.java
@@ -50,13 +50,7 @@
     String incarnation = Long.toString(new SecureRandom().nextLong() >>> 24, 36);
     Controller controller =
         new Controller(
-            settings,
-            Tuning.defaults(settings),
-            loop,
-            client,
-            peers,
-            incarnation,
-            new Metrics());
+            settings, Tuning.defaults(settings), loop, client, peers, incarnation, new Metrics());
     box[0] = controller;
     link.listen(HttpClient.parse(settings.back()));
     new HttpServer(loop.group(), settings.sockets() / 2, controller::handle)
--- a/src/main/java/wickdrift/daemon/Settings.java
+++ b/src/main/java/wickdrift/daemon/Settings.java
@@ -86,7 +86,8 @@
     }
     long nodes = (long) number(c, "cluster.nodes");
     if (nodes != names.size()) {
-      throw new Invalid("cluster.nodes is " + nodes + ", but host_name and peers name " + names.size());
+      throw new Invalid(
+          "cluster.nodes is " + nodes + ", but host_name and peers name " + names.size());
     }
     List<Team> teams = new ArrayList<>();
     for (UnmodifiableConfig t : tables(c, "cluster.teams")) {
@@ -129,7 +130,8 @@
             positive(c, "cluster.state.value_kb"),
             (int) positive(c, "cluster.state.txn_ops"));
     if (state.txnOps < nodes + 1) {
-      throw new Invalid("cluster.state.txn_ops is too small to change the view of " + nodes + " nodes");
+      throw new Invalid(
+          "cluster.state.txn_ops is too small to change the view of " + nodes + " nodes");
     }
     return new Settings(
         node,
--- a/src/main/java/wickdrift/protocol/Pack.java
+++ b/src/main/java/wickdrift/protocol/Pack.java
@@ -14,7 +14,9 @@
 
 /** MessagePack bodies as plain maps, lists, text, numbers, booleans and null. */
 public final class Pack {
-  /** Deeper nesting than any message of the protocol has; guards the stack against hostile input. */
+  /**
+   * Deeper nesting than any message of the protocol has; guards the stack against hostile input.
+   */
   private static final int MAX_DEPTH = 12;
 
   private Pack() {}
--- a/src/main/java/wickdrift/transport/HttpClient.java
+++ b/src/main/java/wickdrift/transport/HttpClient.java
@@ -59,7 +59,9 @@
       Consumer<Answer> done) {
     Call call = new Call(address, done);
     call.timeout =
-        group.next().schedule(() -> call.finish(Answer.NONE, false), timeoutMs, TimeUnit.MILLISECONDS);
+        group
+            .next()
+            .schedule(() -> call.finish(Answer.NONE, false), timeoutMs, TimeUnit.MILLISECONDS);
     FullHttpRequest req =
         new DefaultFullHttpRequest(
             HttpVersion.HTTP_1_1,
--- a/src/main/java/wickdrift/transport/HttpServer.java
+++ b/src/main/java/wickdrift/transport/HttpServer.java
@@ -79,7 +79,8 @@
     ch.pipeline()
         .addLast(new IdleStateHandler(0, 0, IDLE_S))
         .addLast(new HttpServerCodec(2048, 8192, 8192))
-        .addLast(new HttpObjectAggregator(MAX_BODY, true) {
+        .addLast(
+            new HttpObjectAggregator(MAX_BODY, true) {
               @Override
               protected void handleOversizedMessage(
                   ChannelHandlerContext ctx, io.netty.handler.codec.http.HttpMessage oversized) {
--- /dev/null
+++ b/src/test/java/wickdrift/sim/ClusterTest.java
@@ -0,0 +1,135 @@
+package wickdrift.sim;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+import java.util.function.Consumer;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** Whole days of three controllers on a simulated clock; every event is checked against the rules. */
+class ClusterTest {
+  private static List<String> load(SimWorld w, int jobs, long seed) {
+    Random r = new Random(seed);
+    List<String> finite = new ArrayList<>();
+    for (int i = 0; i < jobs; i++) {
+      int number = i;
+      int kind = r.nextInt(10);
+      boolean off = r.nextInt(8) == 0;
+      long withdrawAfter = off ? 1000 + r.nextInt(20_000) : 0;
+      double seconds = 3 + r.nextInt(20);
+      int tasks = 1 + r.nextInt(6);
+      w.clock.after(
+          r.nextInt(60_000),
+          () ->
+              w.submit(
+                  kind < 2
+                      ? SimWorld.job(number, "daemon", Math.min(tasks, 3), 1, 0)
+                      : kind < 5
+                          ? SimWorld.job(number, "ensemble", Math.min(tasks, 3), 2, seconds)
+                          : SimWorld.job(number, "batch", tasks, 1, seconds),
+                  withdrawAfter));
+      if (kind >= 2 && !off) {
+        finite.add(String.format("req-%06d", number));
+      }
+    }
+    return finite;
+  }
+
+  private static void check(SimWorld w, List<String> finite) {
+    assertEquals(List.of(), w.broken());
+    assertTrue(w.starts() > 0, "nothing ran");
+    for (String id : finite) {
+      assertEquals("done", w.lastTold(id), id);
+    }
+  }
+
+  @Test
+  void aQuietDay() {
+    SimWorld w = new SimWorld(1, 4, 30);
+    List<String> finite = load(w, 40, 1);
+    w.run(300_000);
+    check(w, finite);
+  }
+
+  @Test
+  void fromNoMachinesAtAll() {
+    SimWorld w = new SimWorld(2, 0, 20);
+    List<String> finite = load(w, 20, 2);
+    w.run(300_000);
+    check(w, finite);
+  }
+
+  private static void faulty(long seed, Consumer<SimWorld> more) {
+    SimWorld w = new SimWorld(seed, 6, 30);
+    List<String> finite = load(w, 40, seed);
+    more.accept(w);
+    w.run(420_000);
+    check(w, finite);
+  }
+
+  @ParameterizedTest
+  @ValueSource(longs = {11, 12, 13, 14})
+  void controllersCrashOneByOneAndAllTogether(long seed) {
+    faulty(
+        seed,
+        w -> {
+          w.clock.after(20_000, () -> w.crash("n0", 6000));
+          w.clock.after(45_000, () -> w.nodes.forEach(n -> w.crash(n, 5000)));
+          w.clock.after(70_000, () -> w.crash("n1", 9000));
+          w.clock.after(75_000, () -> w.crash("n2", 9000));
+        });
+  }
+
+  @ParameterizedTest
+  @ValueSource(longs = {21, 22, 23})
+  void theStateServiceIsAway(long seed) {
+    faulty(
+        seed,
+        w -> {
+          w.clock.after(25_000, () -> w.state().outage(true));
+          w.clock.after(50_000, () -> w.state().outage(false));
+          w.clock.after(80_000, () -> w.state().refuse("n1", true));
+          w.clock.after(110_000, () -> w.state().refuse("n1", false));
+        });
+  }
+
+  @ParameterizedTest
+  @ValueSource(longs = {31, 32, 33, 34})
+  void aControllerIsCutFromTheStateAndItsTransactionsComeLate(long seed) {
+    faulty(
+        seed,
+        w -> {
+          w.clock.after(20_000, () -> w.cutFromState("n0", true));
+          w.clock.after(50_000, () -> w.healFromState("n0"));
+          w.clock.after(70_000, () -> w.cutFromState("n1", true));
+          w.clock.after(71_000, () -> w.crash("n1", 4000));
+          w.clock.after(95_000, () -> w.healFromState("n1"));
+        });
+  }
+
+  @ParameterizedTest
+  @ValueSource(longs = {41, 42, 43, 44})
+  void machinesAreCutHangAndDie(long seed) {
+    faulty(
+        seed,
+        w -> {
+          w.clock.after(20_000, () -> w.cutMachine(1, true));
+          w.clock.after(30_000, () -> w.hangMachine(2, 40_000));
+          w.clock.after(35_000, w::healMachines);
+          w.clock.after(50_000, () -> w.killMachine(3));
+          w.clock.after(60_000, () -> w.cutMachine(0, true));
+          w.clock.after(65_000, () -> w.crash("n0", 5000));
+          w.clock.after(100_000, w::healMachines);
+        });
+  }
+
+  @Test
+  void aMachineFailsEveryTask() {
+    faulty(51, w -> w.clock.after(3000, () -> w.sicken(2)));
+  }
+}
--- /dev/null
+++ b/src/test/java/wickdrift/sim/SimNet.java
@@ -0,0 +1,101 @@
+package wickdrift.sim;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.Set;
+import java.util.function.BooleanSupplier;
+import java.util.function.Consumer;
+import wickdrift.transport.Caller;
+
+/** A network of hosts by name: delays, cuts that lose, and cuts that hold back and deliver late. */
+public final class SimNet {
+  /** What listens at an address. */
+  public interface Server {
+    void serve(String from, String method, String path, byte[] body, Consumer<Caller.Answer> done);
+  }
+
+  private final SimClock clock;
+  private final Random random;
+  private final Map<String, Server> servers = new HashMap<>();
+  private final Set<String> cuts = new HashSet<>();
+  private final Map<String, List<Runnable>> held = new HashMap<>();
+
+  public SimNet(SimClock clock, Random random) {
+    this.clock = clock;
+    this.random = random;
+  }
+
+  public void listen(String address, Server server) {
+    servers.put(address, server);
+  }
+
+  public void close(String address) {
+    servers.remove(address);
+  }
+
+  private static String link(String a, String b) {
+    return a.compareTo(b) < 0 ? a + "|" + b : b + "|" + a;
+  }
+
+  /** Cuts two hosts from each other; requests sent meanwhile are lost, or held until healed. */
+  public void cut(String a, String b, boolean hold) {
+    cuts.add(link(a, b));
+    if (hold) {
+      held.putIfAbsent(link(a, b), new ArrayList<>());
+    }
+  }
+
+  public void heal(String a, String b) {
+    cuts.remove(link(a, b));
+    List<Runnable> late = held.remove(link(a, b));
+    if (late != null) {
+      late.forEach(r -> clock.after(delay(), r));
+    }
+  }
+
+  private long delay() {
+    return 1 + random.nextInt(4);
+  }
+
+  private void send(String from, String to, Runnable arrive) {
+    String l = link(from, to);
+    if (cuts.contains(l)) {
+      if (held.containsKey(l)) {
+        held.get(l).add(arrive);
+      }
+      return;
+    }
+    clock.after(delay(), arrive);
+  }
+
+  /** The caller's end for one host; {@code alive} tells whether the calling process still runs. */
+  public Caller caller(String from, BooleanSupplier alive) {
+    return (address, method, path, body, timeoutMs, done) -> {
+      boolean[] finished = {false};
+      Consumer<Caller.Answer> once =
+          a -> {
+            if (!finished[0] && alive.getAsBoolean()) {
+              finished[0] = true;
+              done.accept(a);
+            }
+          };
+      clock.after(timeoutMs, () -> once.accept(Caller.Answer.NONE));
+      send(
+          from,
+          address,
+          () -> {
+            Server s = servers.get(address);
+            if (s == null) {
+              send(address, from, () -> once.accept(Caller.Answer.NONE));
+              return;
+            }
+            s.serve(
+                from, method, path, body, a -> send(address, from, () -> once.accept(a)));
+          });
+    };
+  }
+}
--- /dev/null
+++ b/src/test/java/wickdrift/sim/SimRules.java
@@ -0,0 +1,117 @@
+package wickdrift.sim;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import wickdrift.protocol.JobSpec;
+
+/** The rules of the protocol, checked at every event of the simulated world. */
+final class SimRules {
+  private final SimWorld world;
+  private final Map<String, SimWorker.Task> on = new HashMap<>();
+  private final Set<String> doneTasks = new HashSet<>();
+  private final Map<String, Long> withdrawnAt = new HashMap<>();
+  private final Map<String, String> told = new HashMap<>();
+  final List<String> broken = new ArrayList<>();
+  int starts;
+
+  SimRules(SimWorld world) {
+    this.world = world;
+  }
+
+  private void broke(String what) {
+    broken.add(world.clock.nowMs() + " " + what);
+  }
+
+  private static String job(String task) {
+    return task.substring(0, task.indexOf('/'));
+  }
+
+  void started(SimWorker.Task t) {
+    starts++;
+    SimWorker.Task other = on.get(t.id);
+    if (other != null && !other.machine().equals(t.machine())) {
+      broke("ran_twice " + t.id + " on " + t.machine() + " and " + other.machine());
+    }
+    Long off = withdrawnAt.get(job(t.id));
+    if (off != null && world.clock.nowMs() - off > world.cancelMs) {
+      broke("ran_cancelled: started " + t.id);
+    }
+    on.put(t.id, t);
+    double gpus = 0;
+    int sameZone = 0;
+    Set<String> zones = new HashSet<>();
+    for (SimWorker.Task o : on.values()) {
+      gpus += o.spec.team().equals(t.spec.team()) ? o.spec.gpus() : 0;
+      if (job(o.id).equals(job(t.id))) {
+        zones.add(o.zone());
+        sameZone += o.zone().equals(t.zone()) ? 1 : 0;
+      }
+    }
+    if (gpus > SimWorld.GPUS_MAX) {
+      broke("quota " + t.spec.team() + " " + gpus);
+    }
+    if (t.spec.oneZone() && zones.size() > 1 || t.spec.spread() && sameZone > t.spec.zoneLimit()) {
+      broke("wrong_place " + t.id);
+    }
+  }
+
+  void left(SimWorker.Task t) {
+    on.remove(t.id, t);
+  }
+
+  void done(SimWorker.Task t) {
+    doneTasks.add(t.id);
+  }
+
+  void withdrawn(String job) {
+    withdrawnAt.putIfAbsent(job, world.clock.nowMs());
+  }
+
+  /** A user was told a phase (null: 404) of an accepted job. */
+  void told(String job, String phase) {
+    JobSpec s = world.specs.get(job);
+    if (phase == null) {
+      broke("forgotten " + job);
+      return;
+    }
+    String before = told.get(job);
+    boolean wasFinal = "done".equals(before) || "withdrawn".equals(before);
+    if (wasFinal && !before.equals(phase)) {
+      broke("went_back " + job + " from " + before + " to " + phase);
+    }
+    if (phase.equals("done")) {
+      for (int i = 0; i < s.tasks(); i++) {
+        if (!doneTasks.contains(job + "/" + i)) {
+          broke("not_done " + job);
+        }
+      }
+    }
+    if (phase.equals("withdrawn") && !withdrawnAt.containsKey(job) && !world.asked.contains(job)) {
+      broke("went_back " + job + ": withdrawn, but no one asked");
+    }
+    told.put(job, phase);
+  }
+
+  String last(String job) {
+    return told.get(job);
+  }
+
+  boolean isOn(String task) {
+    return on.containsKey(task);
+  }
+
+  void tick() {
+    withdrawnAt.forEach(
+        (job, at) -> {
+          if (world.clock.nowMs() - at > world.cancelMs) {
+            on.keySet().stream()
+                .filter(t -> job(t).equals(job))
+                .forEach(t -> broke("ran_cancelled " + t));
+          }
+        });
+  }
+}
--- /dev/null
+++ b/src/test/java/wickdrift/sim/SimState.java
@@ -0,0 +1,269 @@
+package wickdrift.sim;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.function.Consumer;
+import wickdrift.protocol.BadMessage;
+import wickdrift.protocol.Doc;
+import wickdrift.protocol.Pack;
+import wickdrift.transport.Caller.Answer;
+
+/** A stand-in for the state service: stamps, conditions, leases, watches, outages. */
+public final class SimState implements SimNet.Server {
+  private record Entry(Object value, long stamp, long lease) {}
+
+  private record Change(String key, Object value, long stamp) {}
+
+  private record Watch(String from, String prefix, long rev, Consumer<Answer> done, long until) {}
+
+  private static final int KEPT = 10_000;
+
+  private final SimClock clock;
+  private final TreeMap<String, Entry> entries = new TreeMap<>();
+  private final List<Change> changes = new ArrayList<>();
+  private final Map<Long, Long> leaseEnds = new HashMap<>();
+  private final Map<Long, Long> leaseLives = new HashMap<>();
+  private final List<Watch> watches = new ArrayList<>();
+  private final Set<String> refused = new HashSet<>();
+  private long rev;
+  private long leases;
+  private boolean out;
+  private int commits;
+
+  public SimState(SimClock clock) {
+    this.clock = clock;
+    sweep();
+  }
+
+  public void outage(boolean on) {
+    out = on;
+    if (!on) {
+      leaseLives.forEach((l, life) -> leaseEnds.computeIfPresent(l, (k, v) -> clock.nowMs() + life));
+      wake();
+    }
+  }
+
+  public void refuse(String node, boolean on) {
+    if (on) {
+      refused.add(node);
+    } else {
+      refused.remove(node);
+      wake();
+    }
+  }
+
+  public Set<String> keys() {
+    return entries.keySet();
+  }
+
+  public int commits() {
+    return commits;
+  }
+
+  private void sweep() {
+    clock.after(50, this::sweep);
+    if (out) {
+      return;
+    }
+    for (Long l : List.copyOf(leaseEnds.keySet())) {
+      if (leaseEnds.get(l) <= clock.nowMs()) {
+        endLease(l);
+      }
+    }
+    long now = clock.nowMs();
+    for (Watch w : List.copyOf(watches)) {
+      if (w.until <= now && !refused.contains(w.from)) {
+        watches.remove(w);
+        answerWatch(w);
+      }
+    }
+  }
+
+  private void endLease(long l) {
+    leaseEnds.remove(l);
+    leaseLives.remove(l);
+    List<String> gone = new ArrayList<>();
+    entries.forEach(
+        (k, e) -> {
+          if (e.lease == l) {
+            gone.add(k);
+          }
+        });
+    if (!gone.isEmpty()) {
+      rev++;
+      gone.forEach(k -> put(k, null, 0));
+      wake();
+    }
+  }
+
+  private void put(String key, Object value, long lease) {
+    if (value == null) {
+      entries.remove(key);
+    } else {
+      entries.put(key, new Entry(value, rev, lease));
+    }
+    changes.add(new Change(key, value, rev));
+  }
+
+  private void wake() {
+    if (out) {
+      return;
+    }
+    for (Watch w : List.copyOf(watches)) {
+      boolean any =
+          changes.stream().anyMatch(c -> c.stamp > w.rev && c.key.startsWith(w.prefix));
+      if (any && !refused.contains(w.from)) {
+        watches.remove(w);
+        answerWatch(w);
+      }
+    }
+  }
+
+  private void answerWatch(Watch w) {
+    List<Object> news = new ArrayList<>();
+    for (Change c : changes) {
+      if (c.stamp > w.rev && c.key.startsWith(w.prefix)) {
+        Map<String, Object> m = new LinkedHashMap<>();
+        m.put(c.value == null ? "delete" : "write", c.key);
+        if (c.value != null) {
+          m.put("v", c.value);
+        }
+        m.put("stamp", c.stamp);
+        news.add(m);
+      }
+    }
+    w.done.accept(answer(200, Map.of("ledgerRev", rev, "news", news)));
+  }
+
+  static Answer answer(int status, Object body) {
+    return new Answer(status, Pack.encode(body));
+  }
+
+  @Override
+  public void serve(
+      String from, String method, String path, byte[] body, Consumer<Answer> done) {
+    if (out || refused.contains(from)) {
+      done.accept(answer(503, Map.of("error", "away")));
+      return;
+    }
+    try {
+      if (path.startsWith("/store?")) {
+        done.accept(list(path));
+      } else if (path.startsWith("/store/")) {
+        Entry e = entries.get(path.substring(7));
+        done.accept(
+            e == null
+                ? answer(404, Map.of("ledgerRev", rev))
+                : answer(
+                    200, Map.of("key", path.substring(7), "v", e.value, "stamp", e.stamp)));
+      } else if (path.equals("/commit")) {
+        done.accept(commit(Doc.parse(body)));
+      } else if (path.equals("/grants")) {
+        long l = ++leases;
+        long life = Doc.parse(body).count("lifeMs");
+        leaseLives.put(l, life);
+        leaseEnds.put(l, clock.nowMs() + life);
+        done.accept(answer(200, Map.of("tether", l)));
+      } else if (path.endsWith("/extend")) {
+        long l = Long.parseLong(path.split("/")[2]);
+        if (!leaseEnds.containsKey(l)) {
+          done.accept(answer(404, Map.of()));
+        } else {
+          leaseEnds.put(l, clock.nowMs() + leaseLives.get(l));
+          done.accept(answer(200, Map.of()));
+        }
+      } else if (path.startsWith("/follow?")) {
+        Map<String, String> q = query(path);
+        long r = Long.parseLong(q.get("from"));
+        if (!changes.isEmpty() && changes.size() > KEPT) {
+          changes.subList(0, changes.size() - KEPT).clear();
+        }
+        if (!changes.isEmpty() && r < changes.get(0).stamp - 1) {
+          done.accept(answer(410, Map.of()));
+          return;
+        }
+        Watch w =
+            new Watch(
+                from,
+                q.get("prefix"),
+                r,
+                done,
+                clock.nowMs() + Long.parseLong(q.getOrDefault("holdMs", "0")));
+        if (w.until <= clock.nowMs()) {
+          answerWatch(w);
+        } else {
+          watches.add(w);
+          wake();
+        }
+      } else {
+        done.accept(answer(400, Map.of("error", "path")));
+      }
+    } catch (BadMessage e) {
+      done.accept(answer(400, Map.of("error", e.getMessage())));
+    }
+  }
+
+  private static Map<String, String> query(String path) {
+    Map<String, String> q = new HashMap<>();
+    for (String p : path.substring(path.indexOf('?') + 1).split("&")) {
+      q.put(p.substring(0, p.indexOf('=')), p.substring(p.indexOf('=') + 1));
+    }
+    return q;
+  }
+
+  private Answer list(String path) {
+    Map<String, String> q = query(path);
+    List<Object> out = new ArrayList<>();
+    int most = Integer.parseInt(q.get("most"));
+    boolean truncated = false;
+    for (Map.Entry<String, Entry> e :
+        entries.tailMap(q.getOrDefault("from", q.get("prefix")), !q.containsKey("from")).entrySet()) {
+      if (!e.getKey().startsWith(q.get("prefix"))) {
+        break;
+      }
+      if (out.size() == most) {
+        truncated = true;
+        break;
+      }
+      out.add(Map.of("key", e.getKey(), "v", e.getValue().value, "stamp", e.getValue().stamp));
+    }
+    return answer(200, Map.of("entries", out, "truncated", truncated, "ledgerRev", rev));
+  }
+
+  private Answer commit(Doc d) throws BadMessage {
+    commits++;
+    List<Object> failed = new ArrayList<>();
+    for (Doc w : d.docs("when")) {
+      Entry e = entries.get(w.text("key"));
+      if ((e == null ? 0 : e.stamp) != w.count("stamp")) {
+        failed.add(w.text("key"));
+      }
+    }
+    for (Doc t : d.docs("then")) {
+      long lease = t.count("tether", 0);
+      if (lease > 0 && !leaseEnds.containsKey(lease)) {
+        return answer(400, Map.of("error", "no such lease"));
+      }
+    }
+    if (!failed.isEmpty()) {
+      return answer(409, Map.of("failed", failed, "ledgerRev", rev));
+    }
+    rev++;
+    for (Doc t : d.docs("then")) {
+      String key = t.textOrNull("write");
+      if (key != null) {
+        put(key, t.raw("v"), t.count("tether", 0));
+      } else {
+        put(t.text("delete"), null, 0);
+      }
+    }
+    wake();
+    return answer(200, Map.of("ledgerRev", rev));
+  }
+}
--- /dev/null
+++ b/src/test/java/wickdrift/sim/SimWorld.java
@@ -0,0 +1,485 @@
+package wickdrift.sim;
+
+import com.electronwill.nightconfig.toml.TomlParser;
+import java.nio.ByteBuffer;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.function.Consumer;
+import wickdrift.coordination.Tuning;
+import wickdrift.daemon.Controller;
+import wickdrift.daemon.Metrics;
+import wickdrift.daemon.Settings;
+import wickdrift.protocol.BadMessage;
+import wickdrift.protocol.Doc;
+import wickdrift.protocol.JobSpec;
+import wickdrift.protocol.Pack;
+import wickdrift.transport.Caller.Answer;
+import wickdrift.transport.Exchange;
+import wickdrift.transport.Timers;
+
+/** Three controllers with stand-ins for all they deal with, on a simulated clock. */
+public final class SimWorld {
+  static final double GPUS = 4;
+  static final double GPUS_MAX = 60;
+  private static final String STATE = "10.2.0.1:1";
+  private static final String CLOUD = "10.2.0.2:1";
+  private static final List<String> ZONES = List.of("a", "b");
+
+  final SimClock clock = new SimClock();
+  final Random random;
+  final SimNet net;
+  final SimState state;
+  final SimRules rules;
+  final Map<String, JobSpec> specs = new HashMap<>();
+  final Set<String> asked = new HashSet<>();
+  final long leaseMs = 16_000;
+  final long reportMs = 2_500;
+  final long cancelMs = 36_000;
+  int refusals;
+  final Map<String, SimGang> gangs = new HashMap<>();
+
+  /** The addresses of the nodes; here a node's address is its name. */
+  final List<String> nodes = List.of("n0", "n1", "n2");
+
+  private final Map<String, Node> running = new HashMap<>();
+  private final TreeMap<String, SimWorker> machines = new TreeMap<>();
+  private final Map<String, Long> bootDone = new HashMap<>();
+  private final Map<String, String[]> booting = new LinkedHashMap<>();
+  private final Map<String, List<String>> claims = new HashMap<>();
+  private int capacity;
+  private int machineNumber;
+  private int incarnations;
+
+  private static final class Node {
+    boolean alive = true;
+    Controller controller;
+  }
+
+  public SimWorld(long seed, int machinesAtStart, int capacity) {
+    this.random = new Random(seed);
+    this.capacity = capacity;
+    net = new SimNet(clock, random);
+    state = new SimState(clock);
+    rules = new SimRules(this);
+    net.listen(STATE, state);
+    net.listen(CLOUD, this::cloud);
+    for (int i = 0; i < machinesAtStart; i++) {
+      boot(ZONES.get(i % 2), false, 0);
+    }
+    nodes.forEach(this::startNode);
+    tick();
+  }
+
+  private void tick() {
+    clock.after(500, this::tick);
+    rules.tick();
+  }
+
+  public void run(long ms) {
+    clock.runUntil(clock.nowMs() + ms);
+  }
+
+  public List<String> broken() {
+    return rules.broken;
+  }
+
+  // ---- nodes ----
+
+  private static Settings settings(String node) {
+    StringBuilder b = new StringBuilder("host_name = \"" + node + "\"\nlocation = \"a\"\n");
+    int self = node.charAt(1) - '0';
+    b.append("serve_on = \"10.0.0.").append(self).append(":1\"\nback = \"10.0.1.").append(self);
+    b.append(":1\"\n");
+    for (int i = 0; i < 3; i++) {
+      if (i != self) {
+        b.append("[[peers]]\nhost_name = \"n").append(i).append("\"\npeer_addr = \"10.0.1.");
+        b.append(i).append(":1\"\n");
+      }
+    }
+    b.append(
+        """
+        [endpoints]
+        cloud = "10.2.0.2:1"
+        state = "10.2.0.1:1"
+        [cluster]
+        nodes = 3
+        zones = ["a", "b"]
+        [[cluster.teams]]
+        name = "vision"
+        gpus = 8.0
+        gpus_max = 60.0
+        [cluster.workers]
+        report_s = 2.5
+        lease_s = 16.0
+        gang_wait_s = 30.0
+        gang_peer_s = 5.0
+        cancel_s = 36.0
+        [cluster.state]
+        rps = 250.0
+        write_rps = 100.0
+        value_kb = 4.0
+        txn_ops = 8
+        [cluster.cloud]
+        rps = 8.0
+        list_lag_s = 2.0
+        [cluster.quota]
+        fd_limit = 1000
+        """);
+    try {
+      return Settings.parse(new TomlParser().parse(b.toString()));
+    } catch (Settings.Invalid e) {
+      throw new AssertionError(e);
+    }
+  }
+
+  public void startNode(String name) {
+    Node n = new Node();
+    Timers timers =
+        new Timers() {
+          @Override
+          public long nowMs() {
+            return clock.nowMs();
+          }
+
+          @Override
+          public long wallMs() {
+            return clock.wallMs();
+          }
+
+          @Override
+          public void after(long delayMs, Runnable action) {
+            clock.after(
+                delayMs,
+                () -> {
+                  if (n.alive) {
+                    action.run();
+                  }
+                });
+          }
+        };
+    Settings s = settings(name);
+    Map<String, Consumer<ByteBuffer>> peers = new HashMap<>();
+    for (Settings.Peer p : s.peers()) {
+      peers.put(
+          p.node(),
+          f ->
+              net.caller(name, () -> true)
+                  .call("peer:" + p.node(), "", "", bytes(f), 1000, a -> {}));
+    }
+    n.controller =
+        new Controller(
+            s,
+            Tuning.defaults(s),
+            timers,
+            net.caller(name, () -> n.alive),
+            peers,
+            "inc" + ++incarnations,
+            new Metrics());
+    net.listen(
+        "peer:" + name,
+        (from, m, p, body, done) -> {
+          if (n.alive) {
+            n.controller.peerFrame(ByteBuffer.wrap(body));
+          }
+        });
+    net.listen(name, (from, m, p, body, done) -> n.controller.handle(exchange(m, p, body, done)));
+    running.put(name, n);
+    n.controller.start();
+  }
+
+  private static byte[] bytes(ByteBuffer f) {
+    byte[] b = new byte[f.remaining()];
+    f.duplicate().get(b);
+    return b;
+  }
+
+  public void crash(String name, long forMs) {
+    running.get(name).alive = false;
+    net.close(name);
+    net.close("peer:" + name);
+    clock.after(forMs, () -> startNode(name));
+  }
+
+  private static Exchange exchange(String m, String p, byte[] body, Consumer<Answer> done) {
+    return new Exchange() {
+      @Override
+      public String method() {
+        return m;
+      }
+
+      @Override
+      public String path() {
+        return p;
+      }
+
+      @Override
+      public byte[] body() {
+        return body == null ? new byte[0] : body;
+      }
+
+      @Override
+      public void reply(int status, Object value, int retryAfterS) {
+        done.accept(SimState.answer(status, value == null ? Map.of() : value));
+      }
+    };
+  }
+
+  public void cutFromState(String node, boolean hold) {
+    net.cut(node, STATE, hold);
+  }
+
+  public void healFromState(String node) {
+    net.heal(node, STATE);
+  }
+
+  public SimState state() {
+    return state;
+  }
+
+  public List<SimWorker> workers() {
+    return new ArrayList<>(machines.values());
+  }
+
+  public void cutMachine(int i, boolean hold) {
+    SimWorker w = workers().get(i % machines.size());
+    nodes.forEach(n -> net.cut(n, w.address, hold));
+  }
+
+  public void healMachines() {
+    for (SimWorker w : workers()) {
+      nodes.forEach(n -> net.heal(n, w.address));
+    }
+  }
+
+  public void killMachine(int i) {
+    SimWorker w = workers().get(i % machines.size());
+    w.die();
+  }
+
+  public void hangMachine(int i, long forMs) {
+    SimWorker w = workers().get(i % machines.size());
+    w.hang(true);
+    clock.after(forMs, () -> w.hang(false));
+  }
+
+  public void sicken(int i) {
+    workers().get(i % machines.size()).sick = true;
+  }
+
+  // ---- the cloud ----
+
+  private String boot(String zone, boolean spot, long ms) {
+    String name = String.format("i-%06d", machineNumber++);
+    booting.put(name, new String[] {zone, String.valueOf(spot)});
+    bootDone.put(name, clock.nowMs());
+    clock.after(
+        ms,
+        () -> {
+          if (booting.remove(name) != null) {
+            machines.put(
+                name,
+                new SimWorker(
+                    this, name, "10.1.0." + name.substring(2) + ":1", zone, spot, random.nextLong()));
+          }
+        });
+    return name;
+  }
+
+  private void cloud(
+      String from, String method, String path, byte[] body, Consumer<Answer> done) {
+    try {
+      if (path.equals("/flavors")) {
+        done.accept(
+            SimState.answer(
+                200,
+                Map.of(
+                    "flavours",
+                    List.of(
+                        Map.of(
+                            "sku", "g4", "cores", 32.0, "gpus", GPUS, "memoryGb", 128.0, "rate",
+                            10.0, "lowPrice", 4.0, "bootS", 5.0, "regions", ZONES)))));
+      } else if (path.equals("/hosts/delete")) {
+        for (String n : Doc.parse(body).texts("hosts")) {
+          booting.remove(n);
+          SimWorker w = machines.remove(n);
+          if (w != null) {
+            w.die();
+          }
+        }
+        done.accept(SimState.answer(200, Map.of()));
+      } else if (path.equals("/hosts")) {
+        Doc d = Doc.parse(body);
+        List<String> names = claims.get(d.text("claim"));
+        if (names == null) {
+          names = new ArrayList<>();
+          for (int i = 0;
+              i < d.count("count") && machines.size() + booting.size() < capacity;
+              i++) {
+            names.add(boot(d.text("region"), d.flag("reclaimable"), 3000 + random.nextInt(4000)));
+          }
+          if (names.isEmpty()) {
+            done.accept(SimState.answer(503, Map.of("error", "no capacity")));
+            return;
+          }
+          claims.put(d.text("claim"), names);
+        }
+        done.accept(SimState.answer(200, Map.of("hosts", names)));
+      } else {
+        List<Object> list = new ArrayList<>();
+        TreeMap<String, String[]> all = new TreeMap<>(booting);
+        machines.forEach(
+            (n, w) -> all.put(n, new String[] {w.zone, String.valueOf(w.spot), "running"}));
+        all.forEach(
+            (n, v) ->
+                list.add(
+                    Map.of(
+                        "ref", n, "flavour", "g4", "region", v[0], "reclaimable",
+                        Boolean.valueOf(v[1]), "phase", v.length > 2 ? v[2] : "starting", "ageS",
+                        (clock.nowMs() - bootDone.get(n)) / 1000.0)));
+        done.accept(SimState.answer(200, Map.of("hosts", list, "truncated", false)));
+      }
+    } catch (BadMessage e) {
+      done.accept(SimState.answer(400, Map.of("error", e.getMessage())));
+    }
+  }
+
+  // ---- users ----
+
+  public static Map<String, Object> job(
+      int number, String shape, int tasks, double gpus, double seconds) {
+    Map<String, Object> m = new LinkedHashMap<>();
+    m.put("ref", String.format("req-%06d", number));
+    m.put("jobclass", shape);
+    m.put("owner", "vision");
+    m.put("shape", shape);
+    m.put("rank", "standard");
+    m.put("shards", tasks);
+    m.put("cores", 4.0);
+    m.put("gpus", gpus);
+    m.put("memoryGb", 16.0);
+    m.put("bundle", "img");
+    m.put("pullGb", 1.0);
+    m.put("oneZone", shape.equals("ensemble"));
+    m.put("apart", shape.equals("daemon"));
+    m.put("reclaimable", true);
+    m.put("expectS", seconds);
+    return m;
+  }
+
+  /** Submits with retries, then polls until the job is over. */
+  public void submit(Map<String, Object> job, long withdrawAfterMs) {
+    String id = (String) job.get("ref");
+    try {
+      specs.put(id, JobSpec.parse(Doc.parse(Pack.encode(job))));
+    } catch (BadMessage e) {
+      throw new AssertionError(e);
+    }
+    trySubmit(id, Pack.encode(job), withdrawAfterMs);
+  }
+
+  private String anyNode() {
+    return nodes.get(random.nextInt(nodes.size()));
+  }
+
+  private void trySubmit(String id, byte[] body, long withdrawAfterMs) {
+    net.caller("user", () -> true)
+        .call(
+            anyNode(),
+            "POST",
+            "/api/jobs",
+            body,
+            5000,
+            a -> {
+              if (a.status() == 200 || a.status() == 201) {
+                accepted.add(id);
+                clock.after(5000, () -> poll(id));
+                if (withdrawAfterMs > 0) {
+                  clock.after(withdrawAfterMs, () -> withdraw(id));
+                }
+              } else if (a.status() == 400 || a.status() == 422) {
+                rules.broken.add("refused " + id + " with " + a.status());
+              } else {
+                clock.after(1000, () -> trySubmit(id, body, withdrawAfterMs));
+              }
+            });
+  }
+
+  public final Set<String> accepted = new HashSet<>();
+
+  private void poll(String id) {
+    net.caller("user", () -> true)
+        .call(
+            anyNode(),
+            "GET",
+            "/api/jobs/" + id,
+            null,
+            2000,
+            a -> {
+              if (a.status() == 200) {
+                rules.told(id, phase(a));
+              } else if (a.status() == 404) {
+                rules.told(id, null);
+              }
+              clock.after(5000, () -> poll(id));
+            });
+  }
+
+  private static String phase(Answer a) {
+    try {
+      return Doc.parse(a.body()).text("phase");
+    } catch (BadMessage e) {
+      throw new AssertionError(e);
+    }
+  }
+
+  private void withdraw(String id) {
+    asked.add(id);
+    net.caller("user", () -> true)
+        .call(
+            anyNode(),
+            "POST",
+            "/api/jobs/" + id + "/withdraw",
+            null,
+            5000,
+            a -> {
+              if (a.status() == 200) {
+                String p = phase(a);
+                if (p.equals("withdrawn")) {
+                  rules.withdrawn(id);
+                }
+                rules.told(id, p);
+              } else if (a.status() == 404) {
+                rules.told(id, null);
+              } else {
+                clock.after(1000, () -> withdraw(id));
+              }
+            });
+  }
+
+  /** One request as it is, for tests of single answers; null if none comes within five seconds. */
+  public Answer ask(String node, String method, String path, byte[] body) {
+    Answer[] got = new Answer[1];
+    net.caller("user", () -> true).call(node, method, path, body, 5000, a -> got[0] = a);
+    run(5001);
+    return got[0];
+  }
+
+  public String lastTold(String id) {
+    return rules.last(id);
+  }
+
+  public int starts() {
+    return rules.starts;
+  }
+
+  public boolean isOn(String task) {
+    return rules.isOn(task);
+  }
+}
