Quota shares move between controllers; gang waiting counted as drafted

The simulated cluster showed a gang member's exit and its mates' placement drafted in one transaction with two different counts of who waits; the placer threw and, before the event loop's guard, would have stopped. Shares of a limit no longer stay even for ever: a gang needing more than an even share could never start.

--- a/src/main/java/wickdrift/coordination/Membership.java
+++ b/src/main/java/wickdrift/coordination/Membership.java
@@ -209,7 +209,9 @@
     next.members().keySet().forEach(m -> all.put(m, true));
     tables.parts().keySet().forEach(m -> all.put(m, true));
     for (String m : all.keySet()) {
-      txn.write(Part.key(m), Part.toStore(next.epoch(), java.util.List.of()));
+      Part p = tables.part(m);
+      txn.when(Part.key(m), p == null ? 0 : p.stamp());
+      txn.write(Part.key(m), (p == null ? Part.fresh(0) : p).inEpoch(next.epoch()).toStore());
     }
     LOG.info(
         "proposing epoch {}: members {}, leader {}",
--- a/src/main/java/wickdrift/coordination/Scribe.java
+++ b/src/main/java/wickdrift/coordination/Scribe.java
@@ -154,6 +154,9 @@
       draftPlacements(draft, placed);
     }
     draftOrphans(draft);
+    if (draft.empty() && settled()) {
+      draftGift(draft);
+    }
     if (draft.empty()) {
       return;
     }
@@ -203,7 +206,7 @@
           Txn txn =
               new Txn()
                   .when(Part.key(node), p.stamp())
-                  .write(Part.key(node), Part.toStore(p.epoch(), p.taken()));
+                  .write(Part.key(node), p.toStore());
           ledger.commit(
               txn,
               true,
@@ -348,6 +351,16 @@
     }
   }
 
+  /** Only while nothing else is to be written: then nothing of ours is about to use the share. */
+  private void draftGift(Draft draft) {
+    Quota.Gift g = new Quota(settings, tables).gift(membership.leads());
+    if (g != null) {
+      LOG.info("giving quota of {} from {} to {}", g.team(), g.from(), g.to());
+      draft.write(Part.key(g.from()), g.giver().toStore(), g.giver().stamp());
+      draft.write(Part.key(g.to()), g.taker().toStore(), g.taker().stamp());
+    }
+  }
+
   // ---- placements ----
 
   private void draftPlacements(Draft draft, List<Job> placedJobs) {
@@ -360,7 +373,7 @@
     List<Room> own = new ArrayList<>();
     List<Room> all = new ArrayList<>();
     rooms(v, own, all);
-    Quota quota = new Quota(settings, tables, nodeIndex);
+    Quota quota = new Quota(settings, tables);
     long now = timers.nowMs();
     boolean placedAny = false;
     List<Job> queue = Queue.order(tables, settings);
@@ -513,7 +526,7 @@
     if (p == null || !draft.hasRoom(2)) {
       return false;
     }
-    draft.write(Part.key(owner), Part.toStore(p.epoch(), p.taken()), p.stamp());
+    draft.write(Part.key(owner), p.toStore(), p.stamp());
     foreign.add(owner);
     return true;
   }
@@ -525,11 +538,14 @@
     if (draft.live(job) > 0 || draft.done(job) > 0 && job.waiting() == 0) {
       return;
     }
+    // Counted as drafted: members whose exits are in this transaction wait from then on.
+    int waiting = 0;
     int attempt = 0;
     for (int i = 0; i < job.size(); i++) {
       attempt = Math.max(attempt, draft.state(job, i).attempt());
+      waiting += draft.state(job, i).phase() == TaskState.Phase.WAITING ? 1 : 0;
     }
-    List<Room> chosen = gangRooms(job, rooms, quota);
+    List<Room> chosen = gangRooms(job, waiting, rooms, quota);
     if (chosen == null) {
       return;
     }
@@ -556,7 +572,8 @@
   /**
    * Machines for all waiting members, booked in {@code rooms}; null (and nothing booked) if not.
    */
-  private static List<Room> gangRooms(Job job, List<Room> rooms, Quota quota) {
+  private static List<Room> gangRooms(
+      Job job, int waiting, List<Room> rooms, Quota quota) {
     JobSpec spec = job.spec();
     List<String> tries = new ArrayList<>();
     if (spec.oneZone()) {
@@ -572,13 +589,13 @@
     } else {
       tries.add(null);
     }
-    if (!quota.allows(spec, job.waiting())) {
+    if (!quota.allows(spec, waiting)) {
       return null;
     }
     for (String zone : tries) {
       List<Room> chosen = new ArrayList<>();
       Map<String, Integer> zones = new HashMap<>();
-      for (int n = 0; n < job.waiting(); n++) {
+      for (int n = 0; n < waiting; n++) {
         Room r =
             Placement.choose(
                 rooms,
@@ -594,7 +611,7 @@
         zones.merge(r.machine().info().zone(), 1, Integer::sum);
         chosen.add(r);
       }
-      if (chosen.size() == job.waiting()) {
+      if (chosen.size() == waiting) {
         return chosen;
       }
       chosen.forEach(r -> r.free(spec));
