Runs go straight to workers once their placement is durable

Cause: a start waited for the worker's next report, up to 1.25 report intervals; the wait aim of the search service allows 1 s. Ruled out: the commit itself (p95 below 50 ms). A run that is not answered may arrive late, so no clear and no proof by absence until the worker shows a higher epoch or tenure.

--- a/src/main/java/wickdrift/bookkeeping/Job.java
+++ b/src/main/java/wickdrift/bookkeeping/Job.java
@@ -75,7 +75,15 @@
     }
     acceptedWallMs = d.count("at");
     part = d.text("part");
-    withdrawn = d.flag("off");
+    boolean off = d.flag("off");
+    if (off && !withdrawn) {
+      for (TaskState t : tasks) {
+        if (t.live()) {
+          t.machine().touch();
+        }
+      }
+    }
+    withdrawn = off;
     stamp = newStamp;
   }
 
@@ -176,6 +184,9 @@
     if (next.live() && old.machine() != next.machine()) {
       next.machine().add(new Machine.Slot(this, index));
     }
+    if (next.live() && next.stop() != old.stop()) {
+      next.machine().touch();
+    }
     count(old.phase(), -1);
     count(next.phase(), 1);
     tasks[index] = next;
--- a/src/main/java/wickdrift/bookkeeping/Machine.java
+++ b/src/main/java/wickdrift/bookkeeping/Machine.java
@@ -72,6 +72,9 @@
   private double gpus;
   private double memoryGb;
 
+  /** What should be there has changed since the owner last looked. */
+  private boolean changed;
+
   // What only its owner knows, from reports; lost with the process.
   Report report;
   private long heardMs;
@@ -126,7 +129,19 @@
     stamp = newStamp;
   }
 
+  void touch() {
+    changed = true;
+  }
+
+  /** Whether what should be there has changed since the last call. */
+  public boolean takeChanged() {
+    boolean was = changed;
+    changed = false;
+    return was;
+  }
+
   void add(Slot s) {
+    changed = true;
     live.add(s);
     images.put(s.job().spec().image(), s.job().spec().imageGb());
     if (images.size() > IMAGES) {
--- a/src/main/java/wickdrift/bookkeeping/Part.java
+++ b/src/main/java/wickdrift/bookkeeping/Part.java
@@ -73,8 +73,7 @@
             List<?> l = (List<?>) v;
             shares.put(
                 (String) t,
-                new Share(
-                    ((Number) l.get(0)).doubleValue(), ((Number) l.get(1)).doubleValue()));
+                new Share(((Number) l.get(0)).doubleValue(), ((Number) l.get(1)).doubleValue()));
           });
     }
     return new Part(d.count("epoch"), List.copyOf(d.texts("taken")), shares, stamp);
--- a/src/main/java/wickdrift/coordination/Membership.java
+++ b/src/main/java/wickdrift/coordination/Membership.java
@@ -198,6 +198,14 @@
     propose(next);
   }
 
+  /** The same view under a higher epoch, so that commands given under this one are void. */
+  public void raiseEpoch() {
+    View v = tables.view();
+    if (!proposing && standing() == Standing.MEMBER && v.members().equals(tables.members())) {
+      propose(new View(v.epoch() + 1, v.members(), v.leader()));
+    }
+  }
+
   private void propose(View next) {
     proposing = true;
     Txn txn = new Txn().when(View.KEY, tables.viewStamp()).write(View.KEY, next.toStore());
--- a/src/main/java/wickdrift/coordination/Reporting.java
+++ b/src/main/java/wickdrift/coordination/Reporting.java
@@ -2,9 +2,11 @@
 
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import wickdrift.bookkeeping.Job;
@@ -16,7 +18,9 @@
 import wickdrift.protocol.BadMessage;
 import wickdrift.protocol.Doc;
 import wickdrift.protocol.Order;
+import wickdrift.protocol.Pack;
 import wickdrift.protocol.Report;
+import wickdrift.transport.Caller;
 import wickdrift.transport.Exchange;
 import wickdrift.transport.Timers;
 
@@ -31,7 +35,23 @@
   private static final long SHUN_MS = 20_000;
   private static final int SHUN_DOUBLINGS = 4;
 
-  private record Sent(int attempt, long tenure, long tick) {}
+  private static final long DIRECT_MS = 3000;
+  private static final long UNCERTAIN_MS = 5000;
+
+  /** The last run command for a task, by the report it followed; {@code seen}: a report had it. */
+  private record Sent(int attempt, long tick, boolean seen) {}
+
+  private record Try(String task, int attempt) {}
+
+  /** A run sent straight to a worker that may yet arrive, under this epoch and tenure. */
+  private record Loose(long epoch, long tenure, long sinceMs) {}
+
+  /** What was sent straight to one worker. */
+  private static final class Direct {
+    boolean inFlight;
+    final Map<Try, Loose> loose = new HashMap<>();
+    final Map<Try, Long> halted = new HashMap<>();
+  }
 
   private final Timers timers;
   private final Ledger ledger;
@@ -40,7 +60,10 @@
   private final Scribe scribe;
   private final Tuning tuning;
   private final String node;
+  private final Caller caller;
   private final Map<Machine, Map<String, Sent>> runs = new HashMap<>();
+  private final Map<Machine, Direct> directs = new HashMap<>();
+  private String viewLeader;
   private long viewEpoch;
   private long viewSinceMs;
   private Map<String, Boolean> owned = new HashMap<>();
@@ -52,6 +75,7 @@
       Membership membership,
       Scribe scribe,
       Tuning tuning,
+      Caller caller,
       String node) {
     this.timers = timers;
     this.ledger = ledger;
@@ -59,6 +83,7 @@
     this.membership = membership;
     this.scribe = scribe;
     this.tuning = tuning;
+    this.caller = caller;
     this.node = node;
   }
 
@@ -71,12 +96,24 @@
   /** Called after the tables changed. */
   public void tablesChanged() {
     View v = tables.view();
-    if (v == null || v.epoch() == viewEpoch) {
-      return;
+    if (v != null && v.epoch() != viewEpoch) {
+      viewChanged(v);
     }
+    if (v != null && membership.standing() == Membership.Standing.MEMBER) {
+      for (Machine m : tables.machines()) {
+        if (owned.containsKey(m.name()) && m.takeChanged()) {
+          direct(m);
+        }
+      }
+    }
+  }
+
+  private void viewChanged(View v) {
     viewEpoch = v.epoch();
     viewSinceMs = timers.nowMs();
     LOG.info("epoch {}: members {}, leader {}", v.epoch(), v.members().keySet(), v.leader());
+    boolean gained = !v.leader().equals(viewLeader) && v.leader().equals(node);
+    viewLeader = v.leader();
     Map<String, Boolean> now = new HashMap<>();
     for (Machine m : tables.machines()) {
       m.synced(false);
@@ -86,14 +123,19 @@
           // Its owner until now may go on answering it for as long as the grace allows.
           m.forgetReports(viewSinceMs + tuning.graceMs());
           runs.remove(m);
+          gained = true;
         }
       } else {
         m.forgetReports(0);
         runs.remove(m);
+        directs.remove(m);
       }
     }
     owned = now;
-    scribe.hold(viewSinceMs + tuning.settleMs());
+    if (gained || v.epoch() == 1) {
+      // Whoever takes over places nothing until reports had time to come in.
+      scribe.hold(viewSinceMs + tuning.settleMs());
+    }
   }
 
   // ---- reports ----
@@ -130,10 +172,7 @@
     }
     Machine m = tables.machineOrNew(r.machine());
     Report last = m.report();
-    boolean late =
-        last != null
-            && (r.tenure() < last.tenure()
-                || r.tenure() == last.tenure() && r.tick() <= last.tick());
+    boolean late = last != null && isLate(r, last);
     List<Object> orders = new ArrayList<>();
     if (!late) {
       long now = timers.nowMs();
@@ -141,13 +180,18 @@
       m.synced(r.epoch() == v.epoch());
       note(m, r);
       boolean whole = standing == Membership.Standing.MEMBER;
-      for (Order o : orders(m, r, whole)) {
+      Direct d = directs.get(m);
+      if (d != null) {
+        d.loose.values().removeIf(l -> r.epoch() > l.epoch || r.tenure() != l.tenure);
+      }
+      for (Order o : orders(m, r, whole, true)) {
         if (orders.size() < MAX_ORDERS) {
           orders.add(o.toWire());
         }
       }
-      m.answered(now);
     }
+    // A late report's answer renews the lease too, should the worker still wait for it.
+    m.answered(timers.nowMs());
     Map<String, Object> answer = new LinkedHashMap<>();
     answer.put("epoch", v.epoch());
     answer.put("orders", orders);
@@ -172,11 +216,13 @@
 
   /**
    * What the worker is told. {@code whole}: we surely hold authority; if not, nothing new is
-   * started and nothing is drawn from the report.
+   * started and nothing is drawn from the report. {@code own}: the report came by itself, so all
+   * answers to earlier ones have arrived or never will; only then does absence prove anything.
    */
-  private List<Order> orders(Machine m, Report r, boolean whole) {
+  private List<Order> orders(Machine m, Report r, boolean whole, boolean own) {
     List<Order> out = new ArrayList<>();
     Map<String, Report.Entry> there = new HashMap<>();
+    Direct direct = directs.get(m);
     for (Report.Entry e : r.tasks()) {
       there.put(e.task(), e);
       Job job = tables.job(e.job());
@@ -184,10 +230,13 @@
       boolean ours = s != null && s.live() && s.machine() == m && s.attempt() == e.attempt();
       if (!ours) {
         // Nothing durable stands for it: it is over, or was never to be.
-        if (e.phase() == Report.Phase.EXITED) {
+        if (e.phase() != Report.Phase.EXITED) {
+          if (whole) {
+            out.add(new Order.Halt(e.job(), e.index(), e.attempt(), 0));
+          }
+        } else if (own && m.synced() && !loose(direct, e.task(), e.attempt())) {
+          // Not while a run for it may still arrive: it would start once more.
           out.add(new Order.Clear(e.job(), e.index(), e.attempt()));
-        } else if (whole) {
-          out.add(new Order.Halt(e.job(), e.index(), e.attempt(), 0));
         }
       } else if (e.phase() == Report.Phase.EXITED) {
         if (whole) {
@@ -201,14 +250,15 @@
       return out;
     }
     Map<String, Sent> sent = runs.computeIfAbsent(m, k -> new HashMap<>());
-    sent.keySet()
-        .removeIf(k -> m.live().stream().noneMatch(s -> k.equals(s.job().id() + "/" + s.index())));
+    if (own) {
+      sent.keySet().retainAll(liveTasks(m));
+    }
     for (Machine.Slot slot : m.live()) {
       TaskState s = slot.state();
       String task = slot.job().id() + "/" + slot.index();
       Report.Entry e = there.get(task);
       if (e != null && e.attempt() == s.attempt()) {
-        sent.put(task, new Sent(-s.attempt(), r.tenure(), r.tick()));
+        sent.put(task, new Sent(s.attempt(), r.tick(), true));
         continue;
       }
       if (e != null) {
@@ -216,20 +266,119 @@
         continue;
       }
       Sent before = sent.get(task);
-      boolean wasHere = before != null && before.attempt == -s.attempt();
+      if (before != null && before.attempt != s.attempt()) {
+        before = null;
+      }
       boolean stop = slot.job().withdrawn() || s.stop() != TaskState.Stop.NONE;
-      if (wasHere || stop && m.synced()) {
-        // Seen and now absent: lost. Never seen and not wanted: the report shows our epoch, so no
-        // older command can start it, and ours are dropped once the next report has been sent.
-        scribe.exited(slot.job(), slot.index(), s.attempt(), m, null);
-      } else if (!stop && m.phase() != Machine.Phase.GONE) {
-        sent.put(task, new Sent(s.attempt(), r.tenure(), r.tick()));
+      if (before != null && before.seen) {
+        // Seen and now absent: the worker lost it with its lease, and late commands with it.
+        if (own) {
+          scribe.exited(slot.job(), slot.index(), s.attempt(), m, null);
+        }
+      } else if (stop) {
+        // Never seen and not wanted: the report shows our epoch, so no older command can start it,
+        // and ours have been dropped, unless one sent straight to the worker is still under way.
+        if (own && m.synced() && !loose(direct, task, s.attempt())) {
+          scribe.exited(slot.job(), slot.index(), s.attempt(), m, null);
+        }
+      } else if (m.phase() != Machine.Phase.GONE
+          && (own || before == null || before.tick != r.tick())) {
+        sent.put(task, new Sent(s.attempt(), r.tick(), false));
         out.add(new Order.Run(slot.job().id(), slot.index(), s.attempt()));
       }
     }
     return out;
   }
 
+  private static boolean loose(Direct d, String task, int attempt) {
+    return d != null && d.loose.containsKey(new Try(task, attempt));
+  }
+
+  private static Set<String> liveTasks(Machine m) {
+    Set<String> out = new HashSet<>();
+    m.live().forEach(s -> out.add(s.job().id() + "/" + s.index()));
+    return out;
+  }
+
+  // ---- commands sent straight to a worker ----
+
+  /** Sends what is wanted at once, instead of with the answer to the next report. */
+  private void direct(Machine m) {
+    Report r = m.report();
+    Direct d = directs.computeIfAbsent(m, k -> new Direct());
+    View v = tables.view();
+    if (r == null || !m.synced() || d.inFlight || m.phase() == Machine.Phase.LOST) {
+      return;
+    }
+    List<Object> wire = new ArrayList<>();
+    List<Try> tries = new ArrayList<>();
+    for (Order o : orders(m, r, true, false)) {
+      Try t = new Try(o.job() + "/" + o.index(), o.attempt());
+      if (wire.size() >= MAX_ORDERS || o instanceof Order.Halt && !firstHalt(d, t)) {
+        continue;
+      }
+      wire.add(o.toWire());
+      if (o instanceof Order.Run) {
+        tries.add(t);
+        d.loose.put(t, new Loose(v.epoch(), r.tenure(), timers.nowMs()));
+      }
+    }
+    if (wire.isEmpty()) {
+      return;
+    }
+    Map<String, Object> body = new LinkedHashMap<>();
+    body.put("epoch", v.epoch());
+    body.put("tenure", r.tenure());
+    body.put("orders", wire);
+    d.inFlight = true;
+    caller.call(
+        r.address(),
+        "POST",
+        "/orders",
+        Pack.encode(body),
+        DIRECT_MS,
+        a -> directAnswered(m, d, tries, a));
+  }
+
+  /** A stopping task may be reported as running for a while: it is not told again at once. */
+  private boolean firstHalt(Direct d, Try t) {
+    long now = timers.nowMs();
+    d.halted.values().removeIf(at -> now - at > DIRECT_MS);
+    return d.halted.putIfAbsent(t, now) == null;
+  }
+
+  private void directAnswered(Machine m, Direct d, List<Try> tries, Caller.Answer a) {
+    d.inFlight = false;
+    if (a.status() != 200 && a.status() != 409) {
+      // No answer: it may arrive yet. The answers to reports repeat it.
+      return;
+    }
+    // Executed, or refused for good: either way it cannot come again.
+    tries.forEach(d.loose::remove);
+    View v = tables.view();
+    if (directs.get(m) != d || v == null) {
+      return;
+    }
+    try {
+      Report r = Report.parse(Doc.parse(a.body()));
+      Report last = m.report();
+      if (last == null || isLate(r, last)) {
+        return;
+      }
+      m.heard(r, timers.nowMs());
+      m.synced(r.epoch() == v.epoch());
+      if (membership.standing() == Membership.Standing.MEMBER) {
+        direct(m);
+      }
+    } catch (BadMessage e) {
+      LOG.warn("{}: malformed answer to orders: {}", m.name(), e.getMessage());
+    }
+  }
+
+  private static boolean isLate(Report r, Report last) {
+    return r.tenure() < last.tenure() || r.tenure() == last.tenure() && r.tick() <= last.tick();
+  }
+
   private static void halt(Job job, TaskState s, Report.Entry e, List<Order> out) {
     if (job.withdrawn() || s.stop() == TaskState.Stop.KILL) {
       out.add(new Order.Halt(job.id(), e.index(), e.attempt(), 0));
@@ -263,6 +412,7 @@
       return;
     }
     long now = timers.nowMs();
+    boolean stuck = false;
     for (Machine m : new ArrayList<>(tables.machines())) {
       if (!node.equals(v.owner(m.name()))) {
         continue;
@@ -279,6 +429,27 @@
         }
         runs.remove(m);
       }
+      stuck |= stuck(m, now);
+    }
+    if (stuck) {
+      // Only a higher epoch, shown by the worker, proves that the command can't arrive any more.
+      membership.raiseEpoch();
+    }
+  }
+
+  /** Whether an attempt is to be stopped while a run for it may still arrive. */
+  private boolean stuck(Machine m, long now) {
+    Direct d = directs.get(m);
+    if (d == null || d.loose.isEmpty() || now - m.heardMs() > DIRECT_MS) {
+      return false;
+    }
+    for (Machine.Slot s : m.live()) {
+      boolean stop = s.job().withdrawn() || s.state().stop() != TaskState.Stop.NONE;
+      Loose l = d.loose.get(new Try(s.job().id() + "/" + s.index(), s.state().attempt()));
+      if (stop && l != null && now - l.sinceMs > UNCERTAIN_MS && l.epoch == viewEpoch) {
+        return true;
+      }
     }
+    return false;
   }
 }
--- a/src/main/java/wickdrift/coordination/Scribe.java
+++ b/src/main/java/wickdrift/coordination/Scribe.java
@@ -203,10 +203,7 @@
             timers.after(REFUSED_MS, this::fence);
             return;
           }
-          Txn txn =
-              new Txn()
-                  .when(Part.key(node), p.stamp())
-                  .write(Part.key(node), p.toStore());
+          Txn txn = new Txn().when(Part.key(node), p.stamp()).write(Part.key(node), p.toStore());
           ledger.commit(
               txn,
               true,
@@ -572,8 +569,7 @@
   /**
    * Machines for all waiting members, booked in {@code rooms}; null (and nothing booked) if not.
    */
-  private static List<Room> gangRooms(
-      Job job, int waiting, List<Room> rooms, Quota quota) {
+  private static List<Room> gangRooms(Job job, int waiting, List<Room> rooms, Quota quota) {
     JobSpec spec = job.spec();
     List<String> tries = new ArrayList<>();
     if (spec.oneZone()) {
--- a/src/main/java/wickdrift/daemon/Controller.java
+++ b/src/main/java/wickdrift/daemon/Controller.java
@@ -53,7 +53,8 @@
     membership =
         new Membership(timers, ledger, tables, tuning, settings.node(), index, incarnation, peers);
     scribe = new Scribe(timers, ledger, tables, types, membership, tuning, settings, index);
-    reporting = new Reporting(timers, ledger, tables, membership, scribe, tuning, settings.node());
+    reporting =
+        new Reporting(timers, ledger, tables, membership, scribe, tuning, caller, settings.node());
     admission = new Admission(timers, ledger, tables, types, settings, tuning);
     fleet =
         new Fleet(
--- a/src/test/java/wickdrift/sim/ClusterTest.java
+++ b/src/test/java/wickdrift/sim/ClusterTest.java
@@ -11,7 +11,9 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 
-/** Whole days of three controllers on a simulated clock; every event is checked against the rules. */
+/**
+ * Whole days of three controllers on a simulated clock; every event is checked against the rules.
+ */
 class ClusterTest {
   private static List<String> load(SimWorld w, int jobs, long seed) {
     Random r = new Random(seed);
--- a/src/test/java/wickdrift/sim/SimNet.java
+++ b/src/test/java/wickdrift/sim/SimNet.java
@@ -93,8 +93,7 @@
               send(address, from, () -> once.accept(Caller.Answer.NONE));
               return;
             }
-            s.serve(
-                from, method, path, body, a -> send(address, from, () -> once.accept(a)));
+            s.serve(from, method, path, body, a -> send(address, from, () -> once.accept(a)));
           });
     };
   }
--- a/src/test/java/wickdrift/sim/SimState.java
+++ b/src/test/java/wickdrift/sim/SimState.java
@@ -44,7 +44,8 @@
   public void outage(boolean on) {
     out = on;
     if (!on) {
-      leaseLives.forEach((l, life) -> leaseEnds.computeIfPresent(l, (k, v) -> clock.nowMs() + life));
+      leaseLives.forEach(
+          (l, life) -> leaseEnds.computeIfPresent(l, (k, v) -> clock.nowMs() + life));
       wake();
     }
   }
@@ -116,8 +117,7 @@
       return;
     }
     for (Watch w : List.copyOf(watches)) {
-      boolean any =
-          changes.stream().anyMatch(c -> c.stamp > w.rev && c.key.startsWith(w.prefix));
+      boolean any = changes.stream().anyMatch(c -> c.stamp > w.rev && c.key.startsWith(w.prefix));
       if (any && !refused.contains(w.from)) {
         watches.remove(w);
         answerWatch(w);
@@ -146,8 +146,7 @@
   }
 
   @Override
-  public void serve(
-      String from, String method, String path, byte[] body, Consumer<Answer> done) {
+  public void serve(String from, String method, String path, byte[] body, Consumer<Answer> done) {
     if (out || refused.contains(from)) {
       done.accept(answer(503, Map.of("error", "away")));
       return;
@@ -160,8 +159,7 @@
         done.accept(
             e == null
                 ? answer(404, Map.of("ledgerRev", rev))
-                : answer(
-                    200, Map.of("key", path.substring(7), "v", e.value, "stamp", e.stamp)));
+                : answer(200, Map.of("key", path.substring(7), "v", e.value, "stamp", e.stamp)));
       } else if (path.equals("/commit")) {
         done.accept(commit(Doc.parse(body)));
       } else if (path.equals("/grants")) {
@@ -223,7 +221,9 @@
     int most = Integer.parseInt(q.get("most"));
     boolean truncated = false;
     for (Map.Entry<String, Entry> e :
-        entries.tailMap(q.getOrDefault("from", q.get("prefix")), !q.containsKey("from")).entrySet()) {
+        entries
+            .tailMap(q.getOrDefault("from", q.get("prefix")), !q.containsKey("from"))
+            .entrySet()) {
       if (!e.getKey().startsWith(q.get("prefix"))) {
         break;
       }
--- a/src/test/java/wickdrift/sim/SimWorker.java
+++ b/src/test/java/wickdrift/sim/SimWorker.java
@@ -323,8 +323,7 @@
   }
 
   @Override
-  public void serve(
-      String from, String method, String path, byte[] body, Consumer<Answer> done) {
+  public void serve(String from, String method, String path, byte[] body, Consumer<Answer> done) {
     if (dead) {
       return;
     }
--- a/src/test/java/wickdrift/sim/SimWorld.java
+++ b/src/test/java/wickdrift/sim/SimWorld.java
@@ -286,14 +286,18 @@
             machines.put(
                 name,
                 new SimWorker(
-                    this, name, "10.1.0." + name.substring(2) + ":1", zone, spot, random.nextLong()));
+                    this,
+                    name,
+                    "10.1.0." + name.substring(2) + ":1",
+                    zone,
+                    spot,
+                    random.nextLong()));
           }
         });
     return name;
   }
 
-  private void cloud(
-      String from, String method, String path, byte[] body, Consumer<Answer> done) {
+  private void cloud(String from, String method, String path, byte[] body, Consumer<Answer> done) {
     try {
       if (path.equals("/flavors")) {
         done.accept(
@@ -303,8 +307,22 @@
                     "flavours",
                     List.of(
                         Map.of(
-                            "sku", "g4", "cores", 32.0, "gpus", GPUS, "memoryGb", 128.0, "rate",
-                            10.0, "lowPrice", 4.0, "bootS", 5.0, "regions", ZONES)))));
+                            "sku",
+                            "g4",
+                            "cores",
+                            32.0,
+                            "gpus",
+                            GPUS,
+                            "memoryGb",
+                            128.0,
+                            "rate",
+                            10.0,
+                            "lowPrice",
+                            4.0,
+                            "bootS",
+                            5.0,
+                            "regions",
+                            ZONES)))));
       } else if (path.equals("/hosts/delete")) {
         for (String n : Doc.parse(body).texts("hosts")) {
           booting.remove(n);
@@ -340,8 +358,17 @@
             (n, v) ->
                 list.add(
                     Map.of(
-                        "ref", n, "flavour", "g4", "region", v[0], "reclaimable",
-                        Boolean.valueOf(v[1]), "phase", v.length > 2 ? v[2] : "starting", "ageS",
+                        "ref",
+                        n,
+                        "flavour",
+                        "g4",
+                        "region",
+                        v[0],
+                        "reclaimable",
+                        Boolean.valueOf(v[1]),
+                        "phase",
+                        v.length > 2 ? v[2] : "starting",
+                        "ageS",
                         (clock.nowMs() - bootDone.get(n)) / 1000.0)));
         done.accept(SimState.answer(200, Map.of("hosts", list, "truncated", false)));
       }
