One image fetch per machine at a time; ties go to machines with the image

A fetch now counts as room; among machines of equal capability those with the task's image rank last, in the half that is looked at first.

--- a/src/main/java/wickdrift/bookkeeping/Machine.java
+++ b/src/main/java/wickdrift/bookkeeping/Machine.java
@@ -61,11 +61,24 @@
     }
   }
 
-  private static final int IMAGES = 32;
+  /** An image that the machine has, or fetches since that time. */
+  private static final class Image {
+    final double gb;
+    final long sinceMs;
+    boolean ready;
+
+    Image(double gb, long sinceMs) {
+      this.gb = gb;
+      this.sinceMs = sinceMs;
+    }
+  }
+
+  /** How much longer than its nominal time a fetch is taken to last before it is held for done. */
+  private static final double FETCH_SLACK = 1.4;
 
   private final String name;
   private final List<Slot> live = new ArrayList<>();
-  private final LinkedHashMap<String, Double> images = new LinkedHashMap<>(8, 0.75f, true);
+  private final LinkedHashMap<String, Image> images = new LinkedHashMap<>(8, 0.75f, true);
   private Info info;
   private long stamp;
   private double cpus;
@@ -143,10 +156,6 @@
   void add(Slot s) {
     changed = true;
     live.add(s);
-    images.put(s.job().spec().image(), s.job().spec().imageGb());
-    if (images.size() > IMAGES) {
-      images.remove(images.keySet().iterator().next());
-    }
     recount();
   }
 
@@ -167,10 +176,50 @@
     }
   }
 
+  // ---- images: what this process can tell; the cache keeps the most recently used ----
+
+  /** Notes the images of what is booked here; call it before asking about images. */
+  public void noteImages(long nowMs, double cacheGb) {
+    for (Slot s : live) {
+      String image = s.job().spec().image();
+      if (images.get(image) == null) {
+        images.put(image, new Image(s.job().spec().imageGb(), nowMs));
+      }
+    }
+    double total = 0;
+    for (Image i : images.values()) {
+      total += i.gb;
+    }
+    var oldest = images.entrySet().iterator();
+    while (total > cacheGb && images.size() > 1) {
+      total -= oldest.next().getValue().gb;
+      oldest.remove();
+    }
+  }
+
+  /** A report shows a task that needs it past its fetch. */
+  public void imageReady(String image, double gb, long nowMs) {
+    images.computeIfAbsent(image, k -> new Image(gb, nowMs)).ready = true;
+  }
+
+  /** It is there, or on its way. */
   public boolean hasImage(String image) {
     return images.containsKey(image);
   }
 
+  public boolean fetching(long nowMs, double gbPerS) {
+    for (Image i : images.values()) {
+      if (!i.ready && gbPerS > 0 && nowMs - i.sinceMs < i.gb / gbPerS * 1000 * FETCH_SLACK) {
+        return true;
+      }
+    }
+    return false;
+  }
+
+  public int imageCount() {
+    return images.size();
+  }
+
   // ---- the owner's own view ----
 
   public Report report() {
--- a/src/main/java/wickdrift/coordination/Placement.java
+++ b/src/main/java/wickdrift/coordination/Placement.java
@@ -18,19 +18,25 @@
           .thenComparingDouble(r -> -r.type().memoryGb())
           .thenComparingDouble(r -> -r.type().cpus());
 
+  private Placement() {}
+
   /**
-   * Among machines of equal capability the emptier ranks higher. So the half that is looked at
-   * first holds the fuller ones, and empty machines are left for gangs.
+   * Among machines of equal capability, those that suit the task rank last, in the half that is
+   * looked at first: above them the full ones, and above those the emptier ones without its image.
+   * So tasks of one image gather, and empty machines are left for gangs.
    */
-  private static final Comparator<Room> RANK =
-      CAPABILITY.thenComparingDouble(Room::load).thenComparing((Room r) -> r.machine().name());
-
-  private Placement() {}
+  private static Comparator<Room> rank(JobSpec spec) {
+    return CAPABILITY
+        .thenComparingInt((Room r) -> suits(r, spec))
+        .thenComparingDouble(Room::load)
+        .thenComparing((Room r) -> r.machine().name());
+  }
 
-  public static List<Room> ranked(List<Room> rooms) {
-    List<Room> out = new ArrayList<>(rooms);
-    out.sort(RANK);
-    return out;
+  private static int suits(Room r, JobSpec spec) {
+    if (!r.fitsWithFetch(spec)) {
+      return 1;
+    }
+    return r.hasImage(spec) ? 2 : 0;
   }
 
   /** The machine for one task, or null. {@code rooms} may be in any order. */
@@ -44,13 +50,13 @@
     if (eligible.isEmpty()) {
       return null;
     }
-    eligible.sort(RANK);
+    eligible.sort(rank(spec));
     int i = eligible.size();
     int from = (i + 1) / 2 - 1;
     Room best = null;
     for (int k = from; k < i; k++) {
       Room r = eligible.get(k);
-      if (r.fits(spec) && (best == null || better(r, best, spec))) {
+      if (r.fitsWithFetch(spec) && (best == null || better(r, best, spec))) {
         best = r;
       }
     }
@@ -59,7 +65,7 @@
     }
     for (int k = 0; k < from; k++) {
       Room r = eligible.get(k);
-      if (r.fits(spec) && (best == null || fallback(r, best, spec))) {
+      if (r.fitsWithFetch(spec) && (best == null || fallback(r, best, spec))) {
         best = r;
       }
     }
@@ -70,17 +76,13 @@
     if (Math.abs(a.load() - b.load()) > Room.EPS) {
       return a.load() < b.load();
     }
-    boolean ai = a.machine().hasImage(spec.image());
-    boolean bi = b.machine().hasImage(spec.image());
-    return ai && !bi;
+    return a.hasImage(spec) && !b.hasImage(spec);
   }
 
   /** Outside the half: one with the image, then the fullest, so that empty machines stay empty. */
   private static boolean fallback(Room a, Room b, JobSpec spec) {
-    boolean ai = a.machine().hasImage(spec.image());
-    boolean bi = b.machine().hasImage(spec.image());
-    if (ai != bi) {
-      return ai;
+    if (a.hasImage(spec) != b.hasImage(spec)) {
+      return a.hasImage(spec);
     }
     return a.load() > b.load() + Room.EPS;
   }
--- a/src/main/java/wickdrift/coordination/Reporting.java
+++ b/src/main/java/wickdrift/coordination/Reporting.java
@@ -243,6 +243,9 @@
           ended(m, job, e);
         }
       } else {
+        if (e.phase() != Report.Phase.FETCHING) {
+          m.imageReady(job.spec().image(), job.spec().imageGb(), timers.nowMs());
+        }
         halt(job, s, e, out);
       }
     }
--- a/src/main/java/wickdrift/coordination/Room.java
+++ b/src/main/java/wickdrift/coordination/Room.java
@@ -13,6 +13,17 @@
   private double gpus;
   private double memoryGb;
 
+  private boolean fetching;
+  private String fetched;
+
+  /** Room with the machine's images as they are now. */
+  public static Room of(Machine machine, TypeInfo type, long nowMs) {
+    machine.noteImages(nowMs, type.cacheGb());
+    Room r = new Room(machine, type);
+    r.fetching = machine.fetching(nowMs, type.fetchGbPerS());
+    return r;
+  }
+
   public Room(Machine machine, TypeInfo type) {
     this.machine = machine;
     this.type = type;
@@ -35,7 +46,23 @@
         && memoryGb + s.memoryGb() <= type.memoryGb() + EPS;
   }
 
+  public boolean hasImage(JobSpec s) {
+    return s.image().equals(fetched) || machine != null && machine.hasImage(s.image());
+  }
+
+  /**
+   * Room for the fetch as well: images fetched side by side share one rate, so that a second one
+   * only delays the first. A machine that fetches takes tasks of the images it has or fetches.
+   */
+  public boolean fitsWithFetch(JobSpec s) {
+    return fits(s) && (!fetching || hasImage(s));
+  }
+
   public void book(JobSpec s) {
+    if (!hasImage(s)) {
+      fetching = true;
+      fetched = s.image();
+    }
     cpus += s.cpus();
     gpus += s.gpus();
     memoryGb += s.memoryGb();
--- a/src/main/java/wickdrift/coordination/Scribe.java
+++ b/src/main/java/wickdrift/coordination/Scribe.java
@@ -437,7 +437,7 @@
       if (isOwn && (m.shunUntilMs() > now || m.report() == null)) {
         continue;
       }
-      Room r = new Room(m, t);
+      Room r = Room.of(m, t, now);
       all.add(r);
       if (isOwn) {
         own.add(r);
