Gang marking and preemption by priority

The leader marks the machines that empty soonest; a job of higher priority stops lower work when its start is due.

--- a/src/main/java/wickdrift/bookkeeping/Machine.java
+++ b/src/main/java/wickdrift/bookkeeping/Machine.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import wickdrift.protocol.BadMessage;
 import wickdrift.protocol.Doc;
+import wickdrift.protocol.JobSpec;
 import wickdrift.protocol.Report;
 
 /** One machine: its durable record, what is booked on it, and what its owner last heard. */
@@ -54,11 +55,43 @@
     }
   }
 
-  /** A live attempt's place in its job. */
-  public record Slot(Job job, int index) {
+  /** A live attempt's place in its job, and since when this process has known it. */
+  public static final class Slot {
+    private final Job job;
+    private final int index;
+    private long sinceMs;
+
+    Slot(Job job, int index) {
+      this.job = job;
+      this.index = index;
+    }
+
+    public Job job() {
+      return job;
+    }
+
+    public int index() {
+      return index;
+    }
+
     public TaskState state() {
       return job.task(index);
     }
+
+    public long ageMs(long nowMs) {
+      return sinceMs == 0 ? 0 : nowMs - sinceMs;
+    }
+
+    /**
+     * How much longer it may run, by its owner's estimate; what outlives that, half as long again.
+     */
+    public double leftMs(long nowMs) {
+      double estimate = job.spec().estimateS() * 1000;
+      if (job.spec().shape() == JobSpec.Shape.SERVICE) {
+        return Double.MAX_VALUE;
+      }
+      return Math.max(estimate - ageMs(nowMs), ageMs(nowMs) / 2.0);
+    }
   }
 
   /** An image that the machine has, or fetches since that time. */
@@ -181,6 +214,9 @@
   /** Notes the images of what is booked here; call it before asking about images. */
   public void noteImages(long nowMs, double cacheGb) {
     for (Slot s : live) {
+      if (s.sinceMs == 0) {
+        s.sinceMs = nowMs;
+      }
       String image = s.job().spec().image();
       if (images.get(image) == null) {
         images.put(image, new Image(s.job().spec().imageGb(), nowMs));
--- /dev/null
+++ b/src/main/java/wickdrift/coordination/Preemption.java
@@ -0,0 +1,81 @@
+package wickdrift.coordination;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import wickdrift.bookkeeping.Machine;
+import wickdrift.bookkeeping.TaskState;
+import wickdrift.protocol.JobSpec;
+
+/** Which running tasks of lower priority to stop so that one of higher priority finds room. */
+final class Preemption {
+  /** The tasks to stop on one machine, and the work that is lost by it, in GPU-milliseconds. */
+  record Choice(Room room, List<Machine.Slot> victims, double lost) {}
+
+  private Preemption() {}
+
+  /**
+   * The cheapest machine on which stopping lower-priority tasks makes room, or null. A machine
+   * where stops already under way will do counts as found with no victims.
+   */
+  static Choice cheapest(List<Room> rooms, JobSpec spec, long nowMs) {
+    Choice best = null;
+    for (Room r : rooms) {
+      Choice c = on(r, spec, nowMs);
+      if (c != null && (best == null || c.lost < best.lost)) {
+        best = c;
+      }
+    }
+    return best;
+  }
+
+  private static Choice on(Room r, JobSpec spec, long nowMs) {
+    if (!r.type().canHold(spec)) {
+      return null;
+    }
+    double cpus = r.freeCpus();
+    double gpus = r.freeGpus();
+    double memory = r.freeMemoryGb();
+    List<Machine.Slot> candidates = new ArrayList<>();
+    for (Machine.Slot s : r.machine().live()) {
+      JobSpec o = s.job().spec();
+      if (s.job().withdrawn() || s.state().stop() != TaskState.Stop.NONE) {
+        cpus += o.cpus();
+        gpus += o.gpus();
+        memory += o.memoryGb();
+      } else if (o.priority().ordinal() > spec.priority().ordinal()) {
+        candidates.add(s);
+      }
+    }
+    candidates.sort(Comparator.comparingDouble(s -> lost(s, nowMs)));
+    List<Machine.Slot> victims = new ArrayList<>();
+    double lost = 0;
+    while (spec.cpus() > cpus + Room.EPS
+        || spec.gpus() > gpus + Room.EPS
+        || spec.memoryGb() > memory + Room.EPS) {
+      if (victims.size() == candidates.size()) {
+        return null;
+      }
+      Machine.Slot v = candidates.get(victims.size());
+      victims.add(v);
+      lost += lost(v, nowMs);
+      cpus += v.job().spec().cpus();
+      gpus += v.job().spec().gpus();
+      memory += v.job().spec().memoryGb();
+    }
+    return new Choice(r, victims, lost);
+  }
+
+  private static double lost(Machine.Slot s, long nowMs) {
+    JobSpec o = s.job().spec();
+    double age = s.ageMs(nowMs);
+    double work = o.checkpointS() > 0 ? Math.min(age, o.saveS() * 1000) : age;
+    return (1 + work)
+        * Math.max(1, o.gpus())
+        * Math.max(1, o.shape() == JobSpec.Shape.GANG ? o.tasks() : 1);
+  }
+
+  static TaskState.Stop how(JobSpec victim) {
+    return victim.checkpointS() > 0 ? TaskState.Stop.SAVE : TaskState.Stop.KILL;
+  }
+}
--- a/src/main/java/wickdrift/coordination/Scribe.java
+++ b/src/main/java/wickdrift/coordination/Scribe.java
@@ -59,7 +59,10 @@
   private final int nodeIndex;
   private final Map<TaskKey, Exit> exits = new LinkedHashMap<>();
   private final Map<Machine, Machine.Info> records = new LinkedHashMap<>();
-  private final Map<String, List<String>> marks = new LinkedHashMap<>();
+
+  /** By gang, the machines that take no new tasks until it starts or gives them up. */
+  private final Map<String, List<Machine>> marks = new LinkedHashMap<>();
+
   private Phase phase = Phase.READY;
   private boolean armed;
   private long settledAtMs;
@@ -387,10 +390,13 @@
       List<Room> rooms = asLeader ? all : own;
       int before = draft.live(job);
       if (job.spec().shape() == JobSpec.Shape.GANG) {
-        placeGang(draft, job, rooms, quota, v, foreign);
+        placeGang(draft, job, withMarked(job, rooms), quota, v, foreign);
       } else {
         placeTasks(draft, job, rooms, quota, v, foreign);
       }
+      if (draft.live(job) == before) {
+        preempt(draft, job, rooms, quota, now);
+      }
       if (draft.live(job) > before) {
         placedAny = true;
         draft.when(job.key(), job.stamp());
@@ -402,11 +408,149 @@
         break;
       }
     }
-    if (placedAny) {
-      if (!draft.touches(Part.key(node))) {
-        draft.when(Part.key(node), mine.stamp());
+    if (leader) {
+      draftMarks(draft, queue, all, v, now);
+    }
+    if (placedAny && !draft.touches(Part.key(node))) {
+      draft.when(Part.key(node), mine.stamp());
+    }
+  }
+
+  // ---- marks ----
+
+  private List<Room> withMarked(Job job, List<Room> rooms) {
+    List<Machine> mine = marks.get(job.id());
+    if (mine == null) {
+      return rooms;
+    }
+    List<Room> out = new ArrayList<>(rooms);
+    for (Machine m : mine) {
+      if (m.phase() == Machine.Phase.UP && types.find(m.info().type()) != null) {
+        out.add(Room.of(m, types.find(m.info().type()), timers.nowMs()));
+      }
+    }
+    return out;
+  }
+
+  /**
+   * A gang that has waited for a while marks the machines that will be empty soonest. Marks are in
+   * the part records, so that their owners place nothing there; here is only whose they are.
+   */
+  private void draftMarks(Draft draft, List<Job> queue, List<Room> all, View v, long now) {
+    Map<String, Job> waitingGangs = new LinkedHashMap<>();
+    for (Job job : queue) {
+      if (job.spec().shape() == JobSpec.Shape.GANG
+          && job.part().equals(Job.LEADER)
+          && job.live() == 0
+          && draft.live(job) == 0
+          && job.retryAtMs() <= now) {
+        waitingGangs.put(job.id(), job);
+      }
+    }
+    marks.keySet().retainAll(waitingGangs.keySet());
+    for (List<Machine> l : marks.values()) {
+      l.removeIf(m -> m.phase() != Machine.Phase.UP);
+    }
+    Set<Machine> marked = new HashSet<>();
+    marks.values().forEach(marked::addAll);
+    for (Job job : waitingGangs.values()) {
+      if (now - job.waitingSinceMs(now) >= tuning.markWaitMs()) {
+        mark(job, all, marked, now);
+      }
+    }
+    for (String member : v.members().keySet()) {
+      Part p = tables.part(member);
+      List<String> wanted = new ArrayList<>();
+      for (Machine m : marked) {
+        if (member.equals(v.owner(m.name()))) {
+          wanted.add(m.name());
+        }
+      }
+      wanted.sort(Comparator.naturalOrder());
+      if (p != null
+          && !p.taken().equals(wanted)
+          && draft.hasRoom()
+          && !draft.touches(Part.key(member))) {
+        draft.write(Part.key(member), p.with(wanted).toStore(), p.stamp());
+      }
+    }
+  }
+
+  private void mark(Job job, List<Room> all, Set<Machine> marked, long now) {
+    List<Machine> mine = marks.computeIfAbsent(job.id(), k -> new ArrayList<>());
+    String zone = job.spec().oneZone() && !mine.isEmpty() ? mine.get(0).info().zone() : null;
+    while (mine.size() < job.waiting()) {
+      Room best = null;
+      double bestLeft = 0;
+      for (Room r : all) {
+        if (marked.contains(r.machine())
+            || !r.type().canHold(job.spec())
+            || !allowed(job.spec(), r)
+            || zone != null && !zone.equals(r.machine().info().zone())) {
+          continue;
+        }
+        double left = 0;
+        for (Machine.Slot s : r.machine().live()) {
+          left = Math.max(left, s.leftMs(now));
+        }
+        if (left < Double.MAX_VALUE && (best == null || left < bestLeft)) {
+          best = r;
+          bestLeft = left;
+        }
+      }
+      if (best == null) {
+        return;
+      }
+      mine.add(best.machine());
+      marked.add(best.machine());
+      zone = job.spec().oneZone() ? best.machine().info().zone() : null;
+    }
+  }
+
+  // ---- preemption ----
+
+  /**
+   * A job of higher priority that finds no room stops work of lower priority: a service soon, since
+   * its users wait; another when a good part of the time in which it should start has passed.
+   */
+  private void preempt(Draft draft, Job job, List<Room> rooms, Quota quota, long now) {
+    JobSpec spec = job.spec();
+    if (spec.priority() == JobSpec.Priority.LOW
+        || !draft.hasRoom()
+        || !quota.allows(spec)
+        || now - job.waitingSinceMs(now) < preemptAfterMs(spec)) {
+      return;
+    }
+    List<Room> may = new ArrayList<>();
+    Map<String, Integer> zones = zones(draft, job);
+    for (Room r : withMarked(job, rooms)) {
+      if (allowed(spec, r) && zoneAllows(spec, zones, r.machine().info().zone())) {
+        may.add(r);
+      }
+    }
+    Preemption.Choice c = Preemption.cheapest(may, spec, now);
+    if (c == null) {
+      return;
+    }
+    for (Machine.Slot s : c.victims()) {
+      if (draft.takes(s.job(), s.index())) {
+        LOG.info("{} gives way to {}", s.job().id() + "/" + s.index(), job.id());
+        draft.change(
+            s.job(), s.index(), t -> t.live() ? t.stopping(Preemption.how(s.job().spec())) : t);
+      }
+    }
+  }
+
+  private long preemptAfterMs(JobSpec spec) {
+    double within = Double.MAX_VALUE;
+    for (Settings.Objective o : settings.objectives()) {
+      if (o.kind().equals("wait") && spec.jobClass().equals(o.jobClass())) {
+        within = Math.min(within, o.withinS());
       }
     }
+    return within == Double.MAX_VALUE
+        ? tuning.preemptMs()
+        : Math.min(tuning.preemptMs(), (long) (within * 1000 * tuning.preemptShare()));
   }
 
   /** A job waits in a full part while another part has room: the leader, who sees all, takes it. */
--- a/src/main/java/wickdrift/coordination/Tuning.java
+++ b/src/main/java/wickdrift/coordination/Tuning.java
@@ -14,6 +14,8 @@
     long settleMs,
     long handoverMs,
     long markWaitMs,
+    long preemptMs,
+    double preemptShare,
     long idleMs,
     double largeShare,
     int spareMachines) {
@@ -33,7 +35,9 @@
         (long) (lease * (1 + DRIFT)) + SLACK_MS,
         report * 5 / 4 + SLACK_MS,
         1500,
-        10_000,
+        3000,
+        20_000,
+        0.3,
         45_000,
         0.5,
         1);
