Empty machines are kept longer where an aim is shorter than a boot

Cause: the search service should start within 1 s, a machine takes 45 s to come up and its first image 10 s more; machines were returned after 45 s idle.

--- a/src/main/java/wickdrift/coordination/Fleet.java
+++ b/src/main/java/wickdrift/coordination/Fleet.java
@@ -343,7 +343,7 @@
         continue;
       }
       idle++;
-      if (now - emptySince.computeIfAbsent(m.name(), k -> now) > tuning.idleMs()) {
+      if (now - emptySince.computeIfAbsent(m.name(), k -> now) > idleMs()) {
         candidates.add(m);
       }
     }
@@ -358,6 +358,30 @@
     }
   }
 
+  /**
+   * How long an empty machine is kept. Where work should start sooner than a rented machine comes
+   * up, only machines that are there already can meet the aim, so they are kept for long; a
+   * guarantee asks for less, since it binds a part of the work only.
+   */
+  private long idleMs() {
+    double boot = 0;
+    for (TypeInfo t : types.all()) {
+      boot = Math.max(boot, t.bootS());
+    }
+    double boots = 0;
+    for (Settings.Objective o : settings.objectives()) {
+      if (o.withinS() < boot) {
+        boots =
+            switch (o.kind()) {
+              case "wait" -> Math.max(boots, tuning.idleBootsWait());
+              case "guarantee" -> Math.max(boots, tuning.idleBootsGuarantee());
+              default -> boots;
+            };
+      }
+    }
+    return Math.max(tuning.idleMs(), (long) (boots * boot * 1000));
+  }
+
   private boolean anyWaiting() {
     return tables.jobs().stream().anyMatch(j -> j.waiting() > 0 && !j.withdrawn());
   }
--- a/src/main/java/wickdrift/coordination/Scribe.java
+++ b/src/main/java/wickdrift/coordination/Scribe.java
@@ -542,18 +542,21 @@
   }
 
   private long preemptAfterMs(JobSpec spec) {
-    double within = Double.MAX_VALUE;
+    double boot = 0;
+    for (TypeInfo t : types.all()) {
+      boot = Math.max(boot, t.canHold(spec) ? t.bootS() * 1000 : 0);
+    }
+    // Where a rented machine comes in time, it is waited for: stopping work wastes it.
+    long patient = Math.max(tuning.preemptMs(), (long) (boot * tuning.preemptBoots()));
     for (Settings.Objective o : settings.objectives()) {
-      if (o.kind().equals("wait") && spec.jobClass().equals(o.jobClass())) {
-        within = Math.min(within, o.withinS());
+      boolean ours = o.kind().equals("wait") && spec.jobClass().equals(o.jobClass());
+      if (ours && o.withinS() * 1000 < boot * tuning.preemptBoots()) {
+        patient = Math.min(patient, (long) (o.withinS() * 1000 * tuning.preemptShare()));
       }
     }
-    return within == Double.MAX_VALUE
-        ? tuning.preemptMs()
-        : Math.min(tuning.preemptMs(), (long) (within * 1000 * tuning.preemptShare()));
+    return patient;
   }
 
-  /** A job waits in a full part while another part has room: the leader, who sees all, takes it. */
   private boolean handOver(Job job, List<Room> own, List<Room> all, long now) {
     if (now - job.waitingSinceMs(now) < tuning.handoverMs()) {
       return false;
--- a/src/main/java/wickdrift/coordination/Tuning.java
+++ b/src/main/java/wickdrift/coordination/Tuning.java
@@ -16,7 +16,10 @@
     long markWaitMs,
     long preemptMs,
     double preemptShare,
+    double preemptBoots,
     long idleMs,
+    double idleBootsWait,
+    double idleBootsGuarantee,
     double largeShare,
     int spareMachines) {
 
@@ -38,7 +41,10 @@
         3000,
         20_000,
         0.3,
+        1.25,
         45_000,
+        20,
+        3,
         0.5,
         1);
   }
