--- /dev/null
+++ b/src/test/java/wickdrift/daemon/SettingsTest.java
@@ -0,0 +1,84 @@
+package wickdrift.daemon;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.electronwill.nightconfig.toml.TomlParser;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+class SettingsTest {
+  private static final String GOOD =
+      """
+      host_name = "a"
+      serve_on = "10.0.0.1:8080"
+      back = "10.0.0.1:8081"
+      location = "z"
+      novel = 1
+      [[peers]]
+      host_name = "b"
+      peer_addr = "10.0.0.2:8081"
+      [endpoints]
+      cloud = "10.2.0.2:1"
+      state = "10.2.0.1:1"
+      [cluster]
+      nodes = 2
+      zones = ["z"]
+      [[cluster.teams]]
+      name = "t"
+      gpus = 4.0
+      gpus_max = 8.0
+      [cluster.workers]
+      report_s = 3.0
+      lease_s = 28.0
+      gang_wait_s = 30.0
+      gang_peer_s = 5.0
+      cancel_s = 53.0
+      [cluster.state]
+      rps = 250.0
+      write_rps = 100.0
+      value_kb = 32.0
+      txn_ops = 16
+      [cluster.cloud]
+      rps = 4.0
+      list_lag_s = 5.0
+      [cluster.quota]
+      fd_limit = 1500
+      """;
+
+  private static Settings parse(String toml) throws Settings.Invalid {
+    return Settings.parse(new TomlParser().parse(toml));
+  }
+
+  @Test
+  void unknownFieldsAreIgnored() throws Settings.Invalid {
+    Settings s = parse(GOOD);
+    assertEquals("a", s.node());
+    assertEquals(16, s.stateLimits().txnOps());
+    assertEquals(8.0, s.teams().get(0).gpusMax());
+  }
+
+  @ParameterizedTest(name = "{0} -> {1}")
+  @CsvSource(
+      delimiter = '|',
+      value = {
+        "host_name = \"a\"            | # gone                      | host_name",
+        "serve_on = \"10.0.0.1:8080\" | serve_on = \"nowhere\"      | serve_on",
+        "state = \"10.2.0.1:1\"       | # gone                      | endpoints.state",
+        "nodes = 2                    | nodes = 3                   | cluster.nodes",
+        "host_name = \"b\"            | host_name = \"a\"           | peers",
+        "gpus = 4.0                   | gpus = 9.0                  | cluster.teams",
+        "lease_s = 28.0               | lease_s = 2.0               | cluster.workers.lease_s",
+        "report_s = 3.0               | report_s = \"often\"        | cluster.workers.report_s",
+        "rps = 250.0                  | rps = 0.0                   | cluster.state.rps",
+        "txn_ops = 16                 | txn_ops = 2                 | cluster.state.txn_ops",
+        "fd_limit = 1500              | fd_limit = -1               | cluster.quota.fd_limit",
+      })
+  void theFieldAtFaultIsNamed(String from, String to, String field) {
+    String toml = GOOD.replace(from, to);
+    Settings.Invalid e = assertThrows(Settings.Invalid.class, () -> parse(toml));
+    assertTrue(e.getMessage().contains(field), e.getMessage());
+  }
+}
