Reports are passed on when a worker can't reach its machine's owner

A controller cut off from the workers alone keeps its lease, so nobody takes over, and every other node sent its workers back to it until their leases ended. A report that shows the current epoch to a node that is not the owner, or that comes back after being sent there, now goes to the owner over the back port.

--- a/src/main/java/wickdrift/coordination/Membership.java
+++ b/src/main/java/wickdrift/coordination/Membership.java
@@ -12,13 +12,13 @@
 import wickdrift.bookkeeping.Tables;
 import wickdrift.bookkeeping.Txn;
 import wickdrift.bookkeeping.View;
+import wickdrift.protocol.PeerFrame;
 import wickdrift.transport.Timers;
 
 /** This node's lease and membership, and the changes of view. */
 public final class Membership {
   private static final Logger LOG = LoggerFactory.getLogger(Membership.class);
   private static final long TICK_MS = 250;
-  private static final byte FRAME_VERSION = 1;
   private static final long PEER_FRESH_MS = 2000;
 
   /** How this node stands. */
@@ -241,24 +241,13 @@
   // ---- peers ----
 
   private void tellPeers() {
-    ByteBuffer frame = ByteBuffer.allocate(16);
-    frame.put(FRAME_VERSION);
-    frame.put((byte) nodeIndex);
-    frame.put((byte) (ledger.reachable() ? 1 : 0));
-    frame.putLong(tables.view() == null ? 0 : tables.view().epoch());
-    frame.flip();
+    long epoch = tables.view() == null ? 0 : tables.view().epoch();
+    ByteBuffer frame = new PeerFrame.Standing(nodeIndex, epoch, ledger.reachable()).encode();
     peers.values().forEach(p -> p.accept(frame.duplicate()));
   }
 
-  public void peerFrame(ByteBuffer frame) {
-    if (frame.remaining() < 11 || frame.get() != FRAME_VERSION) {
-      LOG.debug("unreadable frame from a peer");
-      return;
-    }
-    int from = frame.get();
-    boolean ok = frame.get() == 1;
-    long epoch = frame.getLong();
-    heard.put(from, new Heard(epoch, ok, timers.nowMs()));
-    peerEpoch = Math.max(peerEpoch, epoch);
+  public void peerStands(PeerFrame.Standing s) {
+    heard.put(s.from(), new Heard(s.epoch(), s.stateOk(), timers.nowMs()));
+    peerEpoch = Math.max(peerEpoch, s.epoch());
   }
 }
--- /dev/null
+++ b/src/main/java/wickdrift/coordination/Relay.java
@@ -0,0 +1,98 @@
+package wickdrift.coordination;
+
+import java.nio.ByteBuffer;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Consumer;
+import wickdrift.protocol.BadMessage;
+import wickdrift.protocol.Doc;
+import wickdrift.protocol.Pack;
+import wickdrift.protocol.PeerFrame;
+import wickdrift.transport.Exchange;
+import wickdrift.transport.Timers;
+
+/**
+ * Passes reports on to the owner of a machine that its worker can't reach. Without this, a
+ * controller cut off from the workers alone keeps its lease, and its part's tasks all die.
+ */
+public final class Relay {
+  private static final long WAIT_MS = 1500;
+  private static final int MAX_PENDING = 200;
+
+  private final Timers timers;
+  private final int nodeIndex;
+  private final List<String> nodes;
+  private final Map<String, Consumer<ByteBuffer>> peers;
+  private final Map<Long, Exchange> pending = new HashMap<>();
+  private long nextId;
+
+  public Relay(
+      Timers timers, int nodeIndex, List<String> nodes, Map<String, Consumer<ByteBuffer>> peers) {
+    this.timers = timers;
+    this.nodeIndex = nodeIndex;
+    this.nodes = nodes;
+    this.peers = peers;
+  }
+
+  /** Passes a report on; false if that can't be done. The answer, or 421, follows in time. */
+  public boolean pass(Exchange x, String owner) {
+    Consumer<ByteBuffer> peer = peers.get(owner);
+    if (peer == null || pending.size() >= MAX_PENDING) {
+      return false;
+    }
+    long id = ++nextId;
+    pending.put(id, x);
+    peer.accept(new PeerFrame.Relayed(nodeIndex, id, x.body()).encode());
+    timers.after(
+        WAIT_MS,
+        () -> {
+          if (pending.remove(id) != null) {
+            x.reply(421, Map.of());
+          }
+        });
+    return true;
+  }
+
+  public void answered(PeerFrame.Answered a) {
+    Exchange x = pending.remove(a.id());
+    if (x == null) {
+      return;
+    }
+    try {
+      x.reply(a.status(), Doc.parse(a.body()).rawMap());
+    } catch (BadMessage e) {
+      x.reply(421, Map.of());
+    }
+  }
+
+  /** A report that a peer passed on to us, as a request whose answer goes back to that peer. */
+  public Exchange received(PeerFrame.Relayed r) {
+    return new Exchange() {
+      @Override
+      public String method() {
+        return "POST";
+      }
+
+      @Override
+      public String path() {
+        return "/hello";
+      }
+
+      @Override
+      public byte[] body() {
+        return r.body();
+      }
+
+      @Override
+      public void reply(int status, Object value, int retryAfterS) {
+        Consumer<ByteBuffer> peer =
+            r.from() >= 0 && r.from() < nodes.size() ? peers.get(nodes.get(r.from())) : null;
+        if (peer != null) {
+          byte[] body = Pack.encode(value == null ? Map.of() : value);
+          peer.accept(new PeerFrame.Answered(nodeIndex, r.id(), status, body).encode());
+        }
+      }
+    };
+  }
+}
--- a/src/main/java/wickdrift/coordination/Reporting.java
+++ b/src/main/java/wickdrift/coordination/Reporting.java
@@ -61,6 +61,11 @@
   private final Tuning tuning;
   private final String node;
   private final Caller caller;
+  private final Relay relay;
+
+  /** Machines that were told of their owner in this view. */
+  private final Set<String> sentAway = new HashSet<>();
+
   private final Map<Machine, Map<String, Sent>> runs = new HashMap<>();
   private final Map<Machine, Direct> directs = new HashMap<>();
   private String viewLeader;
@@ -76,6 +81,7 @@
       Scribe scribe,
       Tuning tuning,
       Caller caller,
+      Relay relay,
       String node) {
     this.timers = timers;
     this.ledger = ledger;
@@ -84,6 +90,7 @@
     this.scribe = scribe;
     this.tuning = tuning;
     this.caller = caller;
+    this.relay = relay;
     this.node = node;
   }
 
@@ -110,6 +117,7 @@
 
   private void viewChanged(View v) {
     viewEpoch = v.epoch();
+    sentAway.clear();
     viewSinceMs = timers.nowMs();
     LOG.info("epoch {}: members {}, leader {}", v.epoch(), v.members().keySet(), v.leader());
     boolean gained = !v.leader().equals(viewLeader) && v.leader().equals(node);
@@ -141,6 +149,15 @@
   // ---- reports ----
 
   public void hello(Exchange x) {
+    hello(x, true);
+  }
+
+  /** A report that a peer passed on: never passed on again. */
+  public void relayed(Exchange x) {
+    hello(x, false);
+  }
+
+  private void hello(Exchange x, boolean mayRelay) {
     Report r;
     try {
       r = Report.parse(Doc.parse(x.body()));
@@ -163,6 +180,13 @@
     Membership.Standing standing = membership.standing();
     String owner = v.owner(r.machine());
     if (!owner.equals(node)) {
+      // A worker that knows this epoch has been answered by its owner, and has left it: it can't
+      // reach it. The owner may be well otherwise, so the report is passed on.
+      boolean left = r.epoch() == v.epoch() || sentAway.contains(r.machine());
+      if (left && mayRelay && relay.pass(x, owner)) {
+        return;
+      }
+      sentAway.add(r.machine());
       x.reply(421, standing == Membership.Standing.MEMBER ? Map.of("upstream", owner) : Map.of());
       return;
     }
--- a/src/main/java/wickdrift/daemon/Controller.java
+++ b/src/main/java/wickdrift/daemon/Controller.java
@@ -3,27 +3,35 @@
 import java.nio.ByteBuffer;
 import java.util.Map;
 import java.util.function.Consumer;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 import wickdrift.bookkeeping.Ledger;
 import wickdrift.bookkeeping.Tables;
 import wickdrift.coordination.Admission;
 import wickdrift.coordination.Fleet;
 import wickdrift.coordination.Membership;
+import wickdrift.coordination.Relay;
 import wickdrift.coordination.Reporting;
 import wickdrift.coordination.Scribe;
 import wickdrift.coordination.Tuning;
 import wickdrift.coordination.Types;
+import wickdrift.protocol.BadMessage;
+import wickdrift.protocol.JobSpec;
+import wickdrift.protocol.PeerFrame;
 import wickdrift.transport.Caller;
 import wickdrift.transport.Exchange;
 import wickdrift.transport.Timers;
 
 /** One controller, put together. It knows no sockets, so tests run it in a simulated world. */
 public final class Controller {
+  private static final Logger LOG = LoggerFactory.getLogger(Controller.class);
   private static final String JOBS = "/api/jobs";
 
   private final Ledger ledger;
   private final Tables tables;
   private final Membership membership;
   private final Scribe scribe;
+  private final Relay relay;
   private final Reporting reporting;
   private final Admission admission;
   private final Fleet fleet;
@@ -52,9 +60,11 @@
             tables);
     membership =
         new Membership(timers, ledger, tables, tuning, settings.node(), index, incarnation, peers);
+    relay = new Relay(timers, index, settings.nodeNames(), peers);
     scribe = new Scribe(timers, ledger, tables, types, membership, tuning, settings, index);
     reporting =
-        new Reporting(timers, ledger, tables, membership, scribe, tuning, caller, settings.node());
+        new Reporting(
+            timers, ledger, tables, membership, scribe, tuning, caller, relay, settings.node());
     admission = new Admission(timers, ledger, tables, types, settings, tuning);
     fleet =
         new Fleet(
@@ -83,8 +93,21 @@
     scribe.wake();
   }
 
-  public void peerFrame(ByteBuffer frame) {
-    membership.peerFrame(frame);
+  public void peerFrame(ByteBuffer bytes) {
+    PeerFrame frame;
+    try {
+      frame = PeerFrame.decode(bytes);
+    } catch (BadMessage e) {
+      LOG.warn("from a peer: {}", e.getMessage());
+      return;
+    }
+    if (frame instanceof PeerFrame.Standing s) {
+      membership.peerStands(s);
+    } else if (frame instanceof PeerFrame.Relayed r) {
+      reporting.relayed(relay.received(r));
+    } else if (frame instanceof PeerFrame.Answered a) {
+      relay.answered(a);
+    }
   }
 
   /** Every request of users, workers and the load balancer comes in here. */
@@ -130,7 +153,7 @@
     int slash = rest.indexOf('/');
     String id = slash < 0 ? rest : rest.substring(0, slash);
     boolean withdraw = slash >= 0 && rest.substring(slash).equals("/withdraw");
-    if (slash >= 0 && !withdraw || !wickdrift.protocol.JobSpec.validId(id)) {
+    if (slash >= 0 && !withdraw || !JobSpec.validId(id)) {
       x.reply(404, Map.of("error", "no such job"));
     } else if (withdraw && post) {
       admission.withdraw(x, id);
--- /dev/null
+++ b/src/main/java/wickdrift/protocol/PeerFrame.java
@@ -0,0 +1,82 @@
+package wickdrift.protocol;
+
+import java.nio.ByteBuffer;
+
+/**
+ * What controllers say to each other, laid out by hand: version, kind, sender, then the kind's own.
+ */
+public sealed interface PeerFrame {
+  byte VERSION = 2;
+  byte STANDING = 1;
+  byte REPORT = 2;
+  byte ANSWER = 3;
+  int HEAD = 3;
+
+  /** The sender's number. */
+  int from();
+
+  ByteBuffer encode();
+
+  /** How the sender stands: its epoch, and whether the state service serves it. */
+  record Standing(int from, long epoch, boolean stateOk) implements PeerFrame {
+    @Override
+    public ByteBuffer encode() {
+      return head(STANDING, from, 9).put((byte) (stateOk ? 1 : 0)).putLong(epoch).flip();
+    }
+  }
+
+  /** A worker's report, passed on to the owner of its machine. */
+  record Relayed(int from, long id, byte[] body) implements PeerFrame {
+    @Override
+    public ByteBuffer encode() {
+      return head(REPORT, from, 8 + body.length).putLong(id).put(body).flip();
+    }
+  }
+
+  /** The owner's answer to a report passed on. */
+  record Answered(int from, long id, int status, byte[] body) implements PeerFrame {
+    @Override
+    public ByteBuffer encode() {
+      return head(ANSWER, from, 10 + body.length)
+          .putLong(id)
+          .putShort((short) status)
+          .put(body)
+          .flip();
+    }
+  }
+
+  private static ByteBuffer head(byte kind, int from, int more) {
+    return ByteBuffer.allocate(HEAD + more).put(VERSION).put(kind).put((byte) from);
+  }
+
+  static PeerFrame decode(ByteBuffer b) throws BadMessage {
+    if (b.remaining() < HEAD || b.get() != VERSION) {
+      throw new BadMessage("a frame of another version");
+    }
+    byte kind = b.get();
+    int from = b.get();
+    int least = kind == STANDING ? 9 : kind == REPORT ? 8 : 10;
+    if (b.remaining() < least) {
+      throw new BadMessage("a frame that ends early");
+    }
+    switch (kind) {
+      case STANDING -> {
+        boolean ok = b.get() == 1;
+        return new Standing(from, b.getLong(), ok);
+      }
+      case REPORT -> {
+        return new Relayed(from, b.getLong(), rest(b));
+      }
+      case ANSWER -> {
+        return new Answered(from, b.getLong(), b.getShort(), rest(b));
+      }
+      default -> throw new BadMessage("a frame of unknown kind");
+    }
+  }
+
+  private static byte[] rest(ByteBuffer b) {
+    byte[] out = new byte[b.remaining()];
+    b.get(out);
+    return out;
+  }
+}
--- a/src/main/java/wickdrift/transport/PeerLink.java
+++ b/src/main/java/wickdrift/transport/PeerLink.java
@@ -24,7 +24,7 @@
 
 /** Frames between controllers: a length, then bytes laid out by hand. One connection each way. */
 public final class PeerLink {
-  private static final int MAX_FRAME = 4096;
+  private static final int MAX_FRAME = 80 * 1024;
   private static final int MAX_INBOUND = 64;
   private static final int CONNECT_MS = 1000;
   private static final int IDLE_S = 30;
@@ -57,7 +57,7 @@
                 ch.closeFuture().addListener(f -> inbound--);
                 ch.pipeline()
                     .addLast(new IdleStateHandler(IDLE_S, 0, 0))
-                    .addLast(new LengthFieldBasedFrameDecoder(MAX_FRAME, 0, 2, 0, 2))
+                    .addLast(new LengthFieldBasedFrameDecoder(MAX_FRAME, 0, 4, 0, 4))
                     .addLast(new Frames());
               }
             })
@@ -88,8 +88,8 @@
       if (!channel.isActive() || !channel.isWritable()) {
         return;
       }
-      ByteBuf out = Unpooled.buffer(2 + frame.remaining());
-      out.writeShort(frame.remaining());
+      ByteBuf out = Unpooled.buffer(4 + frame.remaining());
+      out.writeInt(frame.remaining());
       out.writeBytes(frame.duplicate());
       channel.writeAndFlush(out);
     }
--- a/src/test/java/wickdrift/sim/ClusterTest.java
+++ b/src/test/java/wickdrift/sim/ClusterTest.java
@@ -134,4 +134,20 @@
   void aMachineFailsEveryTask() {
     faulty(51, w -> w.clock.after(3000, () -> w.sicken(2)));
   }
+
+  /** Its leases hold, so no one takes over: the others have to pass its workers' reports on. */
+  @Test
+  void aControllerThatItsWorkersCannotReachLosesNoTask() {
+    SimWorld w = new SimWorld(61, 6, 6);
+    for (int i = 0; i < 12; i++) {
+      w.submit(SimWorld.job(i, "daemon", 1, 1, 0), 0);
+    }
+    w.run(30_000);
+    int starts = w.starts();
+    assertEquals(12, starts);
+    w.cutFromWorkers("n1");
+    w.run(90_000);
+    assertEquals(starts, w.starts(), "tasks were lost and started again");
+    assertEquals(List.of(), w.broken());
+  }
 }
--- a/src/test/java/wickdrift/sim/SimWorld.java
+++ b/src/test/java/wickdrift/sim/SimWorld.java
@@ -239,6 +239,15 @@
     net.heal(node, STATE);
   }
 
+  /** One controller and all workers can't reach each other; it keeps everything else. */
+  public void cutFromWorkers(String node) {
+    workers().forEach(w -> net.cut(node, w.address, false));
+  }
+
+  public void healFromWorkers(String node) {
+    workers().forEach(w -> net.heal(node, w.address));
+  }
+
   public SimState state() {
     return state;
   }
