--- a/src/test/java/wickdrift/sim/SimNet.java
+++ b/src/test/java/wickdrift/sim/SimNet.java
@@ -58,7 +58,8 @@
   }
 
   private long delay() {
-    return 1 + random.nextInt(4);
+    // Now and then a message is lost and sent again.
+    return 1 + random.nextInt(4) + (random.nextInt(40) == 0 ? 250 : 0);
   }
 
   private void send(String from, String to, Runnable arrive) {
