--- a/src/test/java/wickdrift/sim/SimState.java
+++ b/src/test/java/wickdrift/sim/SimState.java
@@ -31,6 +31,7 @@
   private final Map<Long, Long> leaseLives = new HashMap<>();
   private final List<Watch> watches = new ArrayList<>();
   private final Set<String> refused = new HashSet<>();
+  private final List<String> unfenced = new ArrayList<>();
   private long rev;
   private long leases;
   private boolean out;
@@ -236,6 +237,41 @@
     return answer(200, Map.of("entries", out, "truncated", truncated, "ledgerRev", rev));
   }
 
+  /** What every transaction that is applied must have been conditional on. */
+  private void fencing(Doc d) throws BadMessage {
+    Set<String> when = new HashSet<>();
+    for (Doc w : d.docs("when")) {
+      when.add(w.text("key"));
+    }
+    for (Doc t : d.docs("then")) {
+      String key = t.textOrNull("write") == null ? t.text("delete") : t.text("write");
+      if (key.startsWith("w/j/") && !when.contains(key)) {
+        unfenced.add(key + " without its own stamp");
+      }
+      if (!key.startsWith("w/t/") || t.raw("v") == null) {
+        continue;
+      }
+      Entry old = entries.get(key);
+      List<?> before = old == null ? List.of() : Doc.of(old.value).list("live");
+      Set<Object> attempts = new HashSet<>();
+      before.forEach(l -> attempts.add(((List<?>) l).subList(0, 2)));
+      for (Object o : Doc.of(t.raw("v")).list("live")) {
+        List<?> l = (List<?>) o;
+        String job = "w/j/" + key.substring(4, key.lastIndexOf('/'));
+        String part = "w/p/n" + l.get(3);
+        boolean placed = !attempts.contains(l.subList(0, 2));
+        if (placed && !(when.contains(part) && when.contains(job) && when.contains(key))) {
+          unfenced.add(key + " placed without " + part + ", " + job);
+        }
+      }
+    }
+  }
+
+  /** Transactions that lacked a condition; must stay empty. */
+  public List<String> unfenced() {
+    return unfenced;
+  }
+
   private Answer commit(Doc d) throws BadMessage {
     commits++;
     List<Object> failed = new ArrayList<>();
@@ -254,6 +290,7 @@
     if (!failed.isEmpty()) {
       return answer(409, Map.of("failed", failed, "ledgerRev", rev));
     }
+    fencing(d);
     rev++;
     for (Doc t : d.docs("then")) {
       String key = t.textOrNull("write");
--- a/src/test/java/wickdrift/sim/SimWorld.java
+++ b/src/test/java/wickdrift/sim/SimWorld.java
@@ -86,8 +86,11 @@
     clock.runUntil(clock.nowMs() + ms);
   }
 
+  /** The rules that were broken, and the transactions that lacked a condition. */
   public List<String> broken() {
-    return rules.broken;
+    List<String> all = new ArrayList<>(rules.broken);
+    all.addAll(state.unfenced());
+    return all;
   }
 
   // ---- nodes ----
