Clean-up: dead state removed, one place for a slot's name and for what is unwanted

No change in behaviour. Slot.task and Slot.unwanted replace four spellings of a task's name and three of the test for a stop; the guarantee's share of how long empty machines are kept was zero and is gone, and the time is worked out once a round instead of once a machine; unused list, counter and record fields removed; a comment that an edit had dropped is back.

--- a/src/main/java/wickdrift/bookkeeping/Machine.java
+++ b/src/main/java/wickdrift/bookkeeping/Machine.java
@@ -78,6 +78,16 @@
       return job.task(index);
     }
 
+    /** The task's name, as workers know it. */
+    public String task() {
+      return job.id() + "/" + index;
+    }
+
+    /** Whether the attempt is to end: its job was withdrawn, or it is being stopped. */
+    public boolean unwanted() {
+      return job.withdrawn() || state().stop() != TaskState.Stop.NONE;
+    }
+
     public long ageMs(long nowMs) {
       return sinceMs == 0 ? 0 : nowMs - sinceMs;
     }
@@ -252,10 +262,6 @@
     return false;
   }
 
-  public int imageCount() {
-    return images.size();
-  }
-
   // ---- the owner's own view ----
 
   public Report report() {
--- a/src/main/java/wickdrift/coordination/Fleet.java
+++ b/src/main/java/wickdrift/coordination/Fleet.java
@@ -335,6 +335,7 @@
 
   private void retireIdle() {
     long now = timers.nowMs();
+    long keepMs = idleMs();
     int idle = 0;
     List<Machine> candidates = new ArrayList<>();
     for (Machine m : tables.machines()) {
@@ -343,7 +344,7 @@
         continue;
       }
       idle++;
-      if (now - emptySince.computeIfAbsent(m.name(), k -> now) > idleMs()) {
+      if (now - emptySince.computeIfAbsent(m.name(), k -> now) > keepMs) {
         candidates.add(m);
       }
     }
@@ -360,26 +361,19 @@
 
   /**
    * How long an empty machine is kept. Where work should start sooner than a rented machine comes
-   * up, only machines that are there already can meet the aim, so they are kept for long; a
-   * guarantee asks for less, since it binds a part of the work only.
+   * up, only machines that are there already can meet the aim, so they are kept for long.
    */
   private long idleMs() {
     double boot = 0;
     for (TypeInfo t : types.all()) {
       boot = Math.max(boot, t.bootS());
     }
-    double boots = 0;
     for (Settings.Objective o : settings.objectives()) {
-      if (o.withinS() < boot) {
-        boots =
-            switch (o.kind()) {
-              case "wait" -> Math.max(boots, tuning.idleBootsWait());
-              case "guarantee" -> Math.max(boots, tuning.idleBootsGuarantee());
-              default -> boots;
-            };
+      if (o.kind().equals("wait") && o.withinS() < boot) {
+        return Math.max(tuning.idleMs(), (long) (tuning.idleBootsWait() * boot * 1000));
       }
     }
-    return Math.max(tuning.idleMs(), (long) (boots * boot * 1000));
+    return tuning.idleMs();
   }
 
   private boolean anyWaiting() {
--- a/src/main/java/wickdrift/coordination/Membership.java
+++ b/src/main/java/wickdrift/coordination/Membership.java
@@ -31,7 +31,7 @@
     GRACE
   }
 
-  private record Heard(long epoch, boolean stateOk, long atMs) {}
+  private record Heard(boolean stateOk, long atMs) {}
 
   private final Timers timers;
   private final Ledger ledger;
@@ -247,7 +247,7 @@
   }
 
   public void peerStands(PeerFrame.Standing s) {
-    heard.put(s.from(), new Heard(s.epoch(), s.stateOk(), timers.nowMs()));
+    heard.put(s.from(), new Heard(s.stateOk(), timers.nowMs()));
     peerEpoch = Math.max(peerEpoch, s.epoch());
   }
 }
--- a/src/main/java/wickdrift/coordination/Preemption.java
+++ b/src/main/java/wickdrift/coordination/Preemption.java
@@ -10,7 +10,7 @@
 /** Which running tasks of lower priority to stop so that one of higher priority finds room. */
 final class Preemption {
   /** The tasks to stop on one machine, and the work that is lost by it, in GPU-milliseconds. */
-  record Choice(Room room, List<Machine.Slot> victims, double lost) {}
+  record Choice(List<Machine.Slot> victims, double lost) {}
 
   private Preemption() {}
 
@@ -39,7 +39,7 @@
     List<Machine.Slot> candidates = new ArrayList<>();
     for (Machine.Slot s : r.machine().live()) {
       JobSpec o = s.job().spec();
-      if (s.job().withdrawn() || s.state().stop() != TaskState.Stop.NONE) {
+      if (s.unwanted()) {
         cpus += o.cpus();
         gpus += o.gpus();
         memory += o.memoryGb();
@@ -63,7 +63,7 @@
       gpus += v.job().spec().gpus();
       memory += v.job().spec().memoryGb();
     }
-    return new Choice(r, victims, lost);
+    return new Choice(victims, lost);
   }
 
   private static double lost(Machine.Slot s, long nowMs) {
--- a/src/main/java/wickdrift/coordination/Reporting.java
+++ b/src/main/java/wickdrift/coordination/Reporting.java
@@ -71,7 +71,7 @@
   private String viewLeader;
   private long viewEpoch;
   private long viewSinceMs;
-  private Map<String, Boolean> owned = new HashMap<>();
+  private Set<String> owned = new HashSet<>();
 
   public Reporting(
       Timers timers,
@@ -108,7 +108,7 @@
     }
     if (v != null && membership.standing() == Membership.Standing.MEMBER) {
       for (Machine m : tables.machines()) {
-        if (owned.containsKey(m.name()) && m.takeChanged()) {
+        if (owned.contains(m.name()) && m.takeChanged()) {
           direct(m);
         }
       }
@@ -122,12 +122,12 @@
     LOG.info("epoch {}: members {}, leader {}", v.epoch(), v.members().keySet(), v.leader());
     boolean gained = !v.leader().equals(viewLeader) && v.leader().equals(node);
     viewLeader = v.leader();
-    Map<String, Boolean> now = new HashMap<>();
+    Set<String> now = new HashSet<>();
     for (Machine m : tables.machines()) {
       m.synced(false);
       if (node.equals(v.owner(m.name()))) {
-        now.put(m.name(), true);
-        if (!owned.containsKey(m.name())) {
+        now.add(m.name());
+        if (!owned.contains(m.name())) {
           // Its owner until now may go on answering it for as long as the grace allows.
           m.forgetReports(viewSinceMs + tuning.graceMs());
           runs.remove(m);
@@ -224,7 +224,7 @@
 
   /** Brings the machine's durable record up to what the report says. */
   private void note(Machine m, Report r) {
-    owned.put(m.name(), true);
+    owned.add(m.name());
     Machine.Phase wanted = r.noticeS() != null ? Machine.Phase.DRAINING : Machine.Phase.UP;
     Machine.Phase is = m.phase();
     boolean change =
@@ -282,7 +282,7 @@
     }
     for (Machine.Slot slot : m.live()) {
       TaskState s = slot.state();
-      String task = slot.job().id() + "/" + slot.index();
+      String task = slot.task();
       Report.Entry e = there.get(task);
       if (e != null && e.attempt() == s.attempt()) {
         sent.put(task, new Sent(s.attempt(), r.tick(), true));
@@ -296,13 +296,12 @@
       if (before != null && before.attempt != s.attempt()) {
         before = null;
       }
-      boolean stop = slot.job().withdrawn() || s.stop() != TaskState.Stop.NONE;
       if (before != null && before.seen) {
         // Seen and now absent: the worker lost it with its lease, and late commands with it.
         if (own) {
           scribe.exited(slot.job(), slot.index(), s.attempt(), m, null);
         }
-      } else if (stop) {
+      } else if (slot.unwanted()) {
         // Never seen and not wanted: the report shows our epoch, so no older command can start it,
         // and ours have been dropped, unless one sent straight to the worker is still under way.
         if (own && m.synced() && !loose(direct, task, s.attempt())) {
@@ -323,7 +322,7 @@
 
   private static Set<String> liveTasks(Machine m) {
     Set<String> out = new HashSet<>();
-    m.live().forEach(s -> out.add(s.job().id() + "/" + s.index()));
+    m.live().forEach(s -> out.add(s.task()));
     return out;
   }
 
@@ -471,9 +470,8 @@
       return false;
     }
     for (Machine.Slot s : m.live()) {
-      boolean stop = s.job().withdrawn() || s.state().stop() != TaskState.Stop.NONE;
-      Loose l = d.loose.get(new Try(s.job().id() + "/" + s.index(), s.state().attempt()));
-      if (stop && l != null && now - l.sinceMs > UNCERTAIN_MS && l.epoch == viewEpoch) {
+      Loose l = d.loose.get(new Try(s.task(), s.state().attempt()));
+      if (s.unwanted() && l != null && now - l.sinceMs > UNCERTAIN_MS && l.epoch == viewEpoch) {
         return true;
       }
     }
--- a/src/main/java/wickdrift/coordination/Scribe.java
+++ b/src/main/java/wickdrift/coordination/Scribe.java
@@ -152,9 +152,8 @@
     draftEnds(draft);
     draftRecords(draft);
     draftStops(draft);
-    List<Job> placed = new ArrayList<>();
     if (settled() && types.known() && ledger.reachable()) {
-      draftPlacements(draft, placed);
+      draftPlacements(draft);
     }
     draftOrphans(draft);
     if (draft.empty() && settled()) {
@@ -363,7 +362,7 @@
 
   // ---- placements ----
 
-  private void draftPlacements(Draft draft, List<Job> placedJobs) {
+  private void draftPlacements(Draft draft) {
     View v = tables.view();
     Part mine = tables.part(node);
     if (mine == null || mine.epoch() != v.epoch()) {
@@ -534,7 +533,7 @@
     }
     for (Machine.Slot s : c.victims()) {
       if (draft.takes(s.job(), s.index())) {
-        LOG.info("{} gives way to {}", s.job().id() + "/" + s.index(), job.id());
+        LOG.info("{} gives way to {}", s.task(), job.id());
         draft.change(
             s.job(), s.index(), t -> t.live() ? t.stopping(Preemption.how(s.job().spec())) : t);
       }
@@ -557,6 +556,7 @@
     return patient;
   }
 
+  /** A job waits in a full part while another part has room: the leader, who sees all, takes it. */
   private boolean handOver(Job job, List<Room> own, List<Room> all, long now) {
     if (now - job.waitingSinceMs(now) < tuning.handoverMs()) {
       return false;
--- a/src/main/java/wickdrift/coordination/Tuning.java
+++ b/src/main/java/wickdrift/coordination/Tuning.java
@@ -19,7 +19,6 @@
     double preemptBoots,
     long idleMs,
     double idleBootsWait,
-    double idleBootsGuarantee,
     double largeShare,
     int spareMachines) {
 
@@ -44,7 +43,6 @@
         1.25,
         45_000,
         20,
-        0,
         0.5,
         1);
   }
