A waking controller catches up before it decides; a broken job is told from a faulty machine

Waking is noticed in one place (Pulse): after a pause the node is no member until its tables hold all that was durable, silence counts from then, and what was drawn from it is dropped. A new lease brings a new incarnation: between its grant and the news of an expulsion the old view named us. Ends of tasks by a lapsed worker lease are conditional on the part's record. Errors go to the logs, so all nodes draw alike which job fails everywhere and which machine fails several jobs. A suspect job backs off, stops nothing, marks nothing, and is rented for by one task.

--- a/src/main/java/wickdrift/bookkeeping/Entry.java
+++ b/src/main/java/wickdrift/bookkeeping/Entry.java
@@ -13,7 +13,7 @@
   /** Placed: job, the placer's number, then index, attempt and machine of each task. */
   static final String PLACED = "p";
 
-  /** Exited: job, then index, attempt and whether it was done (1) of each task. */
+  /** Exited: job, then index, attempt and how of each task: {@link #LOST} and so on. */
   static final String EXITED = "x";
 
   /** To be stopped: job, how, then index and attempt of each task. */
@@ -25,6 +25,12 @@
   /** A machine that is gone is forgotten: name. */
   static final String FORGOTTEN = "f";
 
+  /** How an attempt ended: without its doing, with its work done, or with an error. */
+  public static final int LOST = 0;
+
+  public static final int DONE = 1;
+  public static final int FAILED = 2;
+
   private Entry() {}
 
   public static List<Object> placed(String job, int placer) {
--- a/src/main/java/wickdrift/bookkeeping/Job.java
+++ b/src/main/java/wickdrift/bookkeeping/Job.java
@@ -3,8 +3,10 @@
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.function.Consumer;
 import java.util.function.IntFunction;
 import wickdrift.protocol.BadMessage;
@@ -20,6 +22,13 @@
   /** The owner of a job that only the leader places. */
   public static final String LEADER = "*";
 
+  private static final int SUSPECT_MACHINES = 2;
+
+  /** The pause between the tries of a suspect: from this, doubled up to so often. */
+  private static final long PROBE_MS = 4000;
+
+  private static final int PROBE_DOUBLINGS = 4;
+
   private final String id;
   private final Usage usage;
   private final Consumer<Job> onChange;
@@ -39,7 +48,12 @@
 
   // Known to this process only.
   private long retryAtMs;
+  private int refusals;
   private int failures;
+  private int failuresSeen;
+  private int probes;
+  private boolean worked;
+  private final Set<Machine> failedOn = new LinkedHashSet<>();
   private long waitingSinceMs;
   private long blockedVersion = -1;
   private long blockedUntilMs;
@@ -232,16 +246,50 @@
     return true;
   }
 
-  boolean exited(int index, int attempt, boolean isDone) {
+  boolean exited(int index, int attempt, int how) {
     TaskState s = tasks[index];
     if (!s.live() || s.attempt() != attempt) {
       return false;
     }
-    set(index, s.exited(isDone ? Report.DONE : null));
+    Machine on = s.machine();
+    set(index, s.exited(how == Entry.DONE ? Report.DONE : null));
+    if (how == Entry.DONE) {
+      on.worked();
+      blame(null);
+    } else if (how == Entry.FAILED) {
+      failures++;
+      on.failed(this);
+      blame(on);
+    }
     doneTogether();
     return true;
   }
 
+  /** It failed on a machine, or (null) has shown that it can work. */
+  private void blame(Machine on) {
+    boolean was = suspect();
+    if (on == null) {
+      worked = true;
+    } else {
+      failedOn.add(on);
+    }
+    if (suspect() != was) {
+      failedOn.forEach(Machine::judgedAnew);
+    }
+    if (worked) {
+      failedOn.clear();
+    }
+  }
+
+  /**
+   * Whether its failures are taken for its own: it has failed on more than one machine, and nothing
+   * of it was ever done. All nodes draw this from the logs, so whoever places it knows, and a job
+   * that was submitted with a mistake gets no machine shunned.
+   */
+  public boolean suspect() {
+    return !worked && done == 0 && failedOn.size() >= SUSPECT_MACHINES;
+  }
+
   boolean stopped(int index, int attempt, TaskState.Stop how) {
     TaskState s = tasks[index];
     if (!s.live() || s.attempt() != attempt) {
@@ -367,14 +415,32 @@
     return retryAtMs;
   }
 
-  /** A failed start: later and later, for a job with a mistake fails everywhere. */
-  public void failed(long nowMs) {
-    failures++;
-    if (failures > 3) {
-      retryAtMs = nowMs + Math.min(30_000L, 500L << Math.min(failures - 3, 6));
+  /** A worker would not start it: later and later. */
+  public void refused(long nowMs) {
+    refusals++;
+    if (refusals > 3) {
+      retryAtMs = nowMs + Math.min(30_000L, 500L << Math.min(refusals - 3, 6));
+    }
+  }
+
+  /**
+   * Takes note of failures since the last call: a suspect waits longer after each round of them.
+   */
+  public void backOff(long nowMs) {
+    if (failuresSeen != failures) {
+      failuresSeen = failures;
+      if (suspect()) {
+        probed(nowMs);
+        probes++;
+      }
     }
   }
 
+  /** One task of a suspect was placed, to see: the next one waits. */
+  public void probed(long nowMs) {
+    retryAtMs = Math.max(retryAtMs, nowMs + (PROBE_MS << Math.min(probes, PROBE_DOUBLINGS)));
+  }
+
   public long waitingSinceMs(long nowMs) {
     if (waitingSinceMs == 0) {
       waitingSinceMs = nowMs;
--- a/src/main/java/wickdrift/bookkeeping/Machine.java
+++ b/src/main/java/wickdrift/bookkeeping/Machine.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Set;
 import java.util.function.Consumer;
@@ -107,6 +108,7 @@
   private static final long SHUN_MS = 10_000;
   private static final long SICK_MS = 60_000;
   private static final int SHUN_DOUBLINGS = 2;
+  private static final int ACCUSERS_MOST = 8;
 
   /** How much longer than its nominal time a fetch is taken to last before it is held for done. */
   private static final double FETCH_SLACK = 1.4;
@@ -133,10 +135,12 @@
   private long answeredMs;
   private long lapseBaseMs;
   private boolean synced;
-  private int errors;
-  private boolean sick;
-  private String lastFailed;
-  private long shunUntilMs;
+
+  // From the logs, alike at all nodes: what failed here since a task last worked.
+  private final Set<Job> accusers = new LinkedHashSet<>();
+  private int faults;
+  private int faultsSeen;
+  private long faultAtMs;
 
   /**
    * @param number its dense number in this process
@@ -375,31 +379,48 @@
     synced = value;
   }
 
-  /** Its tasks have failed one after the other, and of more than one job: it is its own fault. */
-  public boolean sick() {
-    return sick;
+  void failed(Job job) {
+    if (accusers.size() < ACCUSERS_MOST) {
+      accusers.add(job);
+    }
+    faults++;
+    note();
   }
 
-  /** A task failed here; nothing goes here for a time that grows with each failure. */
-  public void failed(String job, long nowMs) {
-    sick |= errors > 0 && !job.equals(lastFailed);
-    lastFailed = job;
-    errors++;
-    long first = sick ? SICK_MS : SHUN_MS;
-    shunUntilMs = Math.max(shunUntilMs, nowMs + (first << Math.min(errors - 1, SHUN_DOUBLINGS)));
-    note();
+  void worked() {
+    if (!accusers.isEmpty()) {
+      accusers.clear();
+      note();
+    }
   }
 
-  public int errors() {
-    return errors;
+  /** A job that failed here has become suspect itself, or is no longer. */
+  void judgedAnew() {
+    note();
   }
 
-  public void worked() {
-    errors = 0;
-    sick = false;
+  /** How many jobs failed here, of those whose failures are not taken for their own. */
+  public int accused() {
+    int n = 0;
+    for (Job j : accusers) {
+      n += j.suspect() ? 0 : 1;
+    }
+    return n;
   }
 
-  public long shunUntilMs() {
-    return shunUntilMs;
+  /**
+   * Until when nothing goes here; 0: no reason. One job's failure may be its own, so it is a short
+   * while; failures of several jobs, one after the other, are the machine's.
+   */
+  public long shunUntilMs(long nowMs) {
+    if (faultsSeen != faults) {
+      faultsSeen = faults;
+      faultAtMs = nowMs;
+    }
+    int n = accused();
+    if (n == 0) {
+      return 0;
+    }
+    return faultAtMs + ((n > 1 ? SICK_MS : SHUN_MS) << Math.min(n - 1, SHUN_DOUBLINGS));
   }
 }
--- a/src/main/java/wickdrift/bookkeeping/Tables.java
+++ b/src/main/java/wickdrift/bookkeeping/Tables.java
@@ -352,7 +352,7 @@
           switch (kind) {
             case Entry.PLACED ->
                 j.placed(index, attempt, machineOrNew(Entry.text(e, i + 2)), Entry.number(e, 2));
-            case Entry.EXITED -> j.exited(index, attempt, Entry.number(e, i + 2) == 1);
+            case Entry.EXITED -> j.exited(index, attempt, Entry.number(e, i + 2));
             case Entry.STOPPED ->
                 j.stopped(index, attempt, TaskState.Stop.values()[Entry.number(e, 2)]);
             default -> throw new BadMessage("unknown kind " + kind);
--- a/src/main/java/wickdrift/coordination/Board.java
+++ b/src/main/java/wickdrift/coordination/Board.java
@@ -113,6 +113,7 @@
 
   private void job(Job j) {
     boolean there = tables.job(j.id()) == j;
+    j.backOff(timers.nowMs());
     queue.changed(j, there);
     boolean over = j.withdrawn() ? j.live() == 0 : j.spec() != null && j.done() == j.size();
     member(endable, j, there && over);
@@ -157,10 +158,10 @@
             && m.phase() == Machine.Phase.UP
             && !tables.marked(m)
             && !pending.test(m);
-    if (usable && owner.equals(node)) {
-      boolean shun = m.shunUntilMs() > timers.nowMs();
+    if (usable) {
+      boolean shun = m.shunUntilMs(timers.nowMs()) > timers.nowMs();
       member(shunned, m, shun);
-      usable = !shun && m.report() != null;
+      usable = !shun && (m.report() != null || !owner.equals(node));
     }
     if (usable) {
       if (rooms.put(m, t, owner, timers.nowMs())) {
@@ -175,7 +176,7 @@
   void tick() {
     long now = timers.nowMs();
     for (Machine m : new ArrayList<>(shunned)) {
-      if (m.shunUntilMs() <= now) {
+      if (m.shunUntilMs(now) <= now) {
         shunned.remove(m);
         machine(m);
       }
--- a/src/main/java/wickdrift/coordination/Draft.java
+++ b/src/main/java/wickdrift/coordination/Draft.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
@@ -16,6 +17,7 @@
 import wickdrift.bookkeeping.TaskState;
 import wickdrift.bookkeeping.Txn;
 import wickdrift.protocol.Pack;
+import wickdrift.protocol.Report;
 
 /**
  * One transaction being put together. All changes of tasks and machines are entries of one page of
@@ -47,6 +49,10 @@
   private final Map<Machine, Machine.Info> machines = new LinkedHashMap<>();
   private final Map<Job, Integer> liveDelta = new HashMap<>();
   private final Set<Job> ended = new LinkedHashSet<>();
+
+  /** The tasks whose attempt ended with an error. */
+  private final Map<Job, Set<Integer>> failed = new HashMap<>();
+
   private boolean places;
   private int others;
   private int bytes;
@@ -131,6 +137,14 @@
     bytes += TASK_BYTES;
   }
 
+  /** An attempt is over; {@code why} as the worker said, or null when it was lost. */
+  void exit(Job job, int index, String why) {
+    change(job, index, t -> t.exited(why));
+    if (Report.ERROR.equals(why)) {
+      failed.computeIfAbsent(job, k -> new HashSet<>()).add(index);
+    }
+  }
+
   int live(Job job) {
     return job.live() + liveDelta.getOrDefault(job, 0);
   }
@@ -234,8 +248,12 @@
           TaskState old = job.task(i);
           boolean same = old.live() && next.live() && old.attempt() == next.attempt();
           if (old.live() && !same) {
-            boolean done = next.phase() == TaskState.Phase.DONE;
-            to(exited, Entry.exited(job.id()), 3).addAll(List.of(i, old.attempt(), done ? 1 : 0));
+            boolean error = failed.getOrDefault(job, Set.of()).contains(i);
+            int how =
+                next.phase() == TaskState.Phase.DONE
+                    ? Entry.DONE
+                    : error ? Entry.FAILED : Entry.LOST;
+            to(exited, Entry.exited(job.id()), 3).addAll(List.of(i, old.attempt(), how));
           }
           if (next.live() && !same) {
             to(placed, Entry.placed(job.id(), nodeIndex), 3)
--- a/src/main/java/wickdrift/coordination/Fleet.java
+++ b/src/main/java/wickdrift/coordination/Fleet.java
@@ -59,6 +59,7 @@
   private final Tuning tuning;
   private final Settings settings;
   private final String incarnation;
+  private final Pulse pulse;
   private final Bucket calls;
 
   private final Map<String, Long> absentSince = new HashMap<>();
@@ -74,7 +75,7 @@
   private boolean deleting;
   private boolean askingTypes;
   private long typesAtMs = Long.MIN_VALUE / 2;
-  private long leadSinceMs = -1;
+  private long leadSinceMs = Long.MIN_VALUE;
   private long toldMs;
 
   public Fleet(
@@ -88,6 +89,7 @@
       Scribe scribe,
       Tuning tuning,
       Settings settings,
+      Pulse pulse,
       String incarnation) {
     this.timers = timers;
     this.caller = caller;
@@ -100,6 +102,7 @@
     this.tuning = tuning;
     this.settings = settings;
     this.incarnation = incarnation;
+    this.pulse = pulse;
     this.calls = new Bucket(settings.cloudLimits().rps() * 0.8, timers.nowMs());
   }
 
@@ -117,15 +120,18 @@
         || ledger.phase() != Ledger.Phase.FOLLOWING
         || membership.outdated()
         || !types.known()) {
-      leadSinceMs = -1;
+      leadSinceMs = Long.MIN_VALUE;
       return;
     }
-    if (leadSinceMs < 0) {
+    if (leadSinceMs < pulse.listeningSinceMs()) {
+      // A new leader, or one that stood still: what it was about to do was judged by another's
+      // time. What is still so is found again.
       leadSinceMs = now;
       emptySince.clear();
       absentSince.clear();
       everListed.clear();
       rentals.clear();
+      condemned.clear();
     }
     if (now - toldMs >= TELL_MS) {
       toldMs = now;
@@ -333,12 +339,13 @@
         case BOOTING -> {
           TypeInfo t = types.find(i.type());
           double boot = t == null ? 60 : t.bootS();
-          if (age > boot * 4000 + 5000) {
+          // One that came up meanwhile has told its owner, perhaps not yet us.
+          if (age > boot * 4000 + 5000 && settled()) {
             condemn(m.name(), "it does not come up");
           }
         }
         case LOST -> {
-          if (age > tuning.lostMs()) {
+          if (age > tuning.lostMs() && settled()) {
             condemn(m.name(), "it is silent");
           }
         }
@@ -388,6 +395,11 @@
         });
   }
 
+  /** Long enough at it for reports to have come in from all that is up. */
+  private boolean settled() {
+    return timers.nowMs() - leadSinceMs >= tuning.settleMs();
+  }
+
   private void retireIdle() {
     long now = timers.nowMs();
     long keepMs = idleMs();
@@ -476,7 +488,9 @@
     List<Room> rooms = new ArrayList<>();
     for (Machine m : tables.machines()) {
       TypeInfo t = m.info() == null ? null : types.find(m.info().type());
-      if (t != null && (m.phase() == Machine.Phase.UP || m.phase() == Machine.Phase.BOOTING)) {
+      boolean usable = m.phase() == Machine.Phase.UP || m.phase() == Machine.Phase.BOOTING;
+      // One that fails whatever it is given is no room.
+      if (t != null && usable && m.accused() < 2) {
         rooms.add(new Room(m, t));
       }
     }
@@ -489,7 +503,14 @@
           }
         });
     Map<Kind, Integer> wanted =
-        Demand.of(board.queue().waiting(), settings, types, rooms, toKinds(coming), this::pick);
+        Demand.of(
+            board.queue().waiting(),
+            timers.nowMs(),
+            settings,
+            types,
+            rooms,
+            toKinds(coming),
+            this::pick);
     for (Map.Entry<Kind, Integer> e : wanted.entrySet()) {
       int n = Math.min(e.getValue(), RENT_MOST);
       if (n > 0 && calls.take(1, 1, timers.nowMs())) {
@@ -558,6 +579,11 @@
   }
 
   private void ask(Rental r, int tries) {
+    if (!membership.leads()) {
+      // Not ours to rent any more, perhaps since the answer to the last try was lost.
+      rentals.remove(r);
+      return;
+    }
     caller.call(
         settings.cloud(),
         "POST",
@@ -647,6 +673,7 @@
 
     static Map<Kind, Integer> of(
         Collection<Job> waiting,
+        long nowMs,
         Settings settings,
         Types types,
         List<Room> rooms,
@@ -667,12 +694,15 @@
       int fresh = 0;
       for (Job job : waiting) {
         Settings.Team team = Queue.team(settings, job.spec().team());
-        if (team == null) {
+        if (team == null || job.suspect() && job.retryAtMs() > nowMs) {
           continue;
         }
+        // What seems to fail everywhere is tried, not provided for.
+        boolean one = job.suspect() && job.spec().shape() != JobSpec.Shape.GANG;
+        int most = one ? 1 : job.waiting();
         // Its tasks are alike: where one did not fit, the next does not either.
         int from = 0;
-        for (int n = 0; n < job.waiting(); n++) {
+        for (int n = 0; n < most; n++) {
           if (++seen > TASKS_SEEN || fresh >= NEW_MOST) {
             return wanted;
           }
--- a/src/main/java/wickdrift/coordination/Membership.java
+++ b/src/main/java/wickdrift/coordination/Membership.java
@@ -20,6 +20,7 @@
   private static final Logger LOG = LoggerFactory.getLogger(Membership.class);
   private static final long TICK_MS = 250;
   private static final long PEER_FRESH_MS = 2000;
+  private static final long BARRIER_MS = 1500;
 
   /** How this node stands. */
   public enum Standing {
@@ -39,10 +40,17 @@
   private final Tuning tuning;
   private final String node;
   private final int nodeIndex;
-  private final String incarnation;
+  private final String process;
   private final Map<String, Consumer<ByteBuffer>> peers;
   private final Map<Integer, Heard> heard = new HashMap<>();
 
+  /**
+   * A new one with each lease. If one process kept its incarnation, then between the grant of a new
+   * lease and the news of its expulsion under the old one it would take itself for a member.
+   */
+  private String incarnation;
+
+  private int leases;
   private long tether;
   private long leaseUntilMs = Long.MIN_VALUE / 2;
   private boolean asking;
@@ -51,6 +59,11 @@
   private boolean proposing;
   private long peerEpoch;
 
+  /** False from waking until the tables hold all that was durable by then. */
+  private boolean caughtUp = true;
+
+  private boolean catchingUp;
+
   public Membership(
       Timers timers,
       Ledger ledger,
@@ -66,6 +79,7 @@
     this.tuning = tuning;
     this.node = node;
     this.nodeIndex = nodeIndex;
+    this.process = incarnation;
     this.incarnation = incarnation;
     this.peers = peers;
   }
@@ -80,12 +94,39 @@
       return Standing.OUTSIDE;
     }
     long now = timers.nowMs();
-    if (now < leaseUntilMs) {
+    if (now < leaseUntilMs && caughtUp) {
       return Standing.MEMBER;
     }
     return now < leaseUntilMs + tuning.graceMs() ? Standing.GRACE : Standing.OUTSIDE;
   }
 
+  /**
+   * This process has stood still. Its lease may hold, but the view may have changed: it decides
+   * nothing, and answers no report with an epoch that may be superseded, until it has caught up.
+   */
+  public void woke() {
+    caughtUp = false;
+    catchUp();
+  }
+
+  /** Whether what this node knows is no older than its last pause. */
+  public boolean caughtUp() {
+    return caughtUp;
+  }
+
+  private void catchUp() {
+    if (caughtUp || catchingUp) {
+      return;
+    }
+    catchingUp = true;
+    ledger.barrier(
+        BARRIER_MS,
+        ok -> {
+          catchingUp = false;
+          caughtUp |= ok;
+        });
+  }
+
   public boolean leads() {
     return standing() == Standing.MEMBER && node.equals(tables.view().leader());
   }
@@ -107,6 +148,7 @@
   private void tick() {
     timers.after(TICK_MS, this::tick);
     keepLease();
+    catchUp();
     if (ledger.phase() == Ledger.Phase.FOLLOWING) {
       keepMember();
       considerView();
@@ -129,6 +171,7 @@
             asking = false;
             if (t > 0) {
               tether = t;
+              incarnation = leases++ == 0 ? process : process + "-" + leases;
               renewed(now);
             }
           });
--- /dev/null
+++ b/src/main/java/wickdrift/coordination/Pulse.java
@@ -0,0 +1,108 @@
+package wickdrift.coordination;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.function.LongConsumer;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import wickdrift.transport.Timers;
+
+/**
+ * Notices, in one place, that this process stood still while its clocks ran on. Whatever wakes it
+ * first, a timer, a request or an answer, comes through {@link #beat}; a gap since the last one
+ * that no ordinary work explains is a pause. Nothing was heard in it, so the clock proves nothing
+ * about others: no machine silent, no boot overdue, no peer dead. Who judges by silence asks {@link
+ * #listeningSinceMs}.
+ */
+public final class Pulse {
+  private static final Logger LOG = LoggerFactory.getLogger(Pulse.class);
+  private static final long BEAT_MS = 200;
+
+  private final Timers timers;
+  private final long stillMs;
+  private final List<LongConsumer> wakers = new ArrayList<>();
+  private long lastMs;
+  private long listeningSinceMs;
+  private long pauses;
+  private long pausedMs;
+
+  /**
+   * @param stillMs a longer gap than this is a pause; the beat and a slow processor take some
+   */
+  public Pulse(Timers timers, long stillMs) {
+    this.timers = timers;
+    this.stillMs = stillMs;
+    this.lastMs = timers.nowMs();
+    this.listeningSinceMs = lastMs;
+  }
+
+  public void start() {
+    // Whatever lies between making the process and its first turn is no pause.
+    lastMs = timers.nowMs();
+    listeningSinceMs = lastMs;
+    tick();
+  }
+
+  private void tick() {
+    timers.after(BEAT_MS, this::tick);
+    beat();
+  }
+
+  /** Told, with how long the pause was, before anything else is done after it. */
+  public void onWaking(LongConsumer waker) {
+    wakers.add(waker);
+  }
+
+  /** Something has come in. */
+  public void beat() {
+    long now = timers.nowMs();
+    long gap = now - lastMs;
+    lastMs = now;
+    if (gap <= stillMs) {
+      return;
+    }
+    pauses++;
+    pausedMs += gap;
+    listeningSinceMs = now;
+    LOG.warn("stood still for {} ms: what is known is caught up before anything is decided", gap);
+    wakers.forEach(w -> w.accept(gap));
+  }
+
+  /** Since when this process has listened without a pause. */
+  public long listeningSinceMs() {
+    return listeningSinceMs;
+  }
+
+  public long pauses() {
+    return pauses;
+  }
+
+  public long pausedMs() {
+    return pausedMs;
+  }
+
+  /** Timers whose actions beat first: after a pause all of them are due at once. */
+  public Timers timers() {
+    return new Timers() {
+      @Override
+      public long nowMs() {
+        return timers.nowMs();
+      }
+
+      @Override
+      public long wallMs() {
+        return timers.wallMs();
+      }
+
+      @Override
+      public void after(long delayMs, Runnable action) {
+        timers.after(
+            delayMs,
+            () -> {
+              beat();
+              action.run();
+            });
+      }
+    };
+  }
+}
--- a/src/main/java/wickdrift/coordination/Reporting.java
+++ b/src/main/java/wickdrift/coordination/Reporting.java
@@ -35,6 +35,7 @@
 
   private static final long DIRECT_MS = 3000;
   private static final long UNCERTAIN_MS = 5000;
+  private static final long CATCH_UP_MS = 1000;
 
   /** The last run command for a task, by the report it followed; {@code seen}: a report had it. */
   private record Sent(int attempt, long tick, boolean seen) {}
@@ -60,6 +61,7 @@
   private final String node;
   private final Caller caller;
   private final Relay relay;
+  private final Pulse pulse;
 
   /** Machines that were told of their owner in this view. */
   private final Set<String> sentAway = new HashSet<>();
@@ -83,6 +85,7 @@
       Tuning tuning,
       Caller caller,
       Relay relay,
+      Pulse pulse,
       String node) {
     this.timers = timers;
     this.ledger = ledger;
@@ -92,6 +95,7 @@
     this.tuning = tuning;
     this.caller = caller;
     this.relay = relay;
+    this.pulse = pulse;
     this.node = node;
   }
 
@@ -117,6 +121,9 @@
   }
 
   private void viewChanged(View v) {
+    // Of views in between nothing is known: someone else may have owned any of our machines, and
+    // have answered its worker, as when we stood still meanwhile.
+    boolean skipped = v.epoch() > viewEpoch + 1;
     viewEpoch = v.epoch();
     ledger.sharedBy(v.members().size());
     sentAway.clear();
@@ -132,7 +139,7 @@
       m.synced(false);
       if (node.equals(m.owner(v))) {
         now.add(m.name());
-        if (!owned.contains(m.name())) {
+        if (skipped || !owned.contains(m.name())) {
           // Its owner until now may go on answering it for as long as the grace allows.
           m.forgetReports(viewSinceMs + tuning.graceMs());
           runs.remove(m);
@@ -171,6 +178,16 @@
   }
 
   private void hello(Exchange x, boolean mayRelay) {
+    if (!membership.caughtUp()) {
+      // After a pause: an answer under an epoch that was superseded meanwhile would hold the worker
+      // here while its lease runs out. The state service being away, the grace decides.
+      ledger.barrier(CATCH_UP_MS, ok -> answer(x, mayRelay));
+      return;
+    }
+    answer(x, mayRelay);
+  }
+
+  private void answer(Exchange x, boolean mayRelay) {
     Report r;
     try {
       r = Report.parse(Doc.parse(x.body()));
@@ -232,10 +249,10 @@
     }
     // A late report's answer renews the lease too, should the worker still wait for it.
     m.answered(timers.nowMs());
-    Map<String, Object> answer = new LinkedHashMap<>();
-    answer.put("epoch", v.epoch());
-    answer.put("orders", orders);
-    x.reply(200, answer);
+    Map<String, Object> body = new LinkedHashMap<>();
+    body.put("epoch", v.epoch());
+    body.put("orders", orders);
+    x.reply(200, body);
   }
 
   /** Brings the machine's durable record up to what the report says. */
@@ -314,8 +331,8 @@
       }
       if (before != null && before.seen) {
         // Seen and now absent: the worker lost it with its lease, and late commands with it.
-        if (own) {
-          scribe.exited(slot.job(), slot.index(), s.attempt(), m, null);
+        if (own && scribe.exited(slot.job(), slot.index(), s.attempt(), m, null)) {
+          LOG.info("{} has lost {}, tenure {}", m.name(), task, r.tenure());
         }
       } else if (slot.unwanted()) {
         // Never seen and not wanted: the report shows our epoch, so no older command can start it,
@@ -434,21 +451,13 @@
       // Reported again until it is cleared: it failed once.
       return;
     }
-    if (Report.DONE.equals(e.why())) {
-      m.worked();
-    } else if (Report.ERROR.equals(e.why())) {
-      m.failed(job.id(), timers.nowMs());
-      if (!m.sick() && m.errors() == 1) {
-        // Counted once a machine, and not for the machine's own fault: a job that fails everywhere
-        // is held back, one that has met a faulty machine is not.
-        job.failed(timers.nowMs());
-      }
+    if (Report.ERROR.equals(e.why())) {
       LOG.info("{} failed on {}", e.task(), m.name());
     } else if (Report.FULL.equals(e.why())
         || Report.UNKNOWN.equals(e.why())
         || Report.BUSY.equals(e.why())) {
       LOG.info("{} refused {}: {}", m.name(), e.task(), e.why());
-      job.failed(timers.nowMs());
+      job.refused(timers.nowMs());
     }
   }
 
@@ -466,16 +475,14 @@
       if (!node.equals(m.owner(v))) {
         continue;
       }
-      long silent = now - Math.max(m.heardMs(), viewSinceMs);
+      long silent = now - Math.max(m.heardMs(), Math.max(viewSinceMs, pulse.listeningSinceMs()));
       if (m.phase() == Machine.Phase.UP && silent > tuning.lostMs() && !scribe.recording(m)) {
         LOG.info("{} is silent", m.name());
         scribe.record(m, m.info().with(Machine.Phase.LOST, timers.wallMs()));
       }
       if (!m.live().isEmpty() && m.lapseBaseMs() > 0 && now - m.lapseBaseMs() > tuning.lapseMs()) {
         // No one can have renewed its lease since: the worker has killed all it had.
-        for (Machine.Slot s : m.live()) {
-          scribe.exited(s.job(), s.index(), s.state().attempt(), m, null);
-        }
+        scribe.lapsed(m);
         runs.remove(m);
       }
       stuck |= stuck(m, now);
--- a/src/main/java/wickdrift/coordination/Scribe.java
+++ b/src/main/java/wickdrift/coordination/Scribe.java
@@ -62,7 +62,10 @@
     FENCING
   }
 
-  private record Exit(Machine machine, int attempt, String why) {}
+  /**
+   * @param lapsed drawn from the end of the worker's lease by our clock, not shown by the worker
+   */
+  private record Exit(Machine machine, int attempt, String why, boolean lapsed) {}
 
   private record TaskKey(String job, int index) {}
 
@@ -186,7 +189,18 @@
 
   /** True when this is the first that is heard of it. */
   public boolean exited(Job job, int index, int attempt, Machine machine, String why) {
-    Exit exit = new Exit(machine, attempt, why);
+    return exited(job, index, new Exit(machine, attempt, why, false));
+  }
+
+  /** No one can have renewed the worker's lease: it has killed all it had. */
+  public void lapsed(Machine m) {
+    LOG.info("the lease of {}'s worker has ended with {} tasks", m.name(), m.live().size());
+    for (Machine.Slot s : m.live()) {
+      exited(s.job(), s.index(), new Exit(m, s.state().attempt(), null, true));
+    }
+  }
+
+  private boolean exited(Job job, int index, Exit exit) {
     if (exits.putIfAbsent(new TaskKey(job.id(), index), exit) != null) {
       return false;
     }
@@ -200,6 +214,23 @@
     wake();
   }
 
+  /** After a pause: silence that this process did not listen to proves nothing. */
+  public void woke() {
+    records
+        .entrySet()
+        .removeIf(
+            e -> {
+              boolean silence = e.getValue() != null && e.getValue().phase() == Machine.Phase.LOST;
+              if (silence) {
+                board.machine(e.getKey());
+              }
+              return silence;
+            });
+    // Exits by a lapsed lease were drawn from the clock too; whoever owns the machine draws them
+    // again. Those that a worker has shown stand.
+    exits.values().removeIf(x -> x.lapsed);
+  }
+
   public boolean recording(Machine m) {
     return records.containsKey(m);
   }
@@ -313,7 +344,7 @@
       if (node.equals(m.owner(tables.view()))) {
         for (Machine.Slot s : m.live()) {
           exits.putIfAbsent(
-              new TaskKey(s.job().id(), s.index()), new Exit(m, s.state().attempt(), null));
+              new TaskKey(s.job().id(), s.index()), new Exit(m, s.state().attempt(), null, false));
         }
       }
     }
@@ -331,18 +362,37 @@
       if (!draft.takes(job, 1)) {
         break;
       }
+      if (x.lapsed && !underView(draft)) {
+        continue;
+      }
       if (job.spec().shape() == JobSpec.Shape.GANG) {
         draftGangExit(draft, job, index, x.why);
       } else {
-        draft.change(job, index, t -> t.exited(x.why));
+        draft.exit(job, index, x.why);
       }
     }
   }
 
+  /**
+   * Makes the draft fail if the view has changed: whoever owns the machine now may have renewed its
+   * worker's lease since. The lease of our own that was looked at before may have ended by the time
+   * that the transaction arrives; the part's record, which every change of view rewrites, has not.
+   */
+  private boolean underView(Draft draft) {
+    Part mine = tables.part(node);
+    if (mine == null || mine.epoch() != tables.view().epoch()) {
+      return false;
+    }
+    if (!draft.touches(Part.key(node))) {
+      draft.when(Part.key(node), mine.stamp());
+    }
+    return true;
+  }
+
   /** A gang is done, or lost, together: when one task is done, every one is. */
   private void draftGangExit(Draft draft, Job job, int index, String why) {
     boolean done = Report.DONE.equals(why) || draft.done(job) > 0;
-    draft.change(job, index, t -> t.exited(done ? Report.DONE : why));
+    draft.exit(job, index, done ? Report.DONE : why);
     for (int i = 0; i < job.size(); i++) {
       TaskState s = draft.state(job, i);
       if (i == index || !draft.takes(job, 1)) {
@@ -553,6 +603,9 @@
         placedAny = true;
         draft.when(job.key(), job.stamp());
         job.notWaiting();
+        if (job.suspect()) {
+          job.probed(now);
+        }
         if (!foreign.isEmpty()) {
           // Others may have written meanwhile: what follows is not to fail with it.
           break;
@@ -623,7 +676,7 @@
           && job.part().equals(Job.LEADER)
           && job.live() == 0
           && draft.live(job) == 0
-          && job.retryAtMs() <= now) {
+          && !job.suspect()) {
         waitingGangs.put(job.id(), job);
       }
     }
@@ -712,6 +765,7 @@
   private void preempt(Draft draft, Job job, boolean asLeader, Quota quota, long now) {
     JobSpec spec = job.spec();
     if (spec.priority() == JobSpec.Priority.LOW
+        || job.suspect()
         || !draft.hasRoom()
         || !quota.allows(spec)
         || now - job.waitingSinceMs(now) < preemptAfterMs(spec)) {
@@ -826,7 +880,9 @@
     Map<String, Integer> zones = zones(draft, job);
     Predicate<Rooms.Cell> scope = scope(asLeader);
     int placed = 0;
-    for (int i = 0; i < job.size() && placed < TASKS_A_ROUND; i++) {
+    // Of a job that seems to fail everywhere, one task is enough to see.
+    int most = job.suspect() ? 1 : TASKS_A_ROUND;
+    for (int i = 0; i < job.size() && placed < most; i++) {
       if (draft.state(job, i).phase() != TaskState.Phase.WAITING) {
         continue;
       }
--- a/src/main/java/wickdrift/coordination/Tuning.java
+++ b/src/main/java/wickdrift/coordination/Tuning.java
@@ -8,6 +8,7 @@
  */
 public record Tuning(
     long memberLeaseMs,
+    long stillMs,
     long graceMs,
     long lostMs,
     long lapseMs,
@@ -29,13 +30,16 @@
   private static final double DRIFT = 0.001;
 
   private static final long SLACK_MS = 300;
+  private static final long MEMBER_LEASE_MS = 4000;
 
   public static Tuning defaults(Settings s) {
     long lease = (long) (s.workers().leaseS() * 1000);
     double cancel = s.workers().cancelS() * 1000;
     long report = (long) (s.workers().reportS() * 1000);
     return new Tuning(
-        4000,
+        MEMBER_LEASE_MS,
+        // A process on a fraction of a core is now and then late by some hundred milliseconds.
+        MEMBER_LEASE_MS / 4,
         3 * lease,
         lease,
         (long) (lease * (1 + DRIFT)) + SLACK_MS,
@@ -61,6 +65,7 @@
   public Tuning withLog(int pages, int pageBytes) {
     return new Tuning(
         memberLeaseMs,
+        stillMs,
         graceMs,
         lostMs,
         lapseMs,
--- a/src/main/java/wickdrift/daemon/Controller.java
+++ b/src/main/java/wickdrift/daemon/Controller.java
@@ -11,6 +11,7 @@
 import wickdrift.coordination.Board;
 import wickdrift.coordination.Fleet;
 import wickdrift.coordination.Membership;
+import wickdrift.coordination.Pulse;
 import wickdrift.coordination.Relay;
 import wickdrift.coordination.Reporting;
 import wickdrift.coordination.Scribe;
@@ -28,6 +29,7 @@
   private static final Logger LOG = LoggerFactory.getLogger(Controller.class);
   private static final String JOBS = "/api/jobs";
 
+  private final Pulse pulse;
   private final Ledger ledger;
   private final Tables tables;
   private final Board board;
@@ -42,13 +44,27 @@
   public Controller(
       Settings settings,
       Tuning tuning,
-      Timers timers,
-      Caller caller,
+      Timers clock,
+      Caller calls,
       Map<String, Consumer<ByteBuffer>> peers,
       String incarnation,
       Metrics metrics) {
     int index = settings.nodeNames().indexOf(settings.node());
     this.metrics = metrics;
+    pulse = new Pulse(clock, tuning.stillMs());
+    Timers timers = pulse.timers();
+    Caller caller =
+        (address, method, path, body, timeoutMs, done) ->
+            calls.call(
+                address,
+                method,
+                path,
+                body,
+                timeoutMs,
+                a -> {
+                  pulse.beat();
+                  done.accept(a);
+                });
     Types types = new Types();
     tables = new Tables(settings.peers().size() + 1, this::tablesChanged);
     board = new Board(timers, tables, types, settings);
@@ -67,7 +83,16 @@
     scribe = new Scribe(timers, ledger, tables, board, types, membership, tuning, settings, index);
     reporting =
         new Reporting(
-            timers, ledger, tables, membership, scribe, tuning, caller, relay, settings.node());
+            timers,
+            ledger,
+            tables,
+            membership,
+            scribe,
+            tuning,
+            caller,
+            relay,
+            pulse,
+            settings.node());
     admission = new Admission(timers, ledger, tables, board, types, settings, tuning);
     fleet =
         new Fleet(
@@ -81,13 +106,19 @@
             scribe,
             tuning,
             settings,
+            pulse,
             incarnation);
+    // In this order: what was drawn from silence is dropped after nothing is decided any more.
+    pulse.onWaking(ms -> membership.woke());
+    pulse.onWaking(ms -> scribe.woke());
     metrics.watch("rooms.looked", () -> board.looked());
     metrics.watch("tasks.placed", scribe::placed);
     metrics.watch("transactions", scribe::transactions);
     metrics.watch("jobs.unfinished", () -> tables.jobs().size());
     metrics.watch("machines.known", () -> tables.machines().size());
     metrics.watch("log.pages", () -> tables.log(settings.node()).size());
+    metrics.watch("loop.pauses", pulse::pauses);
+    metrics.watch("loop.paused.ms", pulse::pausedMs);
     metrics.watch("state.writes.ease", ledger::ease);
   }
 
@@ -97,6 +128,7 @@
   }
 
   public void start() {
+    pulse.start();
     ledger.start();
     membership.start();
     scribe.start();
@@ -111,6 +143,7 @@
   }
 
   public void peerFrame(ByteBuffer bytes) {
+    pulse.beat();
     PeerFrame frame;
     try {
       frame = PeerFrame.decode(bytes);
@@ -129,6 +162,7 @@
 
   /** Every request of users, workers and the load balancer comes in here. */
   public void handle(Exchange x) {
+    pulse.beat();
     metrics.request();
     String path = x.path();
     int query = path.indexOf('?');
--- a/src/test/java/wickdrift/bookkeeping/RecordsTest.java
+++ b/src/test/java/wickdrift/bookkeeping/RecordsTest.java
@@ -39,6 +39,16 @@
     return t;
   }
 
+  private static Job job(Tables t, int number) {
+    try {
+      JobSpec s = JobSpec.parse(doc(SimWorld.job(number, "batch", 9, 1, 10)));
+      apply(t, new Ledger.Change(Job.key(s.id()), doc(Job.toStore(s, 5, "n0", 0)), number));
+      return t.job(s.id());
+    } catch (BadMessage e) {
+      throw new AssertionError(e);
+    }
+  }
+
   private static void apply(Tables t, Ledger.Change... c) {
     t.apply(List.of(c), c[c.length - 1].stamp());
   }
@@ -250,27 +260,59 @@
     assertEquals(killed, killed.stopping(TaskState.Stop.SAVE));
   }
 
-  /** Jobs whose tasks failed in a row (- for one that was done), and whether it is the machine. */
+  /**
+   * Exits in their order: the job, the machine, and + for one that was done. Then for how many
+   * seconds machine 1 is shunned, and whether job a is taken for one that fails everywhere.
+   */
   @ParameterizedTest
   @CsvSource({
-    "a, false, 10",
-    // A job with a mistake fails wherever it runs.
-    "a a a, false, 40",
-    "a b, true, 120",
-    "a - b, false, 10",
-    "a b -, false, 120",
+    "a1, 10, false",
+    "a1 a1 a1, 10, false",
+    "a1 b1, 120, false",
+    "a1 b1 c1, 240, false",
+    "a1 b1+ c1, 10, false",
+    "a1 b1 c1+, 0, false",
+    // A job with a mistake fails wherever it runs: no machine is shunned for it.
+    "a1 a2, 0, true",
+    "a1 a2 b1, 10, true",
+    // Both at once: a is taken for faulty, and the machine still fails two others.
+    "a1 a2 b1 c1, 120, true",
+    // It had met two faulty machines: once a task of it is done elsewhere, both are shunned.
+    "a1 a2 b1 a3+, 120, false",
   })
-  void aFaultyMachineIsToldFromAFaultyJob(String failures, boolean sick, long shunS) {
-    Machine m = new Tables(3, () -> {}).machineOrNew("i-1");
-    for (String f : failures.split(" ")) {
-      if (f.equals("-")) {
-        m.worked();
-      } else {
-        m.failed(f, 0);
-      }
+  void aFaultyMachineIsToldFromAFaultyJob(String exits, long shunS, boolean suspect) {
+    Tables t = new Tables(3, () -> {});
+    Map<Character, Job> jobs = new TreeMap<>();
+    for (String e : exits.split(" ")) {
+      Job j = jobs.computeIfAbsent(e.charAt(0), k -> job(t, k));
+      int index = j.done();
+      int attempt = j.task(index).attempt() + 1;
+      assertTrue(j.placed(index, attempt, t.machineOrNew("i-" + e.charAt(1)), 0));
+      assertTrue(j.exited(index, attempt, e.endsWith("+") ? Entry.DONE : Entry.FAILED));
+    }
+    assertEquals(shunS * 1000, t.machineOrNew("i-1").shunUntilMs(0));
+    assertEquals(suspect, jobs.get('a').suspect());
+  }
+
+  /** A suspect's tries are further and further apart, and failures of one wave count once. */
+  @Test
+  void aSuspectBacksOff() {
+    Tables t = new Tables(3, () -> {});
+    Job j = job(t, 1);
+    long now = 1_000_000;
+    for (int i = 0; i < 2; i++) {
+      assertTrue(j.placed(i, 1, t.machineOrNew("i-" + i), 0));
+      assertTrue(j.exited(i, 1, Entry.FAILED));
+    }
+    for (long pause : new long[] {4, 8, 16, 32, 64, 64}) {
+      j.backOff(now);
+      j.backOff(now + 1);
+      assertEquals(now + pause * 1000, j.retryAtMs());
+      now = j.retryAtMs();
+      int attempt = j.task(0).attempt() + 1;
+      assertTrue(j.placed(0, attempt, t.machineOrNew("i-3"), 0));
+      assertTrue(j.exited(0, attempt, Entry.FAILED));
     }
-    assertEquals(sick, m.sick());
-    assertEquals(shunS * 1000, m.shunUntilMs());
   }
 
   private static Map<String, String> members(String s) {
