--- a/src/test/java/wickdrift/sim/ClusterTest.java
+++ b/src/test/java/wickdrift/sim/ClusterTest.java
@@ -11,6 +11,7 @@
 import java.util.function.Consumer;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.ValueSource;
 
 /**
@@ -279,6 +280,48 @@
     }
   }
 
+  /**
+   * A controller stands still while its clocks run on, wakes with all timers due and with old
+   * tables, and reads the news late. It must not take silence that it did not listen to for proof:
+   * nothing that runs is lost, no machine is given up, whoever leads.
+   */
+  @ParameterizedTest(name = "{0} for {1} ms, timers first {2}")
+  @CsvSource({
+    "n0, 2500, true", "n0, 15000, true", "n0, 45000, true", "n0, 45000, false",
+    "n1, 2500, true", "n1, 15000, false", "n1, 45000, true", "n1, 45000, false",
+  })
+  void aControllerStandsStillAndLosesNothing(String node, long ms, boolean timersFirst) {
+    SimWorld w = new SimWorld(ms + node.charAt(1), 9, 9);
+    w.run(8000);
+    for (int i = 0; i < 18; i++) {
+      w.submit(SimWorld.job(i, "daemon", 1, 2, 0), 0);
+    }
+    w.run(12_000);
+    assertEquals(18, w.starts());
+    w.state().slowReads(node, 700);
+    w.freeze(node, ms, timersFirst);
+    w.run(ms + 2000);
+    w.state().slowReads(node, 0);
+    w.run(60_000);
+    assertEquals(List.of(), w.broken());
+    assertEquals(18, w.starts(), "tasks were lost and started again");
+    assertEquals(0, w.deleted, "machines were given up");
+    assertEquals(1.0, w.metric(node, "wickdrift.loop.pauses"));
+  }
+
+  @ParameterizedTest
+  @ValueSource(longs = {121, 122, 123, 124})
+  void controllersStandStillOneAfterTheOther(long seed) {
+    faulty(
+        seed,
+        w -> {
+          w.clock.after(20_000, () -> w.freeze("n0", 14_000, true));
+          w.clock.after(45_000, () -> w.freeze("n1", 40_000, false));
+          w.clock.after(60_000, () -> w.freeze("n2", 3000, true));
+          w.clock.after(95_000, () -> w.nodes.forEach(n -> w.freeze(n, 9000, seed % 2 == 0)));
+        });
+  }
+
   /** How many rooms were looked at for each task placed, on a day of so many machines. */
   private static double lookedAPlacement(int machines) {
     SimWorld w = new SimWorld(101, machines, machines, 5, 10_000);
--- a/src/test/java/wickdrift/sim/SimState.java
+++ b/src/test/java/wickdrift/sim/SimState.java
@@ -34,6 +34,7 @@
   private final Map<Long, Long> leaseLives = new HashMap<>();
   private final List<Watch> watches = new ArrayList<>();
   private final Set<String> refused = new HashSet<>();
+  private final Map<String, Long> slowReads = new HashMap<>();
   private final List<String> unfenced = new ArrayList<>();
   private long rev;
   private long leases;
@@ -54,6 +55,16 @@
     }
   }
 
+  /** The node's open watches are gone without an answer. */
+  public void dropWatches(String node) {
+    watches.removeIf(w -> w.from.equals(node));
+  }
+
+  /** What a node reads comes so much later: it goes on with old tables for that long. */
+  public void slowReads(String node, long ms) {
+    slowReads.put(node, ms);
+  }
+
   public void refuse(String node, boolean on) {
     if (on) {
       refused.add(node);
@@ -170,6 +181,16 @@
 
   @Override
   public void serve(String from, String method, String path, byte[] body, Consumer<Answer> done) {
+    long late = path.startsWith("/follow") ? slowReads.getOrDefault(from, 0L) : 0;
+    if (late > 0) {
+      serveNow(from, method, path, body, a -> clock.after(late, () -> done.accept(a)));
+    } else {
+      serveNow(from, method, path, body, done);
+    }
+  }
+
+  private void serveNow(
+      String from, String method, String path, byte[] body, Consumer<Answer> done) {
     if (out || refused.contains(from)) {
       done.accept(answer(503, Map.of("error", "away")));
       return;
--- a/src/test/java/wickdrift/sim/SimWorld.java
+++ b/src/test/java/wickdrift/sim/SimWorld.java
@@ -25,6 +25,7 @@
 import wickdrift.protocol.Doc;
 import wickdrift.protocol.JobSpec;
 import wickdrift.protocol.Pack;
+import wickdrift.transport.Caller;
 import wickdrift.transport.Caller.Answer;
 import wickdrift.transport.Exchange;
 import wickdrift.transport.Timers;
@@ -47,6 +48,7 @@
   final long reportMs = 2_500;
   final long cancelMs = 36_000;
   int refusals;
+  int deleted;
   int full;
   final Map<String, SimGang> gangs = new HashMap<>();
 
@@ -66,7 +68,26 @@
 
   private static final class Node {
     boolean alive = true;
+    boolean frozen;
     Controller controller;
+    final List<Runnable> timersDue = new ArrayList<>();
+    final List<Runnable> arrived = new ArrayList<>();
+
+    void timer(Runnable r) {
+      turn(r, timersDue);
+    }
+
+    void message(Runnable r) {
+      turn(r, arrived);
+    }
+
+    private void turn(Runnable r, List<Runnable> queue) {
+      if (alive && frozen) {
+        queue.add(r);
+      } else if (alive) {
+        r.run();
+      }
+    }
   }
 
   public SimWorld(long seed, int machinesAtStart, int capacity) {
@@ -221,13 +242,7 @@
 
           @Override
           public void after(long delayMs, Runnable action) {
-            clock.after(
-                delayMs,
-                () -> {
-                  if (n.alive) {
-                    action.run();
-                  }
-                });
+            clock.after(delayMs, () -> n.timer(action));
           }
         };
     Settings s = settings(name);
@@ -244,22 +259,51 @@
             s,
             Tuning.defaults(s).withLog(2, 900),
             timers,
-            net.caller(name, () -> n.alive),
+            caller(name, n),
             peers,
             "inc" + ++incarnations,
             new Metrics());
     net.listen(
         "peer:" + name,
-        (from, m, p, body, done) -> {
-          if (n.alive) {
-            n.controller.peerFrame(ByteBuffer.wrap(body));
-          }
-        });
-    net.listen(name, (from, m, p, body, done) -> n.controller.handle(exchange(m, p, body, done)));
+        (from, m, p, body, done) -> n.message(() -> n.controller.peerFrame(ByteBuffer.wrap(body))));
+    net.listen(
+        name,
+        (from, m, p, body, done) ->
+            n.message(() -> n.controller.handle(exchange(m, p, body, done))));
     running.put(name, n);
     n.controller.start();
   }
 
+  private Caller caller(String name, Node n) {
+    Caller c = net.caller(name, () -> n.alive);
+    return (address, method, path, body, timeoutMs, done) ->
+        c.call(address, method, path, body, timeoutMs, a -> n.message(() -> done.accept(a)));
+  }
+
+  /**
+   * The process stands still while its clocks run on; its connection with the watch is lost. When
+   * it wakes, all timers are due at once, and what has arrived waits behind them, or before.
+   */
+  public void freeze(String name, long forMs, boolean timersFirst) {
+    Node n = running.get(name);
+    n.frozen = true;
+    state.dropWatches(name);
+    clock.after(
+        forMs,
+        () -> {
+          n.frozen = false;
+          List<Runnable> due = new ArrayList<>(timersFirst ? n.timersDue : n.arrived);
+          due.addAll(timersFirst ? n.arrived : n.timersDue);
+          n.timersDue.clear();
+          n.arrived.clear();
+          for (Runnable r : due) {
+            if (n.alive) {
+              r.run();
+            }
+          }
+        });
+  }
+
   private static byte[] bytes(ByteBuffer f) {
     byte[] b = new byte[f.remaining()];
     f.duplicate().get(b);
@@ -416,6 +460,7 @@
                             ZONES)))));
       } else if (path.equals("/hosts/delete")) {
         for (String n : Doc.parse(body).texts("hosts")) {
+          deleted++;
           booting.remove(n);
           SimWorker w = machines.remove(n);
           if (w != null) {
