What is lost is not started again while that is written; guests give way at once

A loss that is queued now bars the run, and is void under another view, whose owner may run the attempt again. A report is passed on at once if the worker was answered by the same owner under the view before.

--- a/src/main/java/wickdrift/bookkeeping/Job.java
+++ b/src/main/java/wickdrift/bookkeeping/Job.java
@@ -57,6 +57,7 @@
   private long waitingSinceMs;
   private long blockedVersion = -1;
   private long blockedUntilMs;
+  private long preemptAtMs;
 
   /**
    * @param usage told of each attempt that begins or ends
@@ -448,6 +449,15 @@
     return waitingSinceMs;
   }
 
+  /** When it may look again for what to stop in its favour. */
+  public long preemptAtMs() {
+    return preemptAtMs;
+  }
+
+  public void preemptAtMs(long ms) {
+    preemptAtMs = ms;
+  }
+
   public void notWaiting() {
     waitingSinceMs = 0;
     blockedVersion = -1;
--- a/src/main/java/wickdrift/coordination/Preemption.java
+++ b/src/main/java/wickdrift/coordination/Preemption.java
@@ -15,21 +15,24 @@
   private Preemption() {}
 
   /**
-   * The cheapest machine on which stopping lower-priority tasks makes room, or null. A machine
-   * where stops already under way will do counts as found with no victims.
+   * The machines on which stopping tasks of priority {@code strongest} or lower makes room for one
+   * task, one each, the cheapest first; of equals, one that has the task's image. A machine where
+   * stops already under way will do counts as found with no victims.
    */
-  static Choice cheapest(List<Room> rooms, JobSpec spec, long nowMs) {
-    Choice best = null;
+  static List<Choice> cheapest(
+      List<Room> rooms, JobSpec spec, JobSpec.Priority strongest, long nowMs, int most) {
+    List<Choice> all = new ArrayList<>();
     for (Room r : rooms) {
-      Choice c = on(r, spec, nowMs);
-      if (c != null && (best == null || c.lost < best.lost)) {
-        best = c;
+      Choice c = on(r, spec, strongest, nowMs);
+      if (c != null) {
+        all.add(c);
       }
     }
-    return best;
+    all.sort(Comparator.comparingDouble(Choice::lost));
+    return all.subList(0, Math.min(most, all.size()));
   }
 
-  private static Choice on(Room r, JobSpec spec, long nowMs) {
+  static Choice on(Room r, JobSpec spec, JobSpec.Priority strongest, long nowMs) {
     if (!r.type().canHold(spec)) {
       return null;
     }
@@ -43,13 +46,35 @@
         cpus += o.cpus();
         gpus += o.gpus();
         memory += o.memoryGb();
-      } else if (o.priority().ordinal() > spec.priority().ordinal()) {
+      } else if (o.priority().ordinal() > spec.priority().ordinal()
+          && o.priority().ordinal() >= strongest.ordinal()) {
         candidates.add(s);
       }
     }
+    // Most machines hold too much that may not be stopped: told before anything is sorted.
+    for (Machine.Slot s : candidates) {
+      cpus += s.job().spec().cpus();
+      gpus += s.job().spec().gpus();
+      memory += s.job().spec().memoryGb();
+    }
+    if (spec.cpus() > cpus + Room.EPS
+        || spec.gpus() > gpus + Room.EPS
+        || spec.memoryGb() > memory + Room.EPS) {
+      return null;
+    }
+    for (Machine.Slot s : candidates) {
+      cpus -= s.job().spec().cpus();
+      gpus -= s.job().spec().gpus();
+      memory -= s.job().spec().memoryGb();
+    }
     candidates.sort(Comparator.comparingDouble(s -> lost(s, nowMs)));
     List<Machine.Slot> victims = new ArrayList<>();
-    double lost = 0;
+    // A fetch is waited for by all of the task's GPUs.
+    double fetchMs =
+        r.hasImage(spec) || r.type().fetchGbPerS() <= 0
+            ? 0
+            : spec.imageGb() / r.type().fetchGbPerS() * 1000;
+    double lost = fetchMs * Math.max(1, spec.gpus());
     while (spec.cpus() > cpus + Room.EPS
         || spec.gpus() > gpus + Room.EPS
         || spec.memoryGb() > memory + Room.EPS) {
--- a/src/main/java/wickdrift/coordination/Reporting.java
+++ b/src/main/java/wickdrift/coordination/Reporting.java
@@ -71,6 +71,8 @@
 
   private final Map<Machine, Map<String, Sent>> runs = new HashMap<>();
   private final Map<Machine, Direct> directs = new HashMap<>();
+  private View current;
+  private View before;
   private String viewLeader;
   private long viewEpoch;
   private long viewSinceMs;
@@ -124,6 +126,8 @@
     // Of views in between nothing is known: someone else may have owned any of our machines, and
     // have answered its worker, as when we stood still meanwhile.
     boolean skipped = v.epoch() > viewEpoch + 1;
+    before = current;
+    current = v;
     viewEpoch = v.epoch();
     ledger.sharedBy(v.members().size());
     sentAway.clear();
@@ -212,7 +216,13 @@
     if (!owner.equals(node)) {
       // A worker that knows this epoch has been answered by its owner, and has left it: it can't
       // reach it. The owner may be well otherwise, so the report is passed on.
-      boolean left = r.epoch() == v.epoch() || sentAway.contains(r.machine());
+      boolean left =
+          r.epoch() == v.epoch()
+              || sentAway.contains(r.machine())
+              // Answered by it under the view before, too.
+              || before != null
+                  && r.epoch() == before.epoch()
+                  && owner.equals(before.owner(r.machine()));
       if (left && mayRelay && relay.pass(x, owner)) {
         return;
       }
@@ -321,8 +331,9 @@
         sent.put(task, new Sent(s.attempt(), r.tick(), true));
         continue;
       }
-      if (e != null) {
-        // Another attempt of the task is here still; ours starts when it is gone.
+      if (e != null || scribe.exiting(slot.job(), slot.index(), s.attempt())) {
+        // Another attempt of the task is here still, and ours starts when it is gone; or ours is
+        // known to be over, and must not start again while that is being written.
         continue;
       }
       Sent before = sent.get(task);
--- a/src/main/java/wickdrift/coordination/Scribe.java
+++ b/src/main/java/wickdrift/coordination/Scribe.java
@@ -53,6 +53,11 @@
 
   private static final long SHELVES_MS = 5000;
 
+  /** So many jobs a round look for what to stop, each for so many of its tasks. */
+  private static final int PREEMPT_SCANS = 4;
+
+  private static final int PREEMPT_MOST = 16;
+
   /** The pipeline's state. */
   private enum Phase {
     READY,
@@ -63,9 +68,13 @@
   }
 
   /**
-   * @param lapsed drawn from the end of the worker's lease by our clock, not shown by the worker
+   * An attempt that is over. One that ended on its machine (the worker shows it until it is
+   * cleared) or with it stays so. One that is gone without a trace does only as long as nobody runs
+   * it again, and under another view its machine's owner may.
+   *
+   * @param lostIn the epoch in which it was gone without a trace, else 0
    */
-  private record Exit(Machine machine, int attempt, String why, boolean lapsed) {}
+  private record Exit(Machine machine, int attempt, String why, long lostIn) {}
 
   private record TaskKey(String job, int index) {}
 
@@ -96,6 +105,7 @@
   private long placed;
   private long transactions;
   private long nextShelvesMs;
+  private int preemptScans;
 
   public Scribe(
       Timers timers,
@@ -189,14 +199,27 @@
 
   /** True when this is the first that is heard of it. */
   public boolean exited(Job job, int index, int attempt, Machine machine, String why) {
-    return exited(job, index, new Exit(machine, attempt, why, false));
+    long lostIn = why == null ? tables.view().epoch() : 0;
+    return exited(job, index, new Exit(machine, attempt, why, lostIn));
+  }
+
+  /**
+   * Whether the attempt is known to be over, though not durably yet: until it is, a command to run
+   * it would start it once more, beside the next attempt.
+   */
+  public boolean exiting(Job job, int index, int attempt) {
+    Exit x = exits.get(new TaskKey(job.id(), index));
+    return x != null && x.attempt == attempt;
   }
 
   /** No one can have renewed the worker's lease: it has killed all it had. */
   public void lapsed(Machine m) {
-    LOG.info("the lease of {}'s worker has ended with {} tasks", m.name(), m.live().size());
+    int fresh = 0;
     for (Machine.Slot s : m.live()) {
-      exited(s.job(), s.index(), new Exit(m, s.state().attempt(), null, true));
+      fresh += exited(s.job(), s.index(), s.state().attempt(), m, null) ? 1 : 0;
+    }
+    if (fresh > 0) {
+      LOG.info("the lease of {}'s worker has ended with {} tasks", m.name(), fresh);
     }
   }
 
@@ -226,9 +249,8 @@
               }
               return silence;
             });
-    // Exits by a lapsed lease were drawn from the clock too; whoever owns the machine draws them
-    // again. Those that a worker has shown stand.
-    exits.values().removeIf(x -> x.lapsed);
+    // So were losses; whoever owns the machine finds them again. What a worker has shown stands.
+    exits.values().removeIf(x -> x.lostIn > 0);
   }
 
   public boolean recording(Machine m) {
@@ -344,7 +366,7 @@
       if (node.equals(m.owner(tables.view()))) {
         for (Machine.Slot s : m.live()) {
           exits.putIfAbsent(
-              new TaskKey(s.job().id(), s.index()), new Exit(m, s.state().attempt(), null, false));
+              new TaskKey(s.job().id(), s.index()), new Exit(m, s.state().attempt(), null, 0));
         }
       }
     }
@@ -355,14 +377,16 @@
       int index = e.getKey().index();
       TaskState s = job == null ? null : job.task(index);
       Exit x = e.getValue();
-      if (s == null || !s.live() || s.attempt() != x.attempt || s.machine() != x.machine) {
+      // Under another view someone else may have owned the machine, and have answered its worker.
+      boolean stale = x.lostIn > 0 && x.lostIn != tables.view().epoch();
+      if (stale || s == null || !s.live() || s.attempt() != x.attempt || s.machine() != x.machine) {
         it.remove();
         continue;
       }
       if (!draft.takes(job, 1)) {
         break;
       }
-      if (x.lapsed && !underView(draft)) {
+      if (x.lostIn > 0 && !underView(draft)) {
         continue;
       }
       if (job.spec().shape() == JobSpec.Shape.GANG) {
@@ -567,6 +591,7 @@
     List<JobSpec> noRoom = new ArrayList<>();
     List<JobSpec> noRoomAnywhere = new ArrayList<>();
     int tries = 0;
+    preemptScans = 0;
     for (Job job : board.queue().waiting()) {
       if (!draft.hasRoom() || !draft.hasConditions() || tries >= TRIES_A_ROUND) {
         break;
@@ -759,35 +784,54 @@
   // ---- preemption ----
 
   /**
-   * A job of higher priority that finds no room stops work of lower priority: a service soon, since
-   * its users wait; another when a good part of the time in which it should start has passed.
+   * A job that finds no room stops work of lower priority: work of the lowest at once, for that
+   * takes what others leave and gives it back; other work when a good part of the time in which the
+   * job should start has passed.
    */
   private void preempt(Draft draft, Job job, boolean asLeader, Quota quota, long now) {
     JobSpec spec = job.spec();
+    long waited = now - job.waitingSinceMs(now);
     if (spec.priority() == JobSpec.Priority.LOW
         || job.suspect()
-        || !draft.hasRoom()
-        || !quota.allows(spec)
-        || now - job.waitingSinceMs(now) < preemptAfterMs(spec)) {
+        || waited < tuning.preemptLowMs()
+        || preemptScans >= PREEMPT_SCANS
+        || now < job.preemptAtMs()
+        || !quota.allows(spec)) {
       return;
     }
+    preemptScans++;
+    job.preemptAtMs(now + BLOCKED_MS);
+    JobSpec.Priority strongest =
+        waited < preemptAfterMs(spec) ? JobSpec.Priority.LOW : JobSpec.Priority.HIGH;
     List<Room> may = new ArrayList<>();
     Map<String, Integer> zones = zones(draft, job);
     Predicate<Rooms.Cell> scope = scope(asLeader);
-    lendMarked(job);
-    rooms.each(spec, c -> scope.test(c) && zoneAllows(spec, zones, c.zone), may::add);
-    takeBackMarked(job);
-    if (asLeader && spec.shape() == JobSpec.Shape.GANG) {
-      keepToMarks(job, may);
+    boolean gang = spec.shape() == JobSpec.Shape.GANG;
+    if (gang && asLeader) {
+      emptyMarked(draft, job, strongest, now);
     }
-    Preemption.Choice c = Preemption.cheapest(may, spec, now);
-    if (c == null) {
+    int lack = job.waiting() - (gang ? marks.getOrDefault(job.id(), List.of()).size() : 0);
+    if (lack <= 0) {
       return;
     }
-    if (asLeader && spec.shape() == JobSpec.Shape.GANG) {
-      // Else what is stopped for it makes room for others.
-      markFor(job, c.machine(), now);
+    rooms.each(spec, c -> scope.test(c) && zoneAllows(spec, zones, c.zone), may::add);
+    if (gang) {
+      keepToMarkedZone(job, may);
+      if (spec.oneZone()) {
+        keepToCheapestZone(may, spec, strongest, lack, now);
+      }
+    }
+    for (Preemption.Choice c :
+        Preemption.cheapest(may, spec, strongest, now, Math.min(lack, PREEMPT_MOST))) {
+      if (gang && asLeader) {
+        // Else what is stopped for it makes room for others.
+        markFor(job, c.machine(), now);
+      }
+      stop(draft, job, c);
     }
+  }
+
+  private void stop(Draft draft, Job job, Preemption.Choice c) {
     for (Machine.Slot s : c.victims()) {
       if (draft.takes(s.job(), 1)) {
         if (draft.state(s.job(), s.index()).stop() == TaskState.Stop.NONE) {
@@ -799,17 +843,46 @@
     }
   }
 
-  /** A gang that has marked enough machines looks at those only, and else keeps to their zone. */
-  private void keepToMarks(Job job, List<Room> may) {
+  /** Stops what may be stopped on all the machines that a gang has marked, not one by one. */
+  private void emptyMarked(Draft draft, Job job, JobSpec.Priority strongest, long now) {
+    for (Machine m : marks.getOrDefault(job.id(), List.of())) {
+      TypeInfo t = m.info() == null ? null : types.find(m.info().type());
+      Preemption.Choice c =
+          t == null ? null : Preemption.on(new Room(m, t), job.spec(), strongest, now);
+      if (c != null) {
+        stop(draft, job, c);
+      }
+    }
+  }
+
+  /** Machines already marked are being emptied; the rest of a one-zone gang goes beside them. */
+  private void keepToMarkedZone(Job job, List<Room> may) {
     List<Machine> mine = marks.getOrDefault(job.id(), List.of());
-    if (mine.size() >= job.waiting()) {
-      may.removeIf(r -> !mine.contains(r.machine()));
-    } else if (job.spec().oneZone() && !mine.isEmpty()) {
+    if (job.spec().oneZone() && !mine.isEmpty()) {
       String zone = mine.get(0).info().zone();
       may.removeIf(r -> !zone.equals(r.machine().info().zone()));
     }
-    // What is on its way to be empty already is left alone.
-    may.removeIf(r -> mine.contains(r.machine()) && r.machine().live().isEmpty());
+    may.removeIf(r -> mine.contains(r.machine()));
+  }
+
+  /** Of the zones where enough machines can be emptied, the one where that costs least. */
+  private static void keepToCheapestZone(
+      List<Room> may, JobSpec spec, JobSpec.Priority strongest, int lack, long now) {
+    Map<String, List<Room>> byZone = new HashMap<>();
+    for (Room r : may) {
+      byZone.computeIfAbsent(r.machine().info().zone(), k -> new ArrayList<>()).add(r);
+    }
+    List<Room> best = List.of();
+    double least = Double.MAX_VALUE;
+    for (List<Room> rooms : byZone.values()) {
+      List<Preemption.Choice> all = Preemption.cheapest(rooms, spec, strongest, now, lack);
+      double lost = all.stream().mapToDouble(Preemption.Choice::lost).sum();
+      if (all.size() == lack && lost < least) {
+        least = lost;
+        best = rooms;
+      }
+    }
+    may.retainAll(Set.copyOf(best));
   }
 
   private void markFor(Job job, Machine m, long now) {
--- a/src/test/java/wickdrift/sim/ClusterTest.java
+++ b/src/test/java/wickdrift/sim/ClusterTest.java
@@ -309,6 +309,58 @@
     assertEquals(1.0, w.metric(node, "wickdrift.loop.pauses"));
   }
 
+  /**
+   * A machine is back just after its worker's lease has ended, through a peer, while its owner is
+   * still writing that what ran there is lost: a command to run it once more would start it beside
+   * its next attempt. Here writes take long, and n0 itself can't reach the workers again.
+   */
+  @ParameterizedTest
+  @ValueSource(longs = {141, 142, 143, 144, 145, 146})
+  void whatIsLostIsNotStartedAgainWhileThatIsWritten(long seed) {
+    SimWorld w = new SimWorld(seed, 12, 12);
+    w.run(8000);
+    for (int i = 0; i < 16; i++) {
+      w.submit(SimWorld.job(i, "batch", 1, 2, 300), 0);
+    }
+    w.run(9000);
+    assertEquals(16, w.starts());
+    w.state().slowWrites(1200);
+    for (int i = 0; i < 12; i++) {
+      int machine = i;
+      w.clock.after(500 * i, () -> w.cutMachine(machine, false));
+      w.clock.after(500 * i + 16_000 + 200 * (seed % 7), () -> w.healMachine(machine, "n0"));
+    }
+    w.run(60_000);
+    assertEquals(List.of(), w.broken());
+    assertTrue(w.starts() > 20, "nothing was lost");
+  }
+
+  /**
+   * Cut from the state service alone, then granted a new lease before it reads that it was expelled
+   * under the old one: it must not judge its former machines by the reports that it did not get.
+   */
+  @ParameterizedTest
+  @ValueSource(strings = {"n0", "n1", "n2"})
+  void aNewLeaseDoesNotReviveAnOldView(String node) {
+    SimWorld w = new SimWorld(131, 9, 9);
+    w.run(8000);
+    for (int i = 0; i < 18; i++) {
+      w.submit(SimWorld.job(i, "daemon", 1, 2, 0), 0);
+    }
+    w.run(12_000);
+    assertEquals(18, w.starts());
+    w.state().slowReads(node, 900);
+    w.cutFromState(node, false);
+    w.run(25_000);
+    w.healFromState(node);
+    w.run(5000);
+    w.state().slowReads(node, 0);
+    w.run(40_000);
+    assertEquals(List.of(), w.broken());
+    assertEquals(18, w.starts(), "tasks were lost and started again");
+    assertEquals(0, w.deleted, "machines were given up");
+  }
+
   @ParameterizedTest
   @ValueSource(longs = {121, 122, 123, 124})
   void controllersStandStillOneAfterTheOther(long seed) {
--- a/src/test/java/wickdrift/sim/SimState.java
+++ b/src/test/java/wickdrift/sim/SimState.java
@@ -35,6 +35,7 @@
   private final List<Watch> watches = new ArrayList<>();
   private final Set<String> refused = new HashSet<>();
   private final Map<String, Long> slowReads = new HashMap<>();
+  private long slowWritesMs;
   private final List<String> unfenced = new ArrayList<>();
   private long rev;
   private long leases;
@@ -65,6 +66,11 @@
     slowReads.put(node, ms);
   }
 
+  /** Every transaction is applied so much later. */
+  public void slowWrites(long ms) {
+    slowWritesMs = ms;
+  }
+
   public void refuse(String node, boolean on) {
     if (on) {
       refused.add(node);
@@ -182,7 +188,9 @@
   @Override
   public void serve(String from, String method, String path, byte[] body, Consumer<Answer> done) {
     long late = path.startsWith("/follow") ? slowReads.getOrDefault(from, 0L) : 0;
-    if (late > 0) {
+    if (path.equals("/commit") && slowWritesMs > 0) {
+      clock.after(slowWritesMs, () -> serveNow(from, method, path, body, done));
+    } else if (late > 0) {
       serveNow(from, method, path, body, a -> clock.after(late, () -> done.accept(a)));
     } else {
       serveNow(from, method, path, body, done);
--- a/src/test/java/wickdrift/sim/SimWorker.java
+++ b/src/test/java/wickdrift/sim/SimWorker.java
@@ -1,10 +1,12 @@
 package wickdrift.sim;
 
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
+import java.util.Set;
 import java.util.function.Consumer;
 import wickdrift.protocol.BadMessage;
 import wickdrift.protocol.Doc;
@@ -25,6 +27,7 @@
   final boolean spot;
   private final Map<String, Task> tasks = new LinkedHashMap<>();
   private final List<String> results = new ArrayList<>();
+  private final Set<String> images = new HashSet<>();
   private long tenure = 1;
   private long tick;
   private long epoch;
@@ -271,10 +274,13 @@
       end(t, "full");
       return;
     }
+    // An image that is there already takes no time.
+    long fetch = images.contains(spec.image()) ? random.nextInt(3) : 500 + random.nextInt(1500);
     clock.after(
-        500 + random.nextInt(1500),
+        fetch,
         () -> {
           if (t.phase.equals("pulling") && !t.removed) {
+            images.add(spec.image());
             ready(t);
           }
         });
--- a/src/test/java/wickdrift/sim/SimWorld.java
+++ b/src/test/java/wickdrift/sim/SimWorld.java
@@ -387,6 +387,12 @@
     nodes.forEach(n -> net.cut(n, w.address, hold));
   }
 
+  /** All controllers but one reach the machine again. */
+  public void healMachine(int i, String but) {
+    SimWorker w = workers().get(i % machines.size());
+    nodes.stream().filter(n -> !n.equals(but)).forEach(n -> net.heal(n, w.address));
+  }
+
   public void healMachines() {
     for (SimWorker w : workers()) {
       nodes.forEach(n -> net.heal(n, w.address));
