--- a/src/test/java/wickdrift/sim/ClusterTest.java
+++ b/src/test/java/wickdrift/sim/ClusterTest.java
@@ -1,6 +1,7 @@
 package wickdrift.sim;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
@@ -13,6 +14,9 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.ValueSource;
+import wickdrift.protocol.BadMessage;
+import wickdrift.protocol.Doc;
+import wickdrift.transport.Caller.Answer;
 
 /**
  * Whole days of three controllers on a simulated clock; every event is checked against the rules.
@@ -305,6 +309,7 @@
     w.run(60_000);
     assertEquals(List.of(), w.broken());
     assertEquals(18, w.starts(), "tasks were lost and started again");
+    assertFalse(w.lost, "machines were taken for silent");
     assertEquals(0, w.deleted, "machines were given up");
     assertEquals(1.0, w.metric(node, "wickdrift.loop.pauses"));
   }
@@ -335,6 +340,50 @@
     assertTrue(w.starts() > 20, "nothing was lost");
   }
 
+  /**
+   * The view changes while n1 stands still, for less than its lease. What it then answers a worker
+   * must not carry the old epoch: the worker would drop it, and stay while its lease runs out.
+   */
+  @Test
+  void aWakingControllerAnswersUnderNoOldEpoch() throws BadMessage {
+    SimWorld w = new SimWorld(132, 6, 6);
+    w.run(8000);
+    w.crash("n2", 8000);
+    w.run(7800);
+    long old = w.epoch("n1");
+    String machine = "i-900000";
+    for (int i = 1; !w.owner("n1", machine).equals("n1"); i++) {
+      machine = "i-90000" + i;
+    }
+    w.state().slowReads("n1", 700);
+    w.cutFromPeers("n1", true);
+    w.freeze("n1", 2500, true);
+    w.run(2520);
+    assertEquals(old, w.epoch("n1"), "n1 has read the news already");
+    assertTrue(w.epoch("n0") > old, "the view has not changed");
+    Answer[] got = w.report("n1", machine, old);
+    w.run(3000);
+    boolean stale = got[0].status() == 200 && Doc.parse(got[0].body()).count("epoch") == old;
+    assertFalse(stale, "answered under epoch " + old);
+  }
+
+  /** An outage keeps the view, and n1's lease with it, while n1 stands still for long. */
+  @Test
+  void silenceWhileStandingStillProvesNothing() {
+    SimWorld w = new SimWorld(133, 9, 9);
+    w.run(8000);
+    w.state().outage(true);
+    w.cutFromPeers("n1", true);
+    w.cutFromWorkers("n1");
+    w.freeze("n1", 30_000, true);
+    w.run(29_000);
+    w.healFromWorkers("n1");
+    w.state().outage(false);
+    w.run(30_000);
+    assertEquals(List.of(), w.broken());
+    assertFalse(w.lost, "machines were taken for silent");
+  }
+
   /**
    * Cut from the state service alone, then granted a new lease before it reads that it was expelled
    * under the old one: it must not judge its former machines by the reports that it did not get.
@@ -358,6 +407,7 @@
     w.run(40_000);
     assertEquals(List.of(), w.broken());
     assertEquals(18, w.starts(), "tasks were lost and started again");
+    assertFalse(w.lost, "machines were taken for silent");
     assertEquals(0, w.deleted, "machines were given up");
   }
 
--- a/src/test/java/wickdrift/sim/SimWorld.java
+++ b/src/test/java/wickdrift/sim/SimWorld.java
@@ -49,6 +49,10 @@
   final long cancelMs = 36_000;
   int refusals;
   int deleted;
+
+  /** Whether a machine was ever recorded as silent. */
+  boolean lost;
+
   int full;
   final Map<String, SimGang> gangs = new HashMap<>();
 
@@ -116,6 +120,11 @@
   private void tick() {
     clock.after(500, this::tick);
     rules.tick();
+    for (Node n : running.values()) {
+      for (Machine m : n.controller.tables().machines()) {
+        lost |= m.phase() == Machine.Phase.LOST;
+      }
+    }
   }
 
   public void run(long ms) {
@@ -354,6 +363,19 @@
     workers().forEach(w -> net.cut(node, w.address, false));
   }
 
+  /** Frames between a controller and its peers are lost. */
+  public void cutFromPeers(String node, boolean cut) {
+    for (String n : nodes) {
+      if (!n.equals(node) && cut) {
+        net.cut(node, "peer:" + n, false);
+        net.cut(n, "peer:" + node, false);
+      } else if (!n.equals(node)) {
+        net.heal(node, "peer:" + n);
+        net.heal(n, "peer:" + node);
+      }
+    }
+  }
+
   public void healFromWorkers(String node) {
     workers().forEach(w -> net.heal(node, w.address));
   }
@@ -365,10 +387,9 @@
     net.cut(node, STATE, false);
     net.cut(node, CLOUD, false);
     net.cut(node, "user", false);
+    cutFromPeers(node, true);
     for (String n : nodes) {
       if (!n.equals(node)) {
-        net.cut(node, "peer:" + n, false);
-        net.cut(n, "peer:" + node, false);
         workers().forEach(w -> net.cut(n, w.address, false));
       }
     }
@@ -657,6 +678,28 @@
     return running.get(node).controller.tables().view().epoch();
   }
 
+  /** Whose part a machine of that name would be in, as a node knows it. */
+  public String owner(String node, String machine) {
+    return running.get(node).controller.tables().view().owner(machine);
+  }
+
+  /** A report of an empty machine; the answer is in the array once it has come. */
+  public Answer[] report(String node, String machine, long epoch) {
+    Map<String, Object> m = new LinkedHashMap<>();
+    m.put("host", machine);
+    m.put("address", "10.1.9.9:1");
+    m.put("flavour", "g4");
+    m.put("region", "a");
+    m.put("tenure", 1);
+    m.put("tick", 1);
+    m.put("epoch", epoch);
+    m.put("shards", List.of());
+    Answer[] got = new Answer[1];
+    net.caller("10.1.9.9:1", () -> true)
+        .call(node, "POST", "/hello", Pack.encode(m), 4000, a -> got[0] = a);
+    return got;
+  }
+
   /** How many of a job's tasks are placed, as a node knows it. */
   public int placed(String node, String id) {
     Job j = running.get(node).controller.tables().job(id);
