--- a/src/main/java/wickdrift/coordination/Fleet.java
+++ b/src/main/java/wickdrift/coordination/Fleet.java
@@ -4,6 +4,7 @@
 import java.util.Collection;
 import java.util.EnumMap;
 import java.util.HashMap;
+import java.util.Iterator;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -37,6 +38,7 @@
   private static final int TASKS_SEEN = 3000;
   private static final int NEW_MOST = 200;
   private static final long REFUSED_MS = 15_000;
+  private static final int OVERDUE_LEAST = 2;
 
   /** How much dearer a zone may be that suits a job less, below the step from spot to ordinary. */
   private static final double FAR = 1.2;
@@ -76,6 +78,14 @@
   private boolean askingTypes;
   private long typesAtMs = Long.MIN_VALUE / 2;
   private long leadSinceMs = Long.MIN_VALUE;
+
+  /**
+   * When this lead began there was no machine, neither in the tables nor in the cloud's list: none
+   * has to be heard of before it is known what to rent.
+   */
+  private boolean fromNothing;
+
+  private long listedMs = Long.MIN_VALUE;
   private long toldMs;
 
   public Fleet(
@@ -132,6 +142,8 @@
       everListed.clear();
       rentals.clear();
       condemned.clear();
+      fromNothing = false;
+      listedMs = Long.MIN_VALUE;
     }
     if (now - toldMs >= TELL_MS) {
       toldMs = now;
@@ -141,7 +153,7 @@
     recordRented();
     retireIdle();
     deleteUnwanted();
-    if (scribe.leadSettled() && ledger.reachable()) {
+    if ((scribe.leadSettled() || fromNothing) && ledger.reachable()) {
       rent();
     }
   }
@@ -257,6 +269,10 @@
 
   private void compare(Map<String, Listed> got) {
     long now = timers.nowMs();
+    if (listedMs < leadSinceMs) {
+      fromNothing = got.isEmpty() && tables.machines().isEmpty();
+    }
+    listedMs = now;
     long lag = (long) (settings.cloudLimits().listLagS() * 1000);
     deleted.values().removeIf(t -> now - t > 20 * lag + 60_000);
     got.forEach(
@@ -494,14 +510,16 @@
         rooms.add(new Room(m, t));
       }
     }
+    leaveOutOverdue(rooms);
     Map<Kind, Integer> coming = new LinkedHashMap<>();
     rentals.forEach(r -> coming.merge(r.kind, r.count, Integer::sum));
-    rentedUnrecorded.forEach(
-        (n, i) -> {
-          if (tables.machineOrNew(n).phase() == Machine.Phase.UNKNOWN) {
-            coming.merge(new Kind(i.type(), i.zone(), i.spot()), 1, Integer::sum);
-          }
-        });
+    // Where many are found at once, as by the first list of a new leader, records take a while.
+    for (Machine m : tables.machines()) {
+      Machine.Info i = m.phase() == Machine.Phase.UNKNOWN ? scribe.recorded(m) : null;
+      if (i != null && (i.phase() == Machine.Phase.UP || i.phase() == Machine.Phase.BOOTING)) {
+        coming.merge(new Kind(i.type(), i.zone(), i.spot()), 1, Integer::sum);
+      }
+    }
     Map<Kind, Integer> wanted =
         Demand.of(
             board.queue().waiting(),
@@ -525,6 +543,25 @@
     }
   }
 
+  /**
+   * Some machines take several times as long to come up as they should, and a few never do. What
+   * waits is not left to wait for them; but so many at most are rented for a second time, for when
+   * all are late the next ones are too. Those that come after all are used, or returned.
+   */
+  private void leaveOutOverdue(List<Room> rooms) {
+    long wall = timers.wallMs();
+    int most = Math.max(OVERDUE_LEAST, (int) (rooms.size() * tuning.overdueShare()));
+    for (Iterator<Room> it = rooms.iterator(); it.hasNext() && most > 0; ) {
+      Room r = it.next();
+      Machine.Info i = r.machine().info();
+      if (i.phase() == Machine.Phase.BOOTING
+          && wall - i.atMs() > r.type().bootS() * 1000 * tuning.overdueBoots()) {
+        it.remove();
+        most--;
+      }
+    }
+  }
+
   private List<Demand.Virtual> toKinds(Map<Kind, Integer> coming) {
     List<Demand.Virtual> out = new ArrayList<>();
     coming.forEach(
--- a/src/main/java/wickdrift/coordination/Scribe.java
+++ b/src/main/java/wickdrift/coordination/Scribe.java
@@ -253,6 +253,11 @@
     exits.values().removeIf(x -> x.lostIn > 0);
   }
 
+  /** What is about to be recorded of a machine, or null. */
+  public Machine.Info recorded(Machine m) {
+    return records.get(m);
+  }
+
   public boolean recording(Machine m) {
     return records.containsKey(m);
   }
--- a/src/test/java/wickdrift/sim/ClusterTest.java
+++ b/src/test/java/wickdrift/sim/ClusterTest.java
@@ -424,6 +424,64 @@
         });
   }
 
+  /** Nothing is there that would have to be heard of first: renting begins with the first job. */
+  @Test
+  void fromNothingRentingBeginsAtOnce() {
+    SimWorld w = new SimWorld(151, 0, 20);
+    w.clock.after(1300, () -> w.submit(SimWorld.job(1, "batch", 4, 1, 10), 0));
+    w.run(3000);
+    assertTrue(w.rented > 0, "nothing was rented");
+  }
+
+  /** Where machines run, none are rented while it is written that they do. */
+  @Test
+  void whereMachinesRunNoneAreRentedBeforeTheyReport() {
+    SimWorld w = new SimWorld(152, 150, 300);
+    w.run(400);
+    w.state().slowWrites(600);
+    for (int i = 0; i < 40; i++) {
+      int n = i;
+      w.clock.after(700, () -> w.submit(SimWorld.job(n, "batch", 15, 1, 10), 0));
+    }
+    w.run(15_000);
+    assertTrue(w.rented < 165, "rented " + w.rented);
+  }
+
+  /** What waits does not wait for machines that may never come, nor are those rented for ever. */
+  @Test
+  void machinesThatNeverComeUpAreReplaced() {
+    SimWorld w = new SimWorld(153, 0, 30);
+    w.duds = 2;
+    w.submit(SimWorld.job(1, "batch", 8, 1, 60), 0);
+    w.run(24_000);
+    assertEquals(8, w.starts());
+    w.duds = 1000;
+    for (int i = 2; i < 12; i++) {
+      w.submit(SimWorld.job(i, "batch", 8, 1, 1), 0);
+    }
+    w.run(12_000);
+    // Twenty machines' worth waits.
+    assertTrue(w.rented <= 4 + 20 + 3, "rented " + w.rented);
+    w.duds = 0;
+    w.run(200_000);
+    assertEquals(List.of(), w.broken());
+    assertTrue(w.fleet() <= 2, "left: " + w.fleet());
+  }
+
+  /** Up before the answer that rented them, late, or never; lists old, and older than the last. */
+  @ParameterizedTest
+  @ValueSource(longs = {161, 162, 163})
+  void bootsAndListsAsTheyCome(long seed) {
+    SimWorld w = new SimWorld(seed, 2, 30);
+    w.listLagMs = 2000;
+    List<String> finite = load(w, 40, seed);
+    for (int t = 5000; t < 60_000; t += 11_000) {
+      w.clock.after(t, () -> w.duds = 2);
+    }
+    w.run(420_000);
+    check(w, finite);
+  }
+
   /** How many rooms were looked at for each task placed, on a day of so many machines. */
   private static double lookedAPlacement(int machines) {
     SimWorld w = new SimWorld(101, machines, machines, 5, 10_000);
--- a/src/test/java/wickdrift/sim/SimWorld.java
+++ b/src/test/java/wickdrift/sim/SimWorld.java
@@ -63,13 +63,36 @@
 
   private final Map<String, Node> running = new HashMap<>();
   private final TreeMap<String, SimWorker> machines = new TreeMap<>();
-  private final Map<String, Long> bootDone = new HashMap<>();
-  private final Map<String, String[]> booting = new LinkedHashMap<>();
+  private final TreeMap<String, Host> hosts = new TreeMap<>();
+  private final Set<String> booting = new HashSet<>();
   private final Map<String, List<String>> claims = new HashMap<>();
   private int capacity;
   private int machineNumber;
   private int incarnations;
 
+  /** A rented machine as the cloud knows it, from when to when. */
+  private static final class Host {
+    final String zone;
+    final boolean spot;
+    final long fromMs;
+    long upMs = Long.MAX_VALUE;
+    long goneMs = Long.MAX_VALUE;
+
+    Host(String zone, boolean spot, long fromMs) {
+      this.zone = zone;
+      this.spot = spot;
+      this.fromMs = fromMs;
+    }
+  }
+
+  /** So many of the next machines never come up. */
+  int duds;
+
+  /** Every list is as old as this, or up to twice that, so that one may be older than the last. */
+  long listLagMs;
+
+  int rented;
+
   private static final class Node {
     boolean alive = true;
     boolean frozen;
@@ -439,12 +462,19 @@
 
   private String boot(String zone, boolean spot, long ms) {
     String name = String.format("i-%06d", machineNumber++);
-    booting.put(name, new String[] {zone, String.valueOf(spot)});
-    bootDone.put(name, clock.nowMs());
+    Host h = new Host(zone, spot, clock.nowMs());
+    hosts.put(name, h);
+    booting.add(name);
+    rented++;
+    if (duds > 0) {
+      duds--;
+      return name;
+    }
     clock.after(
         ms,
         () -> {
-          if (booting.remove(name) != null) {
+          if (booting.remove(name)) {
+            h.upMs = clock.nowMs();
             machines.put(
                 name,
                 new SimWorker(
@@ -489,6 +519,9 @@
         for (String n : Doc.parse(body).texts("hosts")) {
           deleted++;
           booting.remove(n);
+          if (hosts.containsKey(n) && hosts.get(n).goneMs == Long.MAX_VALUE) {
+            hosts.get(n).goneMs = clock.nowMs();
+          }
           SimWorker w = machines.remove(n);
           if (w != null) {
             w.die();
@@ -516,11 +549,10 @@
         done.accept(SimState.answer(200, Map.of("hosts", names)));
       } else {
         List<Object> list = new ArrayList<>();
-        TreeMap<String, String[]> all = new TreeMap<>(booting);
-        machines.forEach(
-            (n, w) -> all.put(n, new String[] {w.zone, String.valueOf(w.spot), "running"}));
-        all.forEach(
-            (n, v) ->
+        long at = clock.nowMs() - (long) (listLagMs * (1 + random.nextDouble()));
+        hosts.forEach(
+            (n, h) -> {
+              if (h.fromMs <= at && at < h.goneMs) {
                 list.add(
                     Map.of(
                         "ref",
@@ -528,13 +560,15 @@
                         "flavour",
                         "g4",
                         "region",
-                        v[0],
+                        h.zone,
                         "reclaimable",
-                        Boolean.valueOf(v[1]),
+                        h.spot,
                         "phase",
-                        v.length > 2 ? v[2] : "starting",
+                        at < h.upMs ? "starting" : "running",
                         "ageS",
-                        (clock.nowMs() - bootDone.get(n)) / 1000.0)));
+                        (at - h.fromMs) / 1000.0));
+              }
+            });
         done.accept(SimState.answer(200, Map.of("hosts", list, "truncated", false)));
       }
     } catch (BadMessage e) {
@@ -721,6 +755,11 @@
     }
   }
 
+  /** How many machines there are, those that have not come up too. */
+  public int fleet() {
+    return machines.size() + booting.size();
+  }
+
   public int starts() {
     return rules.starts;
   }
