--- a/src/main/java/wickdrift/coordination/Admission.java
+++ b/src/main/java/wickdrift/coordination/Admission.java
@@ -2,11 +2,13 @@
 
 import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
+import wickdrift.bookkeeping.Bucket;
 import wickdrift.bookkeeping.Job;
 import wickdrift.bookkeeping.Ledger;
 import wickdrift.bookkeeping.Tables;
@@ -30,6 +32,7 @@
   private static final int BESIDE_MOST = 64;
   private static final long RETRY_MS = 120;
   private static final long GIVE_UP_MS = 3000;
+  private static final int LOOK_UPS_MOST = 64;
 
   private record Submission(Exchange exchange, JobSpec spec, long sinceMs) {}
 
@@ -40,7 +43,14 @@
   private final Types types;
   private final Settings settings;
   private final Tuning tuning;
+  private final Pulse pulse;
   private final ArrayDeque<Submission> queue = new ArrayDeque<>();
+
+  /** By job, who waits for the read after the one that is out. */
+  private final Map<String, List<Exchange>> lookUps = new HashMap<>();
+
+  private final Bucket reads;
+  private long shed;
   private boolean busy;
 
   public Admission(
@@ -50,7 +60,8 @@
       Board board,
       Types types,
       Settings settings,
-      Tuning tuning) {
+      Tuning tuning,
+      Pulse pulse) {
     this.timers = timers;
     this.ledger = ledger;
     this.tables = tables;
@@ -58,6 +69,9 @@
     this.types = types;
     this.settings = settings;
     this.tuning = tuning;
+    this.pulse = pulse;
+    double share = settings.stateLimits().rps() / (settings.peers().size() + 1);
+    this.reads = new Bucket(share * tuning.lookUpShare(), timers.nowMs());
   }
 
   /** Whether requests can be served at all. */
@@ -278,6 +292,24 @@
 
   // ---- status ----
 
+  /**
+   * A user's poll. When this node falls behind, polls are what it leaves out: reports, leases,
+   * submissions and withdrawals wait in the same line.
+   */
+  public void poll(Exchange x, String id) {
+    if (pulse.lateMs() > tuning.busyMs() && tables.finished(id) == null) {
+      shed++;
+      later(x);
+    } else {
+      status(x, id);
+    }
+  }
+
+  /** Polls that were answered 503 because this node was busy, or had no read left for them. */
+  public long shed() {
+    return shed;
+  }
+
   /** Answers from tables that are no older than this request. */
   public void status(Exchange x, String id) {
     String fin = tables.finished(id);
@@ -304,9 +336,40 @@
   private void answerStatus(Exchange x, String id) {
     Job job = tables.job(id);
     if (job == null) {
-      ledger.read(
-          Job.finalKey(id),
-          r -> {
+      lookUp(x, id);
+      return;
+    }
+    String phase = job.withdrawn() ? WITHDRAWN : job.live() > 0 ? "running" : "pending";
+    x.reply(200, Map.of("ref", id, "phase", phase, "done", job.done(), "running", job.live()));
+  }
+
+  /**
+   * What is in no table is read from the store, and so many a second at most: users also ask for
+   * jobs that no one has submitted, as often as they like. Who asks while a read is out shares the
+   * next one: the one that is out may be older than the question.
+   */
+  private void lookUp(Exchange x, String id) {
+    List<Exchange> next = lookUps.get(id);
+    if (next != null && next.size() < LOOK_UPS_MOST) {
+      next.add(x);
+    } else if (next == null && reads.take(1, 0, timers.nowMs())) {
+      read(id, List.of(x));
+    } else {
+      shed++;
+      later(x);
+    }
+  }
+
+  private void read(String id, List<Exchange> asking) {
+    lookUps.put(id, new ArrayList<>());
+    ledger.read(
+        Job.finalKey(id),
+        r -> {
+          List<Exchange> next = lookUps.remove(id);
+          if (!next.isEmpty()) {
+            read(id, next);
+          }
+          for (Exchange x : asking) {
             if (!r.ok()) {
               later(x);
             } else if (r.value() == null) {
@@ -314,11 +377,8 @@
             } else {
               answerFinal(x, id, r.value());
             }
-          });
-      return;
-    }
-    String phase = job.withdrawn() ? WITHDRAWN : job.live() > 0 ? "running" : "pending";
-    x.reply(200, Map.of("ref", id, "phase", phase, "done", job.done(), "running", job.live()));
+          }
+        });
   }
 
   private void answerFinal(Exchange x, String id, Doc value) {
--- a/src/main/java/wickdrift/coordination/Pulse.java
+++ b/src/main/java/wickdrift/coordination/Pulse.java
@@ -23,6 +23,8 @@
   private final List<LongConsumer> wakers = new ArrayList<>();
   private long lastMs;
   private long listeningSinceMs;
+  private long dueMs;
+  private long lateMs;
   private long pauses;
   private long pausedMs;
 
@@ -40,14 +42,22 @@
     // Whatever lies between making the process and its first turn is no pause.
     lastMs = timers.nowMs();
     listeningSinceMs = lastMs;
+    dueMs = lastMs;
     tick();
   }
 
   private void tick() {
+    lateMs = Math.max(0, timers.nowMs() - dueMs);
+    dueMs = timers.nowMs() + BEAT_MS;
     timers.after(BEAT_MS, this::tick);
     beat();
   }
 
+  /** By how much the last beat was late: how long what comes in waits for its turn. */
+  public long lateMs() {
+    return lateMs;
+  }
+
   /** Told, with how long the pause was, before anything else is done after it. */
   public void onWaking(LongConsumer waker) {
     wakers.add(waker);
--- a/src/main/java/wickdrift/coordination/Tuning.java
+++ b/src/main/java/wickdrift/coordination/Tuning.java
@@ -9,6 +9,8 @@
 public record Tuning(
     long memberLeaseMs,
     long stillMs,
+    long busyMs,
+    double lookUpShare,
     long graceMs,
     long lostMs,
     long lapseMs,
@@ -43,6 +45,8 @@
         MEMBER_LEASE_MS,
         // A process on a fraction of a core is now and then late by some hundred milliseconds.
         MEMBER_LEASE_MS / 4,
+        MEMBER_LEASE_MS / 8,
+        0.2,
         3 * lease,
         lease,
         (long) (lease * (1 + DRIFT)) + SLACK_MS,
@@ -72,6 +76,8 @@
     return new Tuning(
         memberLeaseMs,
         stillMs,
+        busyMs,
+        lookUpShare,
         graceMs,
         lostMs,
         lapseMs,
--- a/src/main/java/wickdrift/daemon/Controller.java
+++ b/src/main/java/wickdrift/daemon/Controller.java
@@ -93,7 +93,7 @@
             relay,
             pulse,
             settings.node());
-    admission = new Admission(timers, ledger, tables, board, types, settings, tuning);
+    admission = new Admission(timers, ledger, tables, board, types, settings, tuning, pulse);
     fleet =
         new Fleet(
             timers,
@@ -117,6 +117,8 @@
     metrics.watch("jobs.unfinished", () -> tables.jobs().size());
     metrics.watch("machines.known", () -> tables.machines().size());
     metrics.watch("log.pages", () -> tables.log(settings.node()).size());
+    metrics.watch("polls.shed", admission::shed);
+    metrics.watch("loop.late.ms", pulse::lateMs);
     metrics.watch("loop.pauses", pulse::pauses);
     metrics.watch("loop.paused.ms", pulse::pausedMs);
     metrics.watch("state.writes.ease", ledger::ease);
@@ -209,7 +211,7 @@
     } else if (withdraw && post) {
       admission.withdraw(x, id);
     } else if (!withdraw && get) {
-      admission.status(x, id);
+      admission.poll(x, id);
     } else {
       wrongMethod(x);
     }
--- /dev/null
+++ b/src/test/java/wickdrift/coordination/PreemptionTest.java
@@ -0,0 +1,98 @@
+package wickdrift.coordination;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import wickdrift.bookkeeping.Entry;
+import wickdrift.bookkeeping.Job;
+import wickdrift.bookkeeping.Ledger;
+import wickdrift.bookkeeping.Machine;
+import wickdrift.bookkeeping.Page;
+import wickdrift.bookkeeping.Tables;
+import wickdrift.protocol.BadMessage;
+import wickdrift.protocol.Doc;
+import wickdrift.protocol.JobSpec;
+import wickdrift.protocol.Pack;
+import wickdrift.sim.SimWorld;
+
+class PreemptionTest {
+  private static final TypeInfo TYPE =
+      new TypeInfo("t", 64, 4, 128, 100, 0.5, 1, 1, 1, List.of("a"));
+  private static final Machine.Info UP = new Machine.Info("t", "a", false, Machine.Phase.UP, 0);
+
+  private final Tables tables = new Tables(1, () -> {});
+  private long rev;
+
+  private void apply(String key, Map<String, Object> value) throws BadMessage {
+    rev++;
+    Ledger.Change c = new Ledger.Change(key, Doc.parse(Pack.encode(value)), rev);
+    tables.apply(List.of(c), rev);
+  }
+
+  private void log(List<Object> entry) throws BadMessage {
+    apply(Page.key("n0", rev), Page.value(null, List.of(entry), (r, e) -> false));
+  }
+
+  private static JobSpec spec(int number, String rank, double gpus, String image)
+      throws BadMessage {
+    var m = SimWorld.job(number, "batch", 1, gpus, 10);
+    m.put("rank", rank);
+    m.put("cores", 1.0);
+    m.put("memoryGb", 1.0);
+    m.put("bundle", image);
+    return JobSpec.parse(Doc.parse(Pack.encode(m)));
+  }
+
+  /**
+   * Machines by what runs there: priority, GPUs, and image if it is the wanted one ("idle2i"); then
+   * those chosen, in order, with how many tasks are stopped on each.
+   */
+  @ParameterizedTest(name = "{1} from {0}, up to {2}: {3}")
+  @CsvSource({
+    "idle4 / standard4, urgent, LOW, m0:1",
+    "idle4 / standard4, urgent, HIGH, m0:1 m1:1",
+    // Equals are never stopped, however long it has waited.
+    "urgent4 / standard4, urgent, HIGH, m1:1",
+    // What may be stopped must be enough; what is free counts.
+    "idle2 standard2 / idle4, urgent, LOW, m1:1",
+    "idle1 / idle2 idle2, urgent, LOW, m0:1 m1:2",
+    "idle2, urgent, LOW, m0:1",
+    // Of machines that cost alike, the one that has the image.
+    "idle4 / idle4i, urgent, LOW, m1:1 m0:1",
+    // Least lost first, three machines at most.
+    "idle4 / idle3 / idle2 / idle1, urgent, LOW, m3:1 m2:1 m1:1",
+  })
+  void whatGivesWay(String machines, String rank, JobSpec.Priority strongest, String expected)
+      throws BadMessage {
+    int job = 1;
+    List<Room> rooms = new ArrayList<>();
+    String[] each = machines.split(" / ");
+    for (int i = 0; i < each.length; i++) {
+      log(Entry.machine("m" + i, UP));
+      for (String task : each[i].split(" ")) {
+        boolean image = task.endsWith("i");
+        String t = image ? task.substring(0, task.length() - 1) : task;
+        double gpus = t.charAt(t.length() - 1) - '0';
+        JobSpec s = spec(job++, t.substring(0, t.length() - 1), gpus, image ? "img" : "other");
+        apply(Job.key(s.id()), Job.toStore(s, 1, "n0", 0));
+        List<Object> placed = Entry.placed(s.id(), 0);
+        placed.addAll(List.of(0, 1, "m" + i));
+        log(placed);
+      }
+      Machine m = tables.machine("m" + i);
+      m.noteImages(0, 100);
+      rooms.add(new Room(m, TYPE));
+    }
+    StringBuilder got = new StringBuilder();
+    for (Preemption.Choice c :
+        Preemption.cheapest(rooms, spec(99, rank, 4, "img"), strongest, 0, 3)) {
+      got.append(got.isEmpty() ? "" : " ").append(c.machine().name());
+      got.append(":").append(c.victims().size());
+    }
+    assertEquals(expected, got.toString());
+  }
+}
--- a/src/test/java/wickdrift/sim/AnswersTest.java
+++ b/src/test/java/wickdrift/sim/AnswersTest.java
@@ -2,6 +2,7 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertNotNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.Map;
 import org.junit.jupiter.api.Test;
@@ -60,6 +61,29 @@
     assertEquals(status, w.ask("n2", "POST", "/api/jobs", w.describe(job)).status());
   }
 
+  /** Polls share reads, those for jobs that no one submitted are bounded; none is left waiting. */
+  @Test
+  void pollsByTheThousandCostFewReads() {
+    SimWorld w = settled();
+    w.submit(SimWorld.job(1, "batch", 1, 1, 100), 0);
+    w.run(5000);
+    int[] known = new int[600];
+    int[] unknown = new int[600];
+    int before = w.state().requests();
+    for (int i = 0; i < 3000; i++) {
+      int n = i;
+      String id = n % 2 == 0 ? "req-000001" : "req-9" + n % 1000;
+      int[] count = n % 2 == 0 ? known : unknown;
+      w.clock.after(n / 3, () -> w.poll("n0", id, 2000, a -> count[a.status()]++));
+    }
+    w.run(4000);
+    assertEquals(1500, known[200]);
+    assertEquals(1500, unknown[404] + unknown[503]);
+    assertTrue(unknown[404] > 0);
+    int requests = w.state().requests() - before;
+    assertTrue(requests < 350, requests + " requests");
+  }
+
   @Test
   void withoutTheStateServiceAnswersComeAtOnceAndFinalOnesAreKept() {
     SimWorld w = settled();
--- a/src/test/java/wickdrift/sim/ClusterTest.java
+++ b/src/test/java/wickdrift/sim/ClusterTest.java
@@ -424,6 +424,30 @@
         });
   }
 
+  /**
+   * Guests fill every machine. A gang of half the fleet does not wait as it would for others' work,
+   * and empties its machines together, not one after the other.
+   */
+  @Test
+  void aGangTakesItsMachinesFromGuestsAtOnce() {
+    SimWorld w = new SimWorld(171, 8, 8, 3, 10_000);
+    w.run(8000);
+    Map<String, Object> guests = SimWorld.job(1, "batch", 200, 1, 1000);
+    guests.put("rank", "idle");
+    guests.put("checkpointEveryS", 10.0);
+    guests.put("flushS", 1.0);
+    w.submit(guests, 0);
+    w.run(12_000);
+    assertEquals(32, w.starts());
+    Map<String, Object> gang = SimWorld.job(2, "ensemble", 4, 4, 100);
+    gang.put("rank", "urgent");
+    w.submit(gang, 0);
+    w.run(6000);
+    assertEquals(4, w.placed("n0", "req-000002"));
+    w.run(20_000);
+    assertEquals(List.of(), w.broken());
+  }
+
   /** Nothing is there that would have to be heard of first: renting begins with the first job. */
   @Test
   void fromNothingRentingBeginsAtOnce() {
--- a/src/test/java/wickdrift/sim/SimState.java
+++ b/src/test/java/wickdrift/sim/SimState.java
@@ -41,6 +41,7 @@
   private long leases;
   private boolean out;
   private int commits;
+  private int requests;
 
   public SimState(SimClock clock) {
     this.clock = clock;
@@ -103,6 +104,10 @@
     return entries.keySet();
   }
 
+  public int requests() {
+    return requests;
+  }
+
   public int commits() {
     return commits;
   }
@@ -199,6 +204,7 @@
 
   private void serveNow(
       String from, String method, String path, byte[] body, Consumer<Answer> done) {
+    requests++;
     if (out || refused.contains(from)) {
       done.accept(answer(503, Map.of("error", "away")));
       return;
--- a/src/test/java/wickdrift/sim/SimWorld.java
+++ b/src/test/java/wickdrift/sim/SimWorld.java
@@ -646,6 +646,11 @@
 
   public final Set<String> accepted = new HashSet<>();
 
+  /** One poll by itself. */
+  public void poll(String node, String id, long timeoutMs, Consumer<Answer> done) {
+    net.caller("user", () -> true).call(node, "GET", "/api/jobs/" + id, null, timeoutMs, done);
+  }
+
   private void poll(String id) {
     net.caller("user", () -> true)
         .call(
