--- a/src/main/java/wickdrift/bookkeeping/Machine.java
+++ b/src/main/java/wickdrift/bookkeeping/Machine.java
@@ -198,6 +198,16 @@
     return live;
   }
 
+  /** For how long this process has known a task to be here; 0 if it is not. */
+  public long ageMs(Job job, int index, long nowMs) {
+    for (Slot s : live) {
+      if (s.index == index && s.job == job) {
+        return s.ageMs(nowMs);
+      }
+    }
+    return 0;
+  }
+
   public double cpus() {
     return cpus;
   }
--- a/src/main/java/wickdrift/coordination/Scribe.java
+++ b/src/main/java/wickdrift/coordination/Scribe.java
@@ -421,6 +421,17 @@
   /** A gang is done, or lost, together: when one task is done, every one is. */
   private void draftGangExit(Draft draft, Job job, int index, String why) {
     boolean done = Report.DONE.equals(why) || draft.done(job) > 0;
+    TaskState was = draft.state(job, index);
+    if (!done && job.size() > 1 && was.stop() == TaskState.Stop.NONE) {
+      LOG.info(
+          "gang {} attempt {} has lost member {} on {} ({}), {} s after it was placed",
+          job.id(),
+          was.attempt(),
+          index,
+          was.machine().name(),
+          why,
+          was.machine().ageMs(job, index, timers.nowMs()) / 1000);
+    }
     draft.exit(job, index, done ? Report.DONE : why);
     for (int i = 0; i < job.size(); i++) {
       TaskState s = draft.state(job, i);
