--- a/src/main/java/wickdrift/coordination/Scribe.java
+++ b/src/main/java/wickdrift/coordination/Scribe.java
@@ -473,9 +473,10 @@
       Map.Entry<Machine, Machine.Info> e = it.next();
       Machine m = e.getKey();
       Machine.Info wanted = e.getValue();
-      // One that no longer follows on what is known would be void, and be written for ever.
-      boolean same = wanted == null ? !m.mayBeForgotten() : !m.phase().mayBecome(wanted.phase());
-      if (same) {
+      // One that no longer follows on what is known would be void, and be written for ever; so
+      // would one of a machine that was forgotten meanwhile, as when two leaders returned it.
+      boolean is = wanted == null ? !m.mayBeForgotten() : !m.phase().mayBecome(wanted.phase());
+      if (is || tables.machine(m.name()) != m) {
         it.remove();
         board.machine(m);
         continue;
--- a/src/test/java/wickdrift/sim/ClusterTest.java
+++ b/src/test/java/wickdrift/sim/ClusterTest.java
@@ -448,6 +448,27 @@
     assertEquals(List.of(), w.broken());
   }
 
+  /**
+   * Two leaders return the same machine: the first stands still before it reads the cloud's answer,
+   * and by the time it does, the machine is gone and forgotten. Its record of that is then void,
+   * and must not be written again and again.
+   */
+  @ParameterizedTest
+  @ValueSource(booleans = {true, false})
+  void aMachineReturnedTwiceIsNotRecordedForEver(boolean timersFirst) {
+    SimWorld w = new SimWorld(181, 8, 8);
+    w.run(8000);
+    while (w.deleted == 0) {
+      w.run(1);
+    }
+    w.freeze("n0", 8000, timersFirst);
+    w.run(150_000);
+    int commits = w.state().commits();
+    w.run(30_000);
+    assertTrue(w.state().commits() - commits < 10, "commits " + (w.state().commits() - commits));
+    assertEquals(List.of(), w.broken());
+  }
+
   /** Nothing is there that would have to be heard of first: renting begins with the first job. */
   @Test
   void fromNothingRentingBeginsAtOnce() {
