--- a/src/main/java/wickdrift/coordination/Scribe.java
+++ b/src/main/java/wickdrift/coordination/Scribe.java
@@ -994,17 +994,14 @@
 
   /**
    * Replicas go to zones that have a controller, if there is room: when another zone is cut off, no
-   * one renews its workers' leases, and all that runs there ends. What may run on spot machines
-   * leaves the ordinary ones, if there is room, to what may not. A machine that has the image is
+   * one renews its workers' leases, and all that runs there ends. A machine that has the image is
    * worth more than that.
    */
   private Room chooseFor(JobSpec spec, Predicate<Rooms.Cell> allowed) {
-    boolean service = spec.shape() == JobSpec.Shape.SERVICE;
-    if (!service && !spec.spot()) {
+    if (spec.shape() != JobSpec.Shape.SERVICE) {
       return rooms.choose(spec, allowed);
     }
-    Room near =
-        rooms.choose(spec, allowed.and(c -> service ? controllerZones.contains(c.zone) : c.spot));
+    Room near = rooms.choose(spec, allowed.and(c -> controllerZones.contains(c.zone)));
     if (near != null && near.hasImage(spec)) {
       return near;
     }
