A class that should start within a second stops others before guests' second is over

Now the shorter of both counts, and such a job looks again at that moment, not half a second later. A test of single late transactions.

--- a/src/main/java/wickdrift/coordination/Scribe.java
+++ b/src/main/java/wickdrift/coordination/Scribe.java
@@ -654,7 +654,14 @@
         }
         continue;
       }
-      job.blocked(rooms.version(), now + BLOCKED_MS);
+      // Not beyond the moment from which it may stop others: where the aim is a second, half of one
+      // is much.
+      long left = preemptAfterMs(job.spec()) - (now - job.waitingSinceMs(now));
+      boolean soon = left > 0 && left < BLOCKED_MS;
+      job.blocked(rooms.version(), now + (soon ? left : BLOCKED_MS));
+      if (soon) {
+        timers.after(left, this::wake);
+      }
       if (draft.hasRoom()) {
         preempt(draft, job, asLeader, quota, now);
         if (!asLeader && draft.hasRoom() && handOver(job, now)) {
@@ -808,9 +815,10 @@
   private void preempt(Draft draft, Job job, boolean asLeader, Quota quota, long now) {
     JobSpec spec = job.spec();
     long waited = now - job.waitingSinceMs(now);
+    long patience = preemptAfterMs(spec);
     if (spec.priority() == JobSpec.Priority.LOW
         || job.suspect()
-        || waited < tuning.preemptLowMs()
+        || waited < Math.min(patience, tuning.preemptLowMs())
         || preemptScans >= PREEMPT_SCANS
         || now < job.preemptAtMs()
         || !quota.allows(spec)) {
@@ -818,8 +826,7 @@
     }
     preemptScans++;
     job.preemptAtMs(now + BLOCKED_MS);
-    JobSpec.Priority strongest =
-        waited < preemptAfterMs(spec) ? JobSpec.Priority.LOW : JobSpec.Priority.HIGH;
+    JobSpec.Priority strongest = waited < patience ? JobSpec.Priority.LOW : JobSpec.Priority.HIGH;
     List<Room> may = new ArrayList<>();
     Map<String, Integer> zones = zones(draft, job);
     Predicate<Rooms.Cell> scope = scope(asLeader);
--- a/src/test/java/wickdrift/sim/ClusterTest.java
+++ b/src/test/java/wickdrift/sim/ClusterTest.java
@@ -185,6 +185,27 @@
     assertTrue(w.starts() > 100, "started " + w.starts());
   }
 
+  /** Single transactions arrive seconds late, when their node has given up on them. */
+  @ParameterizedTest
+  @ValueSource(longs = {201, 202, 203, 204, 205, 206})
+  void aPlacementThatWasGivenUpIsNotAppliedLater(long seed) {
+    SimWorld w = new SimWorld(seed, 12, 12, 3, 18);
+    w.run(8000);
+    w.state().lateCommits(0.15, 2600, seed);
+    Random r = new Random(seed);
+    for (int i = 0; i < 70; i++) {
+      Map<String, Object> job = SimWorld.job(i, "batch", 1 + r.nextInt(6), 1, 3 + r.nextInt(8));
+      job.put("rank", List.of("urgent", "standard", "idle").get(r.nextInt(3)));
+      w.clock.after(r.nextInt(40_000), () -> w.submit(job, 0));
+    }
+    w.run(60_000);
+    w.state().lateCommits(0, 0, seed);
+    w.run(90_000);
+    assertEquals(List.of(), w.broken());
+    assertNull(w.diverged());
+    assertTrue(w.starts() > 100, "started " + w.starts());
+  }
+
   /** Withdrawn just as the last task ends: one answer, and for ever the same. */
   @ParameterizedTest
   @ValueSource(longs = {81, 82, 83})
@@ -499,6 +520,24 @@
     assertTrue(commits < 10_000 / 4, commits + " transactions");
   }
 
+  /** A class that should start within a second does not wait as long as others let guests be. */
+  @Test
+  void whoseAimIsShortStopsOthersSooner() {
+    SimWorld w = new SimWorld(172, 4, 4, 3, 10_000);
+    w.run(8000);
+    w.submit(SimWorld.job(1, "batch", 40, 1, 1000), 0);
+    w.run(12_000);
+    assertEquals(16, w.starts());
+    Map<String, Object> swift = SimWorld.job(2, "daemon", 1, 1, 0);
+    swift.put("jobclass", "swift");
+    swift.put("rank", "production");
+    w.submit(swift, 0);
+    // Others wait for 20 s before they stop what is no guest's; the worker's reports take most of
+    // this.
+    w.run(5000);
+    assertEquals(1, w.placed("n0", "req-000002"));
+  }
+
   /** Nothing is there that would have to be heard of first: renting begins with the first job. */
   @Test
   void fromNothingRentingBeginsAtOnce() {
--- a/src/test/java/wickdrift/sim/SimState.java
+++ b/src/test/java/wickdrift/sim/SimState.java
@@ -6,6 +6,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Random;
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.function.Consumer;
@@ -36,6 +37,9 @@
   private final Set<String> refused = new HashSet<>();
   private final Map<String, Long> slowReads = new HashMap<>();
   private long slowWritesMs;
+  private double lateShare;
+  private long lateMs;
+  private Random late;
   private final List<String> unfenced = new ArrayList<>();
   private long rev;
   private long leases;
@@ -67,6 +71,13 @@
     slowReads.put(node, ms);
   }
 
+  /** A share of the transactions is applied so much later, each by itself. */
+  public void lateCommits(double share, long ms, long seed) {
+    lateShare = share;
+    lateMs = ms;
+    late = new Random(seed);
+  }
+
   /** Every transaction is applied so much later. */
   public void slowWrites(long ms) {
     slowWritesMs = ms;
@@ -192,11 +203,14 @@
 
   @Override
   public void serve(String from, String method, String path, byte[] body, Consumer<Answer> done) {
-    long late = path.startsWith("/follow") ? slowReads.getOrDefault(from, 0L) : 0;
-    if (path.equals("/commit") && slowWritesMs > 0) {
+    long readLate = path.startsWith("/follow") ? slowReads.getOrDefault(from, 0L) : 0;
+    if (path.equals("/commit") && lateShare > 0 && late.nextDouble() < lateShare) {
+      // Its packets were lost and sent again, while other connections go on.
+      clock.after(lateMs, () -> serveNow(from, method, path, body, done));
+    } else if (path.equals("/commit") && slowWritesMs > 0) {
       clock.after(slowWritesMs, () -> serveNow(from, method, path, body, done));
-    } else if (late > 0) {
-      serveNow(from, method, path, body, a -> clock.after(late, () -> done.accept(a)));
+    } else if (readLate > 0) {
+      serveNow(from, method, path, body, a -> clock.after(readLate, () -> done.accept(a)));
     } else {
       serveNow(from, method, path, body, done);
     }
--- a/src/test/java/wickdrift/sim/SimWorker.java
+++ b/src/test/java/wickdrift/sim/SimWorker.java
@@ -29,10 +29,10 @@
   private final List<String> results = new ArrayList<>();
   private final Set<String> images = new HashSet<>();
   private long tenure = 1;
-  private long tick;
+  long tick;
   private long epoch;
   private long leaseStart;
-  private int node;
+  int node;
   private boolean dead;
   boolean hung;
   boolean sick;
@@ -105,6 +105,10 @@
     tasks.clear();
   }
 
+  boolean empty() {
+    return tasks.isEmpty();
+  }
+
   private void off(Task t) {
     t.removed = true;
     leave(t);
--- a/src/test/java/wickdrift/sim/SimWorld.java
+++ b/src/test/java/wickdrift/sim/SimWorld.java
@@ -233,6 +233,11 @@
         name = "vision"
         gpus = 8.0
         gpus_max = %s
+        [[cluster.objectives]]
+        kind = "wait"
+        class = "swift"
+        within_s = 1.0
+        share = 0.9
         [cluster.workers]
         report_s = 2.5
         lease_s = 16.0
