A gang's member that gave up waiting goes on under the same attempt

Now its exit is cleared and the same attempt run again in one answer, on the same machine, while all members are live; nothing is written.

--- a/src/main/java/wickdrift/coordination/Reporting.java
+++ b/src/main/java/wickdrift/coordination/Reporting.java
@@ -36,6 +36,7 @@
   private static final long DIRECT_MS = 3000;
   private static final long UNCERTAIN_MS = 5000;
   private static final long CATCH_UP_MS = 1000;
+  private static final int WAITS_MOST = 12;
 
   /** The last run command for a task, by the report it followed; {@code seen}: a report had it. */
   private record Sent(int attempt, long tick, boolean seen) {}
@@ -70,6 +71,10 @@
   private final Set<String> unheard = new HashSet<>();
 
   private final Map<Machine, Map<String, Sent>> runs = new HashMap<>();
+
+  /** How often a gang's members were told to go on waiting. */
+  private final Map<Machine, Map<Try, Integer>> waits = new HashMap<>();
+
   private final Map<Machine, Direct> directs = new HashMap<>();
   private View current;
   private View before;
@@ -154,6 +159,7 @@
       } else {
         m.forgetReports(0);
         runs.remove(m);
+        waits.remove(m);
         directs.remove(m);
       }
     }
@@ -305,8 +311,18 @@
           // Not while a run for it may still arrive: it would start once more.
           out.add(new Order.Clear(e.job(), e.index(), e.attempt()));
         }
+      } else if (e.phase() == Report.Phase.EXITED && whole && waitsOn(m, job, s, e)) {
+        if (own) {
+          // Under the same attempt, on the same machine: its mates keep the images they fetch.
+          waited(m, e);
+          out.add(new Order.Clear(e.job(), e.index(), e.attempt()));
+          out.add(new Order.Run(e.job(), e.index(), e.attempt()));
+        }
       } else if (e.phase() == Report.Phase.EXITED) {
-        if (whole) {
+        // Told to go on waiting, it may start once more until a report of its own comes: by then
+        // the
+        // answer that tells it so has arrived, or never will.
+        if (whole && (own || waits(m, e) == 0)) {
           ended(m, job, e);
         }
       } else {
@@ -321,7 +337,11 @@
     }
     Map<String, Sent> sent = runs.computeIfAbsent(m, k -> new HashMap<>());
     if (own) {
-      sent.keySet().retainAll(liveTasks(m));
+      Set<String> live = liveTasks(m);
+      sent.keySet().retainAll(live);
+      if (waits.containsKey(m)) {
+        waits.get(m).keySet().removeIf(t -> !live.contains(t.task));
+      }
     }
     for (Machine.Slot slot : m.live()) {
       TaskState s = slot.state();
@@ -360,6 +380,31 @@
     return out;
   }
 
+  /**
+   * A member of a gang gave up waiting for the others, which still fetch: an image may take longer
+   * on one machine than a gang waits on another. Were the attempt over for that, the others would
+   * give up their fetches and begin anew, again and again. It goes on waiting, so often at most.
+   */
+  private boolean waitsOn(Machine m, Job job, TaskState s, Report.Entry e) {
+    if (!Report.ALONE.equals(e.why())
+        || job.withdrawn()
+        || s.stop() != TaskState.Stop.NONE
+        || job.live() < job.size()
+        || scribe.exiting(job, e.index(), e.attempt())) {
+      return false;
+    }
+    return waits(m, e) < WAITS_MOST;
+  }
+
+  private int waits(Machine m, Report.Entry e) {
+    return waits.getOrDefault(m, Map.of()).getOrDefault(new Try(e.task(), e.attempt()), 0);
+  }
+
+  private void waited(Machine m, Report.Entry e) {
+    Try t = new Try(e.task(), e.attempt());
+    waits.computeIfAbsent(m, k -> new HashMap<>()).merge(t, 1, Integer::sum);
+  }
+
   private static boolean loose(Direct d, String task, int attempt) {
     return d != null && d.loose.containsKey(new Try(task, attempt));
   }
--- a/src/main/java/wickdrift/protocol/Report.java
+++ b/src/main/java/wickdrift/protocol/Report.java
@@ -39,6 +39,7 @@
 
   public static final String DONE = "done";
   public static final String ERROR = "error";
+  public static final String ALONE = "alone";
   public static final String FULL = "full";
   public static final String BUSY = "busy";
   public static final String UNKNOWN = "unknown";
--- a/src/test/java/wickdrift/sim/ClusterTest.java
+++ b/src/test/java/wickdrift/sim/ClusterTest.java
@@ -538,6 +538,23 @@
     assertEquals(1, w.placed("n0", "req-000002"));
   }
 
+  /**
+   * One machine takes longer to fetch a gang's image than the gang waits on another. The first
+   * attempt must come to start: were it given up, so would be the fetch, time and again.
+   */
+  @Test
+  void aGangWaitsForASlowFetch() {
+    SimWorld w = new SimWorld(173, 2, 2, 3, 10_000);
+    w.run(8000);
+    w.workers().get(0).slowFetchMs = 75_000;
+    Map<String, Object> gang = SimWorld.job(1, "ensemble", 2, 4, 5);
+    gang.put("oneZone", false);
+    w.submit(gang, 0);
+    w.run(110_000);
+    assertEquals("done", w.lastTold("req-000001"));
+    assertEquals(List.of(), w.broken());
+  }
+
   /** Nothing is there that would have to be heard of first: renting begins with the first job. */
   @Test
   void fromNothingRentingBeginsAtOnce() {
--- a/src/test/java/wickdrift/sim/SimGang.java
+++ b/src/test/java/wickdrift/sim/SimGang.java
@@ -25,7 +25,7 @@
           30_000,
           () -> {
             if (!started) {
-              t.mateGone();
+              t.alone();
             }
           });
       return;
--- a/src/test/java/wickdrift/sim/SimWorker.java
+++ b/src/test/java/wickdrift/sim/SimWorker.java
@@ -37,6 +37,9 @@
   boolean hung;
   boolean sick;
 
+  /** If it takes that long to fetch an image. */
+  long slowFetchMs;
+
   final class Task {
     final String id;
     final int attempt;
@@ -77,6 +80,13 @@
       }
     }
 
+    /** It has waited for its mates long enough. */
+    void alone() {
+      if (on && phase.equals("gathering")) {
+        end(this, "alone");
+      }
+    }
+
     String zone() {
       return zone;
     }
@@ -279,7 +289,10 @@
       return;
     }
     // An image that is there already takes no time.
-    long fetch = images.contains(spec.image()) ? random.nextInt(3) : 500 + random.nextInt(1500);
+    long fetch =
+        images.contains(spec.image())
+            ? random.nextInt(3)
+            : slowFetchMs > 0 ? slowFetchMs : 500 + random.nextInt(1500);
     clock.after(
         fetch,
         () -> {
