--- a/src/main/java/wickdrift/coordination/Scribe.java
+++ b/src/main/java/wickdrift/coordination/Scribe.java
@@ -654,14 +654,7 @@
         }
         continue;
       }
-      // Not beyond the moment from which it may stop others: where the aim is a second, half of one
-      // is much.
-      long left = preemptAfterMs(job.spec()) - (now - job.waitingSinceMs(now));
-      boolean soon = left > 0 && left < BLOCKED_MS;
-      job.blocked(rooms.version(), now + (soon ? left : BLOCKED_MS));
-      if (soon) {
-        timers.after(left, this::wake);
-      }
+      job.blocked(rooms.version(), now + BLOCKED_MS);
       if (draft.hasRoom()) {
         preempt(draft, job, asLeader, quota, now);
         if (!asLeader && draft.hasRoom() && handOver(job, now)) {
