--- a/src/main/java/wickdrift/coordination/Preemption.java
+++ b/src/main/java/wickdrift/coordination/Preemption.java
@@ -52,21 +52,17 @@
       }
     }
     // Most machines hold too much that may not be stopped: told before anything is sorted.
+    double allCpus = cpus;
+    double allGpus = gpus;
+    double allMemory = memory;
     for (Machine.Slot s : candidates) {
-      cpus += s.job().spec().cpus();
-      gpus += s.job().spec().gpus();
-      memory += s.job().spec().memoryGb();
+      allCpus += s.job().spec().cpus();
+      allGpus += s.job().spec().gpus();
+      allMemory += s.job().spec().memoryGb();
     }
-    if (spec.cpus() > cpus + Room.EPS
-        || spec.gpus() > gpus + Room.EPS
-        || spec.memoryGb() > memory + Room.EPS) {
+    if (lacks(spec, allCpus, allGpus, allMemory)) {
       return null;
     }
-    for (Machine.Slot s : candidates) {
-      cpus -= s.job().spec().cpus();
-      gpus -= s.job().spec().gpus();
-      memory -= s.job().spec().memoryGb();
-    }
     candidates.sort(Comparator.comparingDouble(s -> lost(s, nowMs)));
     List<Machine.Slot> victims = new ArrayList<>();
     // A fetch is waited for by all of the task's GPUs.
@@ -75,9 +71,7 @@
             ? 0
             : spec.imageGb() / r.type().fetchGbPerS() * 1000;
     double lost = fetchMs * Math.max(1, spec.gpus());
-    while (spec.cpus() > cpus + Room.EPS
-        || spec.gpus() > gpus + Room.EPS
-        || spec.memoryGb() > memory + Room.EPS) {
+    while (lacks(spec, cpus, gpus, memory)) {
       if (victims.size() == candidates.size()) {
         return null;
       }
@@ -91,6 +85,12 @@
     return new Choice(r.machine(), victims, lost);
   }
 
+  private static boolean lacks(JobSpec s, double cpus, double gpus, double memoryGb) {
+    return s.cpus() > cpus + Room.EPS
+        || s.gpus() > gpus + Room.EPS
+        || s.memoryGb() > memoryGb + Room.EPS;
+  }
+
   private static double lost(Machine.Slot s, long nowMs) {
     JobSpec o = s.job().spec();
     double age = s.ageMs(nowMs);
--- a/src/main/java/wickdrift/coordination/Reporting.java
+++ b/src/main/java/wickdrift/coordination/Reporting.java
@@ -320,8 +320,7 @@
         }
       } else if (e.phase() == Report.Phase.EXITED) {
         // Told to go on waiting, it may start once more until a report of its own comes: by then
-        // the
-        // answer that tells it so has arrived, or never will.
+        // the answer that tells it so has arrived, or never will.
         if (whole && (own || waits(m, e) == 0)) {
           ended(m, job, e);
         }
--- a/src/main/java/wickdrift/coordination/Scribe.java
+++ b/src/main/java/wickdrift/coordination/Scribe.java
@@ -199,8 +199,12 @@
 
   /** True when this is the first that is heard of it. */
   public boolean exited(Job job, int index, int attempt, Machine machine, String why) {
-    long lostIn = why == null ? tables.view().epoch() : 0;
-    return exited(job, index, new Exit(machine, attempt, why, lostIn));
+    Exit exit = new Exit(machine, attempt, why, why == null ? tables.view().epoch() : 0);
+    if (exits.putIfAbsent(new TaskKey(job.id(), index), exit) != null) {
+      return false;
+    }
+    wake();
+    return true;
   }
 
   /**
@@ -223,14 +227,6 @@
     }
   }
 
-  private boolean exited(Job job, int index, Exit exit) {
-    if (exits.putIfAbsent(new TaskKey(job.id(), index), exit) != null) {
-      return false;
-    }
-    wake();
-    return true;
-  }
-
   public void record(Machine m, Machine.Info info) {
     records.put(m, info);
     board.machine(m);
@@ -808,13 +804,14 @@
   private void preempt(Draft draft, Job job, boolean asLeader, Quota quota, long now) {
     JobSpec spec = job.spec();
     long waited = now - job.waitingSinceMs(now);
-    long patience = preemptAfterMs(spec);
     if (spec.priority() == JobSpec.Priority.LOW
         || job.suspect()
-        || waited < Math.min(patience, tuning.preemptLowMs())
         || preemptScans >= PREEMPT_SCANS
-        || now < job.preemptAtMs()
-        || !quota.allows(spec)) {
+        || now < job.preemptAtMs()) {
+      return;
+    }
+    long patience = preemptAfterMs(spec);
+    if (waited < Math.min(patience, tuning.preemptLowMs()) || !quota.allows(spec)) {
       return;
     }
     preemptScans++;
