Workers leave sockets to users, peers and the store where connections run short

Cause: read in the code, asked for by the issue. The client kept up to six idle connections for each worker for ever and refused any new one at its limit (a quarter of the sockets), the store's too: a controller that owns more machines than that, as when others are down, loses the state service. The server refused whoever came when its half was full, and workers keep theirs.

Change: the client closes the connection that has been idle for longest, any after 30 s, and keeps an eighth for the store and the cloud. The server closes a worker's connection with its answer above three quarters of its limit, and at the limit the one of a worker that has been idle for longest makes way.

--- a/src/main/java/wickdrift/daemon/Rehearse.java
+++ b/src/main/java/wickdrift/daemon/Rehearse.java
@@ -7,6 +7,7 @@
 import java.nio.ByteBuffer;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.Callable;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
@@ -57,7 +58,7 @@
     Channel back = link.listen(any);
     Settings settings =
         Settings.parse(new TomlParser().parse(settings(at(partner), at(front), at(back))));
-    HttpClient client = new HttpClient(loop.group(), 16);
+    HttpClient client = new HttpClient(loop.group(), 16, Set.of());
     Map<String, Consumer<ByteBuffer>> peers = Map.of("p", link.to(at(back)));
     box[0] =
         new Controller(
--- a/src/main/java/wickdrift/daemon/Serve.java
+++ b/src/main/java/wickdrift/daemon/Serve.java
@@ -5,6 +5,7 @@
 import java.security.SecureRandom;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.Callable;
 import java.util.function.Consumer;
 import org.slf4j.Logger;
@@ -42,7 +43,9 @@
     Logger log = LoggerFactory.getLogger(Serve.class);
     EventLoop loop = new EventLoop();
     // Half of the sockets for what comes in; a quarter for what we open; the rest is slack.
-    HttpClient client = new HttpClient(loop.group(), settings.sockets() / 4);
+    HttpClient client =
+        new HttpClient(
+            loop.group(), settings.sockets() / 4, Set.of(settings.state(), settings.cloud()));
     Controller[] box = new Controller[1];
     PeerLink link = new PeerLink(loop.group(), f -> box[0].peerFrame(f));
     Map<String, Consumer<ByteBuffer>> peers = new HashMap<>();
--- a/src/main/java/wickdrift/transport/HttpClient.java
+++ b/src/main/java/wickdrift/transport/HttpClient.java
@@ -25,13 +25,17 @@
 import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
 import java.util.HashMap;
+import java.util.LinkedHashMap;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 
 /**
  * Keep-alive connections, one request at a time on each. Every method is called on the event loop.
- * Connections are bounded in total; idle ones are bounded per address.
+ * Connections are bounded in total, idle ones per address and by time. A fleet has more workers
+ * than this process may have sockets: the connection that has been idle for longest makes way for a
+ * new one, and the last few are kept for the addresses that nothing works without.
  */
 public final class HttpClient implements Caller {
   /** A watch has no size limit; this bounds what a broken peer may make us hold. */
@@ -39,14 +43,36 @@
 
   private static final int MAX_IDLE = 6;
 
+  /** A machine that is gone says nothing: what is not used for so long is closed. */
+  private static final long IDLE_NS = TimeUnit.SECONDS.toNanos(30);
+
+  /** An eighth of the connections is for vital addresses alone. */
+  private static final int VITAL_SHARE = 8;
+
   private final EventLoopGroup group;
   private final int maxConnections;
+  private final Set<String> vital;
   private final Map<String, ArrayDeque<Channel>> idle = new HashMap<>();
+
+  /** All idle connections, the one that has been idle for longest first. */
+  private final LinkedHashMap<Channel, Idle> byAge = new LinkedHashMap<>();
+
   private int open;
 
-  public HttpClient(EventLoopGroup group, int maxConnections) {
+  private record Idle(String address, long sinceNs) {}
+
+  /**
+   * @param vital the addresses that are never left without a connection for the others' sake
+   */
+  public HttpClient(EventLoopGroup group, int maxConnections, Set<String> vital) {
     this.group = group;
     this.maxConnections = maxConnections;
+    this.vital = vital;
+  }
+
+  /** Connections that are open or being opened. */
+  public int open() {
+    return open;
   }
 
   @Override
@@ -76,7 +102,7 @@
       call.send(ch, req);
       return;
     }
-    if (open >= maxConnections) {
+    if (!roomFor(address)) {
       group.next().execute(() -> call.finish(Answer.NONE, false));
       return;
     }
@@ -114,13 +140,49 @@
 
   private Channel takeIdle(String address) {
     ArrayDeque<Channel> q = idle.get(address);
-    while (q != null && !q.isEmpty()) {
+    Channel found = null;
+    while (found == null && q != null && !q.isEmpty()) {
       Channel ch = q.pollLast();
-      if (ch.isActive()) {
-        return ch;
+      byAge.remove(ch);
+      found = ch.isActive() ? ch : null;
+    }
+    if (q != null && q.isEmpty()) {
+      idle.remove(address);
+    }
+    return found;
+  }
+
+  private void keepIdle(String address, Channel ch) {
+    idle.computeIfAbsent(address, k -> new ArrayDeque<>()).addLast(ch);
+    byAge.put(ch, new Idle(address, System.nanoTime()));
+  }
+
+  private void forgetIdle(Channel ch) {
+    Idle was = byAge.remove(ch);
+    if (was != null) {
+      ArrayDeque<Channel> q = idle.get(was.address);
+      q.remove(ch);
+      if (q.isEmpty()) {
+        idle.remove(was.address);
       }
     }
-    return null;
+  }
+
+  /** Whether one more may be opened; closes those that are idle for too long, or longest. */
+  private boolean roomFor(String address) {
+    int spared = vital.contains(address) ? 0 : maxConnections / VITAL_SHARE;
+    long now = System.nanoTime();
+    while (!byAge.isEmpty()) {
+      Map.Entry<Channel, Idle> oldest = byAge.entrySet().iterator().next();
+      if (open < maxConnections - spared && now - oldest.getValue().sinceNs < IDLE_NS) {
+        break;
+      }
+      Channel ch = oldest.getKey();
+      forgetIdle(ch);
+      // On this loop that is at once, and the count falls with it.
+      ch.close();
+    }
+    return open < maxConnections - spared;
   }
 
   public static InetSocketAddress parse(String address) {
@@ -164,15 +226,12 @@
         if (r != null) {
           r.call = null;
         }
-        ArrayDeque<Channel> q = idle.computeIfAbsent(address, k -> new ArrayDeque<>());
-        if (reuse && q.size() < MAX_IDLE) {
-          q.addLast(channel);
+        ArrayDeque<Channel> q = idle.get(address);
+        if (reuse && (q == null || q.size() < MAX_IDLE)) {
+          keepIdle(address, channel);
         } else {
           channel.close();
         }
-        if (q.isEmpty()) {
-          idle.remove(address);
-        }
       }
       done.accept(answer);
     }
@@ -195,6 +254,7 @@
 
     @Override
     public void channelInactive(ChannelHandlerContext ctx) {
+      forgetIdle(ctx.channel());
       if (call != null) {
         call.finish(Answer.NONE, false);
       }
--- a/src/main/java/wickdrift/transport/HttpServer.java
+++ b/src/main/java/wickdrift/transport/HttpServer.java
@@ -26,21 +26,38 @@
 import io.netty.handler.timeout.IdleStateEvent;
 import io.netty.handler.timeout.IdleStateHandler;
 import java.net.InetSocketAddress;
+import java.util.LinkedHashSet;
 import java.util.Map;
+import java.util.Set;
 import java.util.function.Consumer;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import wickdrift.protocol.Pack;
 
-/** HTTP/1.1 with MessagePack bodies. Bounds bodies, idle time and the number of connections. */
+/**
+ * HTTP/1.1 with MessagePack bodies. Bounds bodies, idle time and the number of connections. A fleet
+ * has more workers than this process may have sockets, and they would keep users, probes and peers
+ * out: when connections run short, a worker's is closed with its answer, and where none is left,
+ * the worker's connection that has been idle for longest makes way for the new one.
+ */
 public final class HttpServer {
   private static final Logger LOG = LoggerFactory.getLogger(HttpServer.class);
   private static final int MAX_BODY = 64 * 1024;
   private static final int IDLE_S = 60;
 
+  /** Of the connections; above it workers do not keep theirs. */
+  private static final double CROWDED = 0.75;
+
+  /** What workers send, and nobody else. */
+  private static final String REPORT = "/hello";
+
   private final EventLoopGroup group;
   private final Consumer<Exchange> handler;
   private final int maxConnections;
+
+  /** The workers' connections that wait for their next report, the longest first. */
+  private final Set<Channel> idleWorkers = new LinkedHashSet<>();
+
   private int open;
 
   public HttpServer(EventLoopGroup group, int maxConnections, Consumer<Exchange> handler) {
@@ -70,12 +87,22 @@
   }
 
   private void accept(SocketChannel ch) {
+    if (open >= maxConnections && !idleWorkers.isEmpty()) {
+      Channel oldest = idleWorkers.iterator().next();
+      idleWorkers.remove(oldest);
+      oldest.close();
+    }
     if (open >= maxConnections) {
       ch.close();
       return;
     }
     open++;
-    ch.closeFuture().addListener(f -> open--);
+    ch.closeFuture()
+        .addListener(
+            f -> {
+              open--;
+              idleWorkers.remove(ch);
+            });
     ch.pipeline()
         .addLast(new IdleStateHandler(0, 0, IDLE_S))
         .addLast(new HttpServerCodec(2048, 8192, 8192))
@@ -103,13 +130,18 @@
         new Http(ctx, "", "", new byte[0], false).reply(400, null);
         return;
       }
+      boolean worker = req.uri().equals(REPORT);
+      idleWorkers.remove(ctx.channel());
+      boolean keep = HttpUtil.isKeepAlive(req) && !(worker && open > CROWDED * maxConnections);
       Exchange x =
-          new Http(
-              ctx,
-              req.method().name(),
-              req.uri(),
-              ByteBufUtil.getBytes(req.content()),
-              HttpUtil.isKeepAlive(req));
+          new Http(ctx, req.method().name(), req.uri(), ByteBufUtil.getBytes(req.content()), keep) {
+            @Override
+            void answered() {
+              if (worker && keep && ctx.channel().isActive()) {
+                idleWorkers.add(ctx.channel());
+              }
+            }
+          };
       try {
         handler.accept(x);
       } catch (RuntimeException e) {
@@ -132,7 +164,7 @@
     }
   }
 
-  private static final class Http implements Exchange {
+  private static class Http implements Exchange {
     private final ChannelHandlerContext ctx;
     private final String method;
     private final String path;
@@ -187,6 +219,10 @@
       if (!keepAlive) {
         f.addListener(ChannelFutureListener.CLOSE);
       }
+      answered();
     }
+
+    /** The connection waits for its next request. */
+    void answered() {}
   }
 }
--- /dev/null
+++ b/src/test/java/wickdrift/transport/SocketsTest.java
@@ -0,0 +1,137 @@
+package wickdrift.transport;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import wickdrift.protocol.Pack;
+
+/** More workers than sockets: neither side of a controller may be kept from the others by them. */
+class SocketsTest {
+  private static final int MOST = 8;
+  private static final Map<String, Object> BODY = Map.of("ok", true);
+
+  private final EventLoop loop = new EventLoop();
+  private final List<Socket> sockets = new ArrayList<>();
+
+  @AfterEach
+  void end() throws Exception {
+    for (Socket s : sockets) {
+      s.close();
+    }
+    loop.group().shutdownGracefully(0, 1, TimeUnit.SECONDS).sync();
+  }
+
+  private InetSocketAddress serve(int most) throws InterruptedException {
+    HttpServer server = new HttpServer(loop.group(), most, x -> x.reply(200, BODY));
+    return (InetSocketAddress)
+        server.listen(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0)).localAddress();
+  }
+
+  /** Sends one request; the head of the answer, or nothing where the connection was closed. */
+  private String ask(Socket s, String method, String path) throws IOException {
+    s.setSoTimeout(10_000);
+    String head = method + " " + path + " HTTP/1.1\r\nHost: a\r\nContent-Length: 0\r\n\r\n";
+    s.getOutputStream().write(head.getBytes(StandardCharsets.US_ASCII));
+    StringBuilder got = new StringBuilder();
+    InputStream in = s.getInputStream();
+    try {
+      for (int c = in.read(); c >= 0; c = in.read()) {
+        got.append((char) c);
+        if (got.indexOf("\r\n\r\n") >= 0) {
+          in.readNBytes(Pack.encode(BODY).length);
+          return got.toString();
+        }
+      }
+    } catch (java.net.SocketException e) {
+      return "";
+    }
+    return "";
+  }
+
+  private Socket open(InetSocketAddress to) throws IOException {
+    Socket s = new Socket(to.getAddress(), to.getPort());
+    sockets.add(s);
+    return s;
+  }
+
+  @Test
+  void whereConnectionsRunShortWorkersDoNotKeepTheirs() throws Exception {
+    InetSocketAddress to = serve(MOST);
+    for (int i = 0; i < 3 * MOST; i++) {
+      String head = ask(open(to), "POST", "/hello");
+      assertTrue(head.startsWith("HTTP/1.1 200"), "every worker is answered: " + i);
+      assertEquals(i >= MOST * 3 / 4, head.contains("connection: close"), "worker " + i);
+    }
+    String user = ask(open(to), "GET", "/up");
+    assertTrue(user.startsWith("HTTP/1.1 200") && !user.contains("connection: close"));
+  }
+
+  @Test
+  void aUserTakesThePlaceOfTheWorkerThatIsIdleForLongest() throws Exception {
+    InetSocketAddress to = serve(MOST);
+    Socket first = open(to);
+    ask(first, "POST", "/hello");
+    Socket second = open(to);
+    ask(second, "POST", "/hello");
+    for (int i = 0; i < MOST - 1; i++) {
+      assertTrue(ask(open(to), "GET", "/up").startsWith("HTTP/1.1 200"), "user " + i);
+    }
+    assertEquals("", ask(first, "POST", "/hello"), "closed for the last user");
+    assertTrue(ask(second, "POST", "/hello").startsWith("HTTP/1.1 200"), "not for anyone else");
+  }
+
+  @Test
+  void aClientWithManyWorkersStillReachesTheStore() throws Exception {
+    List<String> workers = new ArrayList<>();
+    for (int i = 0; i < 3 * MOST; i++) {
+      InetSocketAddress a = serve(MOST);
+      workers.add(a.getAddress().getHostAddress() + ":" + a.getPort());
+    }
+    InetSocketAddress s = serve(MOST);
+    String store = s.getAddress().getHostAddress() + ":" + s.getPort();
+    HttpClient client = new HttpClient(loop.group(), MOST, Set.of(store));
+    for (String w : workers) {
+      assertEquals(200, call(client, w).get(10, TimeUnit.SECONDS), "one idle makes way");
+    }
+    // All at once: more than may be open, and none idle to make way.
+    List<CompletableFuture<Integer>> all = new ArrayList<>();
+    CompletableFuture<CompletableFuture<Integer>> last = new CompletableFuture<>();
+    loop.run(
+        () -> {
+          workers.forEach(w -> all.add(callNow(client, w)));
+          last.complete(callNow(client, store));
+        });
+    assertEquals(200, last.get(10, TimeUnit.SECONDS).get(10, TimeUnit.SECONDS));
+    int refused = 0;
+    for (CompletableFuture<Integer> f : all) {
+      refused += f.get(10, TimeUnit.SECONDS) == 0 ? 1 : 0;
+    }
+    assertTrue(refused > 0, "some workers had to do without");
+  }
+
+  private CompletableFuture<Integer> call(HttpClient c, String address) {
+    CompletableFuture<Integer> f = new CompletableFuture<>();
+    loop.run(() -> callNow(c, address).thenAccept(f::complete));
+    return f;
+  }
+
+  private static CompletableFuture<Integer> callNow(HttpClient c, String address) {
+    CompletableFuture<Integer> f = new CompletableFuture<>();
+    c.call(address, "GET", "/up", null, 5000, a -> f.complete(a.status()));
+    return f;
+  }
+}
