A zone that is cut off is told from machines that died; quiet machines take no tasks

Most had been rented in the zone that was cut off since 172 s. 81 machines behind the cut were deleted at 243 s although a controller in there had kept their tasks alive.

Change: a zone of which nothing is heard while others report, or whose machines are nearly all recorded as silent, is dark until a report comes from it. Nothing is rented there as long as something is there that would report, what is there counts as no room for renting, and silent machines are kept for the grace where a controller is inside. A machine that has missed two reports takes no new task from its owner.

Ruled out: processor time, the write budget, sockets.

--- a/src/main/java/wickdrift/bookkeeping/Machine.java
+++ b/src/main/java/wickdrift/bookkeeping/Machine.java
@@ -132,6 +132,7 @@
   // What only its owner knows, from reports; lost with the process.
   Report report;
   private long heardMs;
+  private boolean quiet;
   private long answeredMs;
   private long lapseBaseMs;
   private boolean synced;
@@ -347,9 +348,10 @@
   }
 
   public void heard(Report r, long nowMs) {
-    if (report == null) {
+    if (report == null || quiet) {
       note();
     }
+    quiet = false;
     report = r;
     heardMs = nowMs;
   }
@@ -358,10 +360,23 @@
   public void forgetReports(long lapseBase) {
     note();
     report = null;
+    quiet = false;
     synced = false;
     lapseBaseMs = Math.max(lapseBaseMs, lapseBase);
   }
 
+  /** Its worker has missed two reports: until the next one it takes no new task. */
+  public void quiet() {
+    if (!quiet && report != null) {
+      quiet = true;
+      note();
+    }
+  }
+
+  public boolean isQuiet() {
+    return quiet;
+  }
+
   public long heardMs() {
     return heardMs;
   }
--- a/src/main/java/wickdrift/coordination/Board.java
+++ b/src/main/java/wickdrift/coordination/Board.java
@@ -169,7 +169,7 @@
     if (usable) {
       boolean shun = m.shunUntilMs(timers.nowMs()) > timers.nowMs();
       member(shunned, m, shun);
-      usable = !shun && (m.report() != null || !owner.equals(node));
+      usable = !shun && (m.report() != null && !m.isQuiet() || !owner.equals(node));
     }
     if (usable) {
       if (rooms.put(m, t, owner, timers.nowMs())) {
--- a/src/main/java/wickdrift/coordination/Fleet.java
+++ b/src/main/java/wickdrift/coordination/Fleet.java
@@ -4,10 +4,12 @@
 import java.util.Collection;
 import java.util.EnumMap;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.Iterator;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.TreeMap;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -62,6 +64,7 @@
   private final Settings settings;
   private final String incarnation;
   private final Pulse pulse;
+  private final Zones zones;
   private final Bucket calls;
 
   private final Map<String, Long> absentSince = new HashMap<>();
@@ -70,6 +73,10 @@
   private final Map<String, Long> emptySince = new HashMap<>();
   private final Map<Kind, Long> refusedUntil = new HashMap<>();
   private final List<Rental> rentals = new ArrayList<>();
+
+  /** Zones that are cut off, where machines are that would tell of their return. */
+  private final Set<String> closed = new HashSet<>();
+
   private final Map<String, Machine.Info> rentedUnrecorded = new LinkedHashMap<>();
   private long claimCounter;
   private long lastListMs = Long.MIN_VALUE / 2;
@@ -100,6 +107,7 @@
       Tuning tuning,
       Settings settings,
       Pulse pulse,
+      Zones zones,
       String incarnation) {
     this.timers = timers;
     this.caller = caller;
@@ -113,6 +121,7 @@
     this.settings = settings;
     this.incarnation = incarnation;
     this.pulse = pulse;
+    this.zones = zones;
     this.calls = new Bucket(settings.cloudLimits().rps() * 0.8, timers.nowMs());
   }
 
@@ -361,7 +370,7 @@
           }
         }
         case LOST -> {
-          if (age > tuning.lostMs() && settled()) {
+          if (age > keepLostMs(i.zone()) && settled()) {
             condemn(m.name(), "it is silent");
           }
         }
@@ -411,6 +420,16 @@
         });
   }
 
+  /**
+   * How long a silent machine is kept. In a zone that is cut off with a controller in it, that one
+   * goes on answering its workers for its grace: all that runs there lives, and comes back with the
+   * zone. What is cut off without one has lost its tasks by the time it is recorded as silent.
+   */
+  private long keepLostMs(String zone) {
+    boolean lives = zones.dark(zone) && settings.controllerZones().contains(zone);
+    return lives ? tuning.graceMs() : tuning.lostMs();
+  }
+
   /** Long enough at it for reports to have come in from all that is up. */
   private boolean settled() {
     return timers.nowMs() - leadSinceMs >= tuning.settleMs();
@@ -501,9 +520,17 @@
     if (board.queue().isEmpty()) {
       return;
     }
+    closed.clear();
     List<Room> rooms = new ArrayList<>();
     for (Machine m : tables.machines()) {
       TypeInfo t = m.info() == null ? null : types.find(m.info().type());
+      boolean there = m.phase() != Machine.Phase.UNKNOWN && m.phase() != Machine.Phase.GONE;
+      if (there && zones.dark(m.info().zone())) {
+        // Whatever comes up there can't be told to run anything; as long as something is there
+        // that would report, no more is rented to see whether the zone is back.
+        closed.add(m.info().zone());
+        continue;
+      }
       boolean usable = m.phase() == Machine.Phase.UP || m.phase() == Machine.Phase.BOOTING;
       // One that fails whatever it is given is no room.
       if (t != null && usable && m.accused() < 2) {
@@ -513,6 +540,7 @@
     leaveOutOverdue(rooms);
     Map<Kind, Integer> coming = new LinkedHashMap<>();
     rentals.forEach(r -> coming.merge(r.kind, r.count, Integer::sum));
+    coming.keySet().stream().map(Kind::zone).filter(zones::dark).forEach(closed::add);
     // Where many are found at once, as by the first list of a new leader, records take a while.
     for (Machine m : tables.machines()) {
       Machine.Info i = m.phase() == Machine.Phase.UNKNOWN ? scribe.recorded(m) : null;
@@ -520,6 +548,7 @@
         coming.merge(new Kind(i.type(), i.zone(), i.spot()), 1, Integer::sum);
       }
     }
+    coming.keySet().removeIf(k -> closed.contains(k.zone()));
     Map<Kind, Integer> wanted =
         Demand.of(
             board.queue().waiting(),
@@ -589,6 +618,9 @@
         if (job.spec().zone() != null && !job.spec().zone().equals(zone)) {
           continue;
         }
+        if (closed.contains(zone) && job.spec().zone() == null) {
+          continue;
+        }
         for (boolean spot :
             job.spec().spot() ? new boolean[] {true, false} : new boolean[] {false}) {
           Kind k = new Kind(t.name(), zone, spot);
@@ -606,6 +638,10 @@
         }
       }
     }
+    if (best != null && zones.dark(best.zone)) {
+      // One, to see whether the zone is back.
+      closed.add(best.zone);
+    }
     return best;
   }
 
--- a/src/main/java/wickdrift/coordination/Reporting.java
+++ b/src/main/java/wickdrift/coordination/Reporting.java
@@ -63,6 +63,7 @@
   private final Caller caller;
   private final Relay relay;
   private final Pulse pulse;
+  private final Zones zones;
 
   /** Machines that were told of their owner in this view. */
   private final Set<String> sentAway = new HashSet<>();
@@ -93,6 +94,7 @@
       Caller caller,
       Relay relay,
       Pulse pulse,
+      Zones zones,
       String node) {
     this.timers = timers;
     this.ledger = ledger;
@@ -103,6 +105,7 @@
     this.caller = caller;
     this.relay = relay;
     this.pulse = pulse;
+    this.zones = zones;
     this.node = node;
   }
 
@@ -206,6 +209,7 @@
       x.reply(400, Map.of("error", e.getMessage()));
       return;
     }
+    zones.heard(r.zone(), timers.nowMs());
     View v = tables.view();
     if (v == null || ledger.phase() != Ledger.Phase.FOLLOWING) {
       x.reply(503, null, 1);
@@ -530,11 +534,20 @@
     long now = timers.nowMs();
     boolean stuck = false;
     for (Machine m : new ArrayList<>(tables.machines())) {
+      boolean up = m.phase() == Machine.Phase.UP;
+      boolean lost = m.phase() == Machine.Phase.LOST;
+      if (up || lost) {
+        zones.recorded(m.info().zone(), lost);
+      }
       if (!node.equals(m.owner(v))) {
         continue;
       }
       long silent = now - Math.max(m.heardMs(), Math.max(viewSinceMs, pulse.listeningSinceMs()));
-      if (m.phase() == Machine.Phase.UP && silent > tuning.lostMs() && !scribe.recording(m)) {
+      if ((up || lost) && silent > tuning.quietMs()) {
+        m.quiet();
+        zones.silent(m.info().zone());
+      }
+      if (up && silent > tuning.lostMs() && !scribe.recording(m)) {
         LOG.info("{} is silent", m.name());
         scribe.record(m, m.info().with(Machine.Phase.LOST, timers.wallMs()));
       }
@@ -545,6 +558,7 @@
       }
       stuck |= stuck(m, now);
     }
+    zones.judge(pulse.listeningSinceMs(), now);
     if (stuck) {
       // Only a higher epoch, shown by the worker, proves that the command can't arrive any more.
       membership.raiseEpoch();
--- a/src/main/java/wickdrift/coordination/Tuning.java
+++ b/src/main/java/wickdrift/coordination/Tuning.java
@@ -12,6 +12,7 @@
     long busyMs,
     double lookUpShare,
     long graceMs,
+    long quietMs,
     long lostMs,
     long lapseMs,
     long overdueMs,
@@ -48,6 +49,8 @@
         MEMBER_LEASE_MS / 8,
         0.2,
         3 * lease,
+        // Two reports in a row are missing.
+        Math.min(lease / 2, 2 * (report * 5 / 4) + SLACK_MS),
         lease,
         (long) (lease * (1 + DRIFT)) + SLACK_MS,
         // A little more than half of the time for a cancellation, and, if that leaves time for a
@@ -79,6 +82,7 @@
         busyMs,
         lookUpShare,
         graceMs,
+        quietMs,
         lostMs,
         lapseMs,
         overdueMs,
--- a/src/main/java/wickdrift/daemon/Controller.java
+++ b/src/main/java/wickdrift/daemon/Controller.java
@@ -17,6 +17,7 @@
 import wickdrift.coordination.Scribe;
 import wickdrift.coordination.Tuning;
 import wickdrift.coordination.Types;
+import wickdrift.coordination.Zones;
 import wickdrift.protocol.BadMessage;
 import wickdrift.protocol.JobSpec;
 import wickdrift.protocol.PeerFrame;
@@ -81,6 +82,7 @@
         new Membership(timers, ledger, tables, tuning, settings.node(), index, incarnation, peers);
     relay = new Relay(timers, index, settings.nodeNames(), peers);
     scribe = new Scribe(timers, ledger, tables, board, types, membership, tuning, settings, index);
+    Zones zones = new Zones(tuning.quietMs());
     reporting =
         new Reporting(
             timers,
@@ -92,6 +94,7 @@
             caller,
             relay,
             pulse,
+            zones,
             settings.node());
     admission = new Admission(timers, ledger, tables, board, types, settings, tuning, pulse);
     fleet =
@@ -107,6 +110,7 @@
             tuning,
             settings,
             pulse,
+            zones,
             incarnation);
     // In this order: what was drawn from silence is dropped after nothing is decided any more.
     pulse.onWaking(ms -> membership.woke());
