A machine is in the part of a controller of its own zone

Letting others than the owner answer was ruled out: the owner draws the end of a lease from its own last answer, and nobody can tell it, behind the cut, that someone else renewed it.

Change: the hash parts a zone's machines among the controllers there, if any, unless they would hold more than four times an even share; members tell their zone, and the view keeps it, so that all judge alike. A job that must be in several zones goes to the leader, for a part may lack them; the leader places several such jobs in one transaction. A zone that is back has time to report before what is still recorded as silent in it is deleted (found by the test).

ClusterTest.aZoneThatIsCutOffGoesOnInside and aZoneIsCutOffAndItsControllerCrashes.

--- a/src/main/java/wickdrift/bookkeeping/Machine.java
+++ b/src/main/java/wickdrift/bookkeeping/Machine.java
@@ -4,6 +4,7 @@
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
+import java.util.Objects;
 import java.util.Set;
 import java.util.function.Consumer;
 import wickdrift.protocol.JobSpec;
@@ -119,6 +120,7 @@
   private boolean noted;
   private String owner;
   private long ownerEpoch;
+  private String ownerZone;
   private final List<Slot> live = new ArrayList<>();
   private final LinkedHashMap<String, Image> images = new LinkedHashMap<>(8, 0.75f, true);
   private Info info;
@@ -171,9 +173,11 @@
 
   /** The member whose part it is in; worked out once a view, for reports ask for it each time. */
   public String owner(View v) {
-    if (ownerEpoch != v.epoch()) {
-      owner = v.owner(name);
+    String zone = info != null ? info.zone() : report != null ? report.zone() : null;
+    if (ownerEpoch != v.epoch() || !Objects.equals(zone, ownerZone)) {
+      owner = v.owner(name, zone);
       ownerEpoch = v.epoch();
+      ownerZone = zone;
     }
     return owner;
   }
--- a/src/main/java/wickdrift/bookkeeping/Tables.java
+++ b/src/main/java/wickdrift/bookkeeping/Tables.java
@@ -25,6 +25,7 @@
   private final TreeMap<String, Machine> machines = new TreeMap<>();
   private final Map<String, Part> parts = new HashMap<>();
   private final Map<String, String> members = new TreeMap<>();
+  private final Map<String, String> memberZones = new TreeMap<>();
   private final Map<String, Long> memberStamps = new HashMap<>();
   private static final TreeMap<Long, Page> EMPTY_LOG = new TreeMap<>();
   private static final Shelf NO_SHELF = new Shelf(0, 0);
@@ -136,6 +137,11 @@
     return members;
   }
 
+  /** Where the members are, as they have told. */
+  public Map<String, String> memberZones() {
+    return memberZones;
+  }
+
   public long memberStamp(String node) {
     return memberStamps.getOrDefault(node, 0L);
   }
@@ -173,6 +179,7 @@
     parts.clear();
     remark();
     members.clear();
+    memberZones.clear();
     memberStamps.clear();
     orphans.clear();
     view = null;
@@ -543,9 +550,16 @@
       case 'm' -> {
         if (c.value() == null) {
           members.remove(name);
+          memberZones.remove(name);
           memberStamps.remove(name);
         } else {
           members.put(name, c.value().text("inc"));
+          String zone = c.value().textOrNull("zone");
+          if (zone == null || zone.isEmpty()) {
+            memberZones.remove(name);
+          } else {
+            memberZones.put(name, zone);
+          }
           memberStamps.put(name, c.stamp());
         }
       }
--- a/src/main/java/wickdrift/bookkeeping/View.java
+++ b/src/main/java/wickdrift/bookkeeping/View.java
@@ -5,36 +5,85 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
+import java.util.Set;
 import java.util.TreeMap;
+import java.util.function.Predicate;
 import wickdrift.protocol.BadMessage;
 import wickdrift.protocol.Doc;
 
-/** Who holds authority: the epoch, the members with their incarnations, and the leader. */
-public record View(long epoch, Map<String, String> members, String leader) {
+/**
+ * Who holds authority: the epoch, the members with their incarnations, and the leader.
+ *
+ * @param zones where the members are; those without a zone are left out
+ */
+public record View(
+    long epoch, Map<String, String> members, String leader, Map<String, String> zones) {
   public static final String KEY = "w/v";
 
+  /** The controllers of a zone hold at most so many times an even share of the machines. */
+  private static final int MOST_SHARE = 4;
+
+  public View(long epoch, Map<String, String> members, String leader) {
+    this(epoch, members, leader, Map.of());
+  }
+
   public Map<String, Object> toStore() {
     Map<String, Object> m = new LinkedHashMap<>();
     m.put("epoch", epoch);
     m.put("members", members);
     m.put("leader", leader);
+    m.put("zones", zones);
     return m;
   }
 
   public static View parse(Doc d) throws BadMessage {
-    Map<String, String> members = new TreeMap<>();
-    Doc m = Doc.of(d.raw("members"));
+    Map<String, String> zones = d.raw("zones") == null ? Map.of() : texts(d.raw("zones"));
+    return new View(d.count("epoch"), texts(d.raw("members")), d.text("leader"), zones);
+  }
+
+  private static Map<String, String> texts(Object map) throws BadMessage {
+    Map<String, String> out = new TreeMap<>();
+    Doc m = Doc.of(map);
     for (Object k : ((Map<?, ?>) m.rawMap()).keySet()) {
-      members.put((String) k, m.text((String) k));
+      out.put((String) k, m.text((String) k));
     }
-    return new View(d.count("epoch"), members, d.text("leader"));
+    return out;
   }
 
   /** The part that a name falls to: the member whose hash with it is highest. */
   public String owner(String name) {
+    return owner(name, m -> true);
+  }
+
+  /**
+   * The part that a machine falls to: by the hash among the members of its own zone, where it has
+   * any. A zone that is cut off goes on working inside, but only the owner of a machine may answer
+   * its worker, for nobody else can tell when its lease has ended. Where the zone's members are so
+   * few that they would hold far more than the others, and where it has none, all take part.
+   *
+   * @param zone null when it is not known
+   */
+  public String owner(String machine, String zone) {
+    int here = 0;
+    for (String z : zones.values()) {
+      here += z.equals(zone) ? 1 : 0;
+    }
+    boolean local = here > 0 && members.size() <= MOST_SHARE * here;
+    return owner(machine, local ? m -> zone.equals(zones.get(m)) : m -> true);
+  }
+
+  /** Whether a part may lack machines of some zones that others have. */
+  public boolean partsKeepToZones() {
+    return Set.copyOf(zones.values()).size() > 1;
+  }
+
+  private String owner(String name, Predicate<String> among) {
     String best = null;
     long bestHash = 0;
     for (String m : members.keySet()) {
+      if (!among.test(m)) {
+        continue;
+      }
       long h = mix(hash(name) * 0x9E3779B97F4A7C15L ^ hash(m));
       if (best == null || Long.compareUnsigned(h, bestHash) > 0) {
         best = m;
@@ -66,8 +115,12 @@
     return h ^ h >>> 31;
   }
 
-  /** The view that the live members call for, or null when this one still fits. */
-  public static View next(View now, Map<String, String> live) {
+  /**
+   * The view that the live members call for, or null when this one still fits.
+   *
+   * @param zones where the live members are
+   */
+  public static View next(View now, Map<String, String> live, Map<String, String> zones) {
     if (live.isEmpty() || now != null && now.members.equals(live)) {
       return null;
     }
@@ -88,6 +141,7 @@
     if (leader == null) {
       leader = List.copyOf(live.keySet()).get(0);
     }
-    return new View(now == null ? 1 : now.epoch + 1, new TreeMap<>(live), leader);
+    return new View(
+        now == null ? 1 : now.epoch + 1, new TreeMap<>(live), leader, new TreeMap<>(zones));
   }
 }
--- a/src/main/java/wickdrift/coordination/Admission.java
+++ b/src/main/java/wickdrift/coordination/Admission.java
@@ -244,10 +244,12 @@
    * The part with most free room for it; gangs and what is large against a part go to the leader.
    */
   private String route(JobSpec s) {
-    if (s.shape() == JobSpec.Shape.GANG) {
+    View v = tables.view();
+    // A part holds its own zone's machines first: what must be in several is for who sees all.
+    boolean manyZones = s.spread() && s.tasks() > 1 && v.partsKeepToZones();
+    if (s.shape() == JobSpec.Shape.GANG || manyZones) {
       return Job.LEADER;
     }
-    View v = tables.view();
     Rooms rooms = board.rooms();
     // Room beside its image, if a part has enough of that for the whole job: elsewhere it would
     // wait for a fetch, which may take longer than its class has to start.
--- a/src/main/java/wickdrift/coordination/Fleet.java
+++ b/src/main/java/wickdrift/coordination/Fleet.java
@@ -426,7 +426,7 @@
    * zone. What is cut off without one has lost its tasks by the time it is recorded as silent.
    */
   private long keepLostMs(String zone) {
-    boolean lives = zones.dark(zone) && settings.controllerZones().contains(zone);
+    boolean lives = zones.away(zone, timers.nowMs()) && settings.controllerZones().contains(zone);
     return lives ? tuning.graceMs() : tuning.lostMs();
   }
 
--- a/src/main/java/wickdrift/coordination/Membership.java
+++ b/src/main/java/wickdrift/coordination/Membership.java
@@ -39,6 +39,7 @@
   private final Tables tables;
   private final Tuning tuning;
   private final String node;
+  private final String zone;
   private final int nodeIndex;
   private final String process;
   private final Map<String, Consumer<ByteBuffer>> peers;
@@ -70,6 +71,7 @@
       Tables tables,
       Tuning tuning,
       String node,
+      String zone,
       int nodeIndex,
       String incarnation,
       Map<String, Consumer<ByteBuffer>> peers) {
@@ -78,6 +80,7 @@
     this.tables = tables;
     this.tuning = tuning;
     this.node = node;
+    this.zone = zone;
     this.nodeIndex = nodeIndex;
     this.process = incarnation;
     this.incarnation = incarnation;
@@ -206,7 +209,7 @@
     Txn txn =
         new Txn()
             .when(key, tables.memberStamp(node))
-            .write(key, Map.of("inc", incarnation), tether);
+            .write(key, Map.of("inc", incarnation, "zone", zone), tether);
     ledger.commit(
         txn,
         true,
@@ -221,7 +224,7 @@
   // ---- the view ----
 
   private void considerView() {
-    View next = View.next(tables.view(), tables.members());
+    View next = View.next(tables.view(), tables.members(), tables.memberZones());
     long now = timers.nowMs();
     if (next == null
         || !incarnation.equals(tables.members().get(node))
@@ -245,7 +248,7 @@
   public void raiseEpoch() {
     View v = tables.view();
     if (!proposing && standing() == Standing.MEMBER && v.members().equals(tables.members())) {
-      propose(new View(v.epoch() + 1, v.members(), v.leader()));
+      propose(new View(v.epoch() + 1, v.members(), v.leader(), v.zones()));
     }
   }
 
--- a/src/main/java/wickdrift/coordination/Reporting.java
+++ b/src/main/java/wickdrift/coordination/Reporting.java
@@ -222,7 +222,7 @@
       return;
     }
     Membership.Standing standing = membership.standing();
-    String owner = v.owner(r.machine());
+    String owner = v.owner(r.machine(), r.zone());
     if (!owner.equals(node)) {
       // A worker that knows this epoch has been answered by its owner, and has left it: it can't
       // reach it. The owner may be well otherwise, so the report is passed on.
@@ -232,7 +232,7 @@
               // Answered by it under the view before, too.
               || before != null
                   && r.epoch() == before.epoch()
-                  && owner.equals(before.owner(r.machine()));
+                  && owner.equals(before.owner(r.machine(), r.zone()));
       if (left && mayRelay && relay.pass(x, owner)) {
         return;
       }
--- a/src/main/java/wickdrift/coordination/Scribe.java
+++ b/src/main/java/wickdrift/coordination/Scribe.java
@@ -621,6 +621,10 @@
         continue;
       }
       boolean asLeader = leader && job.part().equals(Job.LEADER);
+      if (!asLeader && !foreign.isEmpty()) {
+        // Others may have written meanwhile: what is in our own part is not to fail with that.
+        continue;
+      }
       List<JobSpec> failed = asLeader ? noRoomAnywhere : noRoom;
       int before = draft.live(job);
       boolean hopeless = failed.stream().anyMatch(f -> needsNoLess(job.spec(), f));
@@ -644,10 +648,6 @@
         if (job.suspect()) {
           job.probed(now);
         }
-        if (!foreign.isEmpty()) {
-          // Others may have written meanwhile: what follows is not to fail with it.
-          break;
-        }
         continue;
       }
       job.blocked(rooms.version(), now + BLOCKED_MS);
--- a/src/main/java/wickdrift/coordination/Zones.java
+++ b/src/main/java/wickdrift/coordination/Zones.java
@@ -2,8 +2,6 @@
 
 import java.util.LinkedHashMap;
 import java.util.Map;
-import java.util.Set;
-import java.util.TreeSet;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -22,6 +20,9 @@
   /** Of a zone's machines, how many must be recorded as silent where nothing else is known. */
   private static final double LOST_SHARE = 0.8;
 
+  /** How long its workers have to report when it is back, in times of {@link #quietMs}. */
+  private static final long BACK = 2;
+
   /** How a zone looks from here. */
   enum Light {
     /** Something is heard, or not enough is known. */
@@ -33,6 +34,7 @@
   private static final class Zone {
     Light light = Light.LIT;
     long heardMs;
+    long backUntilMs;
     int silent;
     int up;
     int lost;
@@ -56,6 +58,10 @@
   void heard(String name, long nowMs) {
     Zone z = zone(name);
     z.heardMs = nowMs;
+    if (z.light == Light.DARK) {
+      // One after the other, and each is still recorded as silent until that is written.
+      z.backUntilMs = nowMs + BACK * quietMs;
+    }
     become(name, z, Light.LIT);
   }
 
@@ -102,19 +108,14 @@
     }
   }
 
-  boolean dark(String name) {
+  /** Dark, or so short a time ago that not all of its workers have reported again. */
+  boolean away(String name, long nowMs) {
     Zone z = zones.get(name);
-    return z != null && z.light == Light.DARK;
+    return z != null && (z.light == Light.DARK || nowMs < z.backUntilMs);
   }
 
-  Set<String> dark() {
-    Set<String> out = new TreeSet<>();
-    zones.forEach(
-        (name, z) -> {
-          if (z.light == Light.DARK) {
-            out.add(name);
-          }
-        });
-    return out;
+  boolean dark(String name) {
+    Zone z = zones.get(name);
+    return z != null && z.light == Light.DARK;
   }
 }
--- a/src/main/java/wickdrift/daemon/Controller.java
+++ b/src/main/java/wickdrift/daemon/Controller.java
@@ -79,7 +79,16 @@
             settings.peers().size() + 1,
             tables);
     membership =
-        new Membership(timers, ledger, tables, tuning, settings.node(), index, incarnation, peers);
+        new Membership(
+            timers,
+            ledger,
+            tables,
+            tuning,
+            settings.node(),
+            settings.zone(),
+            index,
+            incarnation,
+            peers);
     relay = new Relay(timers, index, settings.nodeNames(), peers);
     scribe = new Scribe(timers, ledger, tables, board, types, membership, tuning, settings, index);
     Zones zones = new Zones(tuning.quietMs());
--- a/src/test/java/wickdrift/bookkeeping/RecordsTest.java
+++ b/src/test/java/wickdrift/bookkeeping/RecordsTest.java
@@ -10,7 +10,9 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.TreeMap;
+import java.util.TreeSet;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
@@ -340,7 +342,7 @@
   })
   void theNextView(String now, String leader, String live, String expected) {
     View v = new View(7, members(now), leader);
-    View n = View.next(v, members(live));
+    View n = View.next(v, members(live), Map.of());
     assertEquals(expected, n == null ? "-" : n.epoch() + n.leader());
   }
 
@@ -363,4 +365,29 @@
     }
     assertTrue(moved > 60, "parts are uneven: " + sizes);
   }
+
+  /** A machine's owner is in its own zone, unless that has none, or too few for so many. */
+  @ParameterizedTest(name = "{0} in {1}, machine in {2}: {3}")
+  @CsvSource({
+    "a1 b1 c1, x y y, x, a",
+    "a1 b1 c1, x y y, y, b c",
+    "a1 b1 c1, x y y, z, a b c",
+    "a1 b1 c1, x y y, , a b c",
+    "a1 b1 c1 d1 e1, x y y y y, x, a b c d e",
+    "a1 b1 c1 d1 e1, x y y y y, y, b c d e",
+    "b1 c1, y y, x, b c",
+  })
+  void partsKeepToTheirZone(String who, String zones, String zone, String owners) {
+    Map<String, String> at = new HashMap<>();
+    String[] w = who.split(" ");
+    for (int i = 0; i < w.length; i++) {
+      at.put(w[i].substring(0, 1), zones.split(" ")[i]);
+    }
+    View v = new View(1, members(who), "a", at);
+    Set<String> seen = new TreeSet<>();
+    for (int i = 0; i < 200; i++) {
+      seen.add(v.owner(String.format("i-%06d", i), zone));
+    }
+    assertEquals(owners, String.join(" ", seen));
+  }
 }
--- a/src/test/java/wickdrift/sim/ClusterTest.java
+++ b/src/test/java/wickdrift/sim/ClusterTest.java
@@ -640,6 +640,45 @@
     return looked / placed;
   }
 
+  /**
+   * A zone is cut off with its one controller, for longer than a worker's lease and than a silent
+   * machine is kept elsewhere. The controller inside is the owner of all its machines, so that it
+   * may answer them: what runs there lives, is not started again outside, and is there afterwards.
+   */
+  @ParameterizedTest
+  @ValueSource(longs = {171, 172, 173, 174})
+  void aZoneThatIsCutOffGoesOnInside(long seed) {
+    SimWorld w = new SimWorld(seed, 16, 24, "aab", 60);
+    w.run(8000);
+    for (int i = 0; i < 12; i++) {
+      w.submit(SimWorld.job(i, "daemon", 2, 1, 0), 0);
+    }
+    w.run(12_000);
+    assertEquals(24, w.starts());
+    w.cutZone("n2", true);
+    w.run(45_000);
+    w.cutZone("n2", false);
+    w.run(30_000);
+    assertEquals(List.of(), w.broken());
+    assertEquals(0, w.killedByLease());
+    assertEquals(24, w.starts());
+    assertEquals(0, w.deleted, "machines behind the cut were deleted");
+  }
+
+  /** Where the cut zone's controller ends too, its tasks do, and are started elsewhere in time. */
+  @ParameterizedTest
+  @ValueSource(longs = {181, 182, 183, 184})
+  void aZoneIsCutOffAndItsControllerCrashes(long seed) {
+    SimWorld w = new SimWorld(seed, 12, 24, "aab", 60);
+    List<String> finite = load(w, 40, seed);
+    w.clock.after(30_000, () -> w.cutZone("n2", true));
+    w.clock.after(36_000, () -> w.crash("n2", 5000));
+    w.clock.after(80_000, () -> w.cutZone("n2", false));
+    w.clock.after(85_000, () -> w.crash("n0", 5000));
+    w.run(420_000);
+    check(w, finite);
+  }
+
   /** The rules hold at a large size, and a decision takes no more work than at a small one. */
   @Test
   void aThousandMachinesAndFiveControllers() {
--- a/src/test/java/wickdrift/sim/SimWorker.java
+++ b/src/test/java/wickdrift/sim/SimWorker.java
@@ -36,6 +36,7 @@
   private boolean dead;
   boolean hung;
   boolean sick;
+  int killedByLease;
 
   /** If it takes that long to fetch an image. */
   long slowFetchMs;
@@ -147,6 +148,7 @@
   }
 
   private void lapse() {
+    killedByLease += tasks.size();
     tasks.values().forEach(this::off);
     tasks.clear();
     tenure++;
--- a/src/test/java/wickdrift/sim/SimWorld.java
+++ b/src/test/java/wickdrift/sim/SimWorld.java
@@ -60,6 +60,7 @@
   final List<String> nodes = new ArrayList<>();
 
   final double gpusMax;
+  private final String controllerZones;
 
   private final Map<String, Node> running = new HashMap<>();
   private final TreeMap<String, SimWorker> machines = new TreeMap<>();
@@ -122,8 +123,17 @@
   }
 
   public SimWorld(long seed, int machinesAtStart, int capacity, int controllers, double gpusMax) {
+    this(seed, machinesAtStart, capacity, "a".repeat(controllers), gpusMax);
+  }
+
+  /**
+   * @param controllers the zone of each, a letter
+   */
+  public SimWorld(
+      long seed, int machinesAtStart, int capacity, String controllers, double gpusMax) {
     this.gpusMax = gpusMax;
-    for (int i = 0; i < controllers; i++) {
+    this.controllerZones = controllers;
+    for (int i = 0; i < controllers.length(); i++) {
       nodes.add("n" + i);
     }
     this.random = new Random(seed);
@@ -211,14 +221,15 @@
   // ---- nodes ----
 
   private Settings settings(String node) {
-    StringBuilder b = new StringBuilder("host_name = \"" + node + "\"\nlocation = \"a\"\n");
     int self = node.charAt(1) - '0';
+    StringBuilder b = new StringBuilder("host_name = \"" + node + "\"\n");
+    b.append("location = \"").append(controllerZones.charAt(self)).append("\"\n");
     b.append("serve_on = \"10.0.0.").append(self).append(":1\"\nback = \"10.0.1.").append(self);
     b.append(":1\"\n");
     for (int i = 0; i < nodes.size(); i++) {
       if (i != self) {
         b.append("[[peers]]\nhost_name = \"n").append(i).append("\"\npeer_addr = \"10.0.1.");
-        b.append(i).append(":1\"\n");
+        b.append(i).append(":1\"\nlocation = \"").append(controllerZones.charAt(i)).append("\"\n");
       }
     }
     b.append(
@@ -423,6 +434,35 @@
     }
   }
 
+  /** Cuts a zone off from everything, its one controller and its workers with it, or heals it. */
+  public void cutZone(String node, boolean cut) {
+    String zone = "" + controllerZones.charAt(nodes.indexOf(node));
+    cutFromPeers(node, cut);
+    for (String other : List.of(STATE, CLOUD, "user")) {
+      cut(node, other, cut);
+    }
+    for (SimWorker w : workers()) {
+      for (String n : nodes) {
+        if (!n.equals(node) && w.zone.equals(zone) || n.equals(node) && !w.zone.equals(zone)) {
+          cut(n, w.address, cut);
+        }
+      }
+    }
+  }
+
+  private void cut(String a, String b, boolean cut) {
+    if (cut) {
+      net.cut(a, b, false);
+    } else {
+      net.heal(a, b);
+    }
+  }
+
+  /** How many tasks were killed by their workers' leases. */
+  public int killedByLease() {
+    return workers().stream().mapToInt(w -> w.killedByLease).sum();
+  }
+
   public SimState state() {
     return state;
   }
@@ -724,7 +764,7 @@
 
   /** Whose part a machine of that name would be in, as a node knows it. */
   public String owner(String node, String machine) {
-    return running.get(node).controller.tables().view().owner(machine);
+    return running.get(node).controller.tables().view().owner(machine, "a");
   }
 
   /** A report of an empty machine; the answer is in the array once it has come. */
