--- a/src/main/java/wickdrift/bookkeeping/Job.java
+++ b/src/main/java/wickdrift/bookkeeping/Job.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.Arrays;
+import java.util.BitSet;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
@@ -40,6 +41,10 @@
   private boolean withdrawn;
   private long withdrawnWallMs;
   private TaskState[] tasks;
+
+  /** The indices of those that wait: a round does not go over all of a large array. */
+  private BitSet waitingTasks;
+
   private long[] chunkStamps;
   private long[] chunkRevs;
   private int waiting;
@@ -119,6 +124,8 @@
       chunkStamps = new long[chunks()];
       chunkRevs = new long[chunks()];
       waiting = tasks.length;
+      waitingTasks = new BitSet(tasks.length);
+      waitingTasks.set(0, tasks.length);
     }
     acceptedWallMs = d.count("at");
     part = d.text("part");
@@ -336,6 +343,7 @@
     count(old.phase(), -1);
     count(next.phase(), 1);
     tasks[index] = next;
+    waitingTasks.set(index, next.phase() == TaskState.Phase.WAITING);
   }
 
   private void count(TaskState.Phase phase, int by) {
@@ -394,6 +402,11 @@
     return tasks[index];
   }
 
+  /** The first task from an index on that waits, or -1. */
+  public int nextWaiting(int from) {
+    return waitingTasks.nextSetBit(from);
+  }
+
   public int size() {
     return tasks.length;
   }
--- a/src/main/java/wickdrift/coordination/ByLoad.java
+++ b/src/main/java/wickdrift/coordination/ByLoad.java
@@ -27,7 +27,8 @@
     return c != 0 ? c : Integer.compare(a.machine().number(), b.machine().number());
   }
 
-  private int search(Room r) {
+  /** How many come before a room, which need not be here. */
+  int search(Room r) {
     int from = 0;
     int to = size;
     while (from < to) {
--- a/src/main/java/wickdrift/coordination/Rooms.java
+++ b/src/main/java/wickdrift/coordination/Rooms.java
@@ -345,20 +345,47 @@
           left -= counted;
         } else {
           // The border is in this cell and level.
-          while (left > 0) {
-            looked++;
-            start[i]--;
-            Room r = list.get(start[i]);
-            if (image || !r.fetching() && !r.listed.contains(s.image())) {
-              left--;
-            }
-          }
+          start[i] = image ? start[i] - left : border(c, listed(c, s), start[i], left);
+          left = 0;
         }
       }
     }
     return start;
   }
 
+  /**
+   * From where on, up to a place in a cell, there are {@code k} machines that neither have the
+   * image nor fetch another one. Half a large fleet may lie there, so it is searched by halving.
+   */
+  private int border(Cell c, Listed with, int end, int k) {
+    int from = 0;
+    int to = end;
+    // Invariant: enough lie behind from, and too few behind to.
+    while (to - from > 1) {
+      int mid = from + to >>> 1;
+      looked++;
+      int excluded =
+          between(with.all, c, mid, end)
+              + between(c.fetching, c, mid, end)
+              - between(with.fetching, c, mid, end);
+      if (end - mid - excluded >= k) {
+        from = mid;
+      } else {
+        to = mid;
+      }
+    }
+    return from;
+  }
+
+  /** How many of a part of a cell's machines lie between two places of the cell. */
+  private static int between(ByLoad part, Cell c, int from, int to) {
+    return place(part, c, to) - place(part, c, from);
+  }
+
+  private static int place(ByLoad part, Cell c, int at) {
+    return at < c.all.size() ? part.search(c.all.get(at)) : part.size();
+  }
+
   /** The least loaded that fits, from a place in the list on. */
   private Room least(ByLoad list, int from, JobSpec s) {
     if (list.size() == 0) {
@@ -505,7 +532,8 @@
         continue;
       }
       ByLoad l = withImage(c, s);
-      for (int i = 0; i < l.size() && n < most; i++) {
+      int withRoom = l.upTo(mostLoad(s, c.type));
+      for (int i = 0; i < withRoom && n < most; i++) {
         looked++;
         n += l.get(i).times(s);
       }
--- a/src/main/java/wickdrift/coordination/Scribe.java
+++ b/src/main/java/wickdrift/coordination/Scribe.java
@@ -969,7 +969,7 @@
     int placed = 0;
     // Of a job that seems to fail everywhere, one task is enough to see.
     int most = job.suspect() ? 1 : TASKS_A_ROUND;
-    for (int i = 0; i < job.size() && placed < most; i++) {
+    for (int i = job.nextWaiting(0); i >= 0 && placed < most; i = job.nextWaiting(i + 1)) {
       if (draft.state(job, i).phase() != TaskState.Phase.WAITING) {
         continue;
       }
--- a/src/test/java/wickdrift/sim/SimState.java
+++ b/src/test/java/wickdrift/sim/SimState.java
@@ -46,6 +46,8 @@
   private boolean out;
   private int commits;
   private int requests;
+  private long written;
+  private long read;
 
   public SimState(SimClock clock) {
     this.clock = clock;
@@ -119,6 +121,15 @@
     return requests;
   }
 
+  /** Bytes of all transactions, and of all answers. */
+  public long written() {
+    return written;
+  }
+
+  public long read() {
+    return read;
+  }
+
   public int commits() {
     return commits;
   }
@@ -203,6 +214,16 @@
 
   @Override
   public void serve(String from, String method, String path, byte[] body, Consumer<Answer> done) {
+    Consumer<Answer> answer =
+        a -> {
+          read += a.body() == null ? 0 : a.body().length;
+          done.accept(a);
+        };
+    serveInTime(from, method, path, body, answer);
+  }
+
+  private void serveInTime(
+      String from, String method, String path, byte[] body, Consumer<Answer> done) {
     long readLate = path.startsWith("/follow") ? slowReads.getOrDefault(from, 0L) : 0;
     if (path.equals("/commit") && lateShare > 0 && late.nextDouble() < lateShare) {
       // Its packets were lost and sent again, while other connections go on.
@@ -219,6 +240,7 @@
   private void serveNow(
       String from, String method, String path, byte[] body, Consumer<Answer> done) {
     requests++;
+    written += path.equals("/commit") ? body.length : 0;
     if (out || refused.contains(from)) {
       done.accept(answer(503, Map.of("error", "away")));
       return;
--- a/src/test/java/wickdrift/sim/SimWorld.java
+++ b/src/test/java/wickdrift/sim/SimWorld.java
@@ -13,6 +13,7 @@
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.function.Consumer;
+import java.util.function.UnaryOperator;
 import wickdrift.bookkeeping.Job;
 import wickdrift.bookkeeping.Machine;
 import wickdrift.bookkeeping.Tables;
@@ -61,6 +62,7 @@
 
   final double gpusMax;
   private final String controllerZones;
+  private final UnaryOperator<Tuning> tuning;
 
   private final Map<String, Node> running = new HashMap<>();
   private final TreeMap<String, SimWorker> machines = new TreeMap<>();
@@ -131,7 +133,18 @@
    */
   public SimWorld(
       long seed, int machinesAtStart, int capacity, String controllers, double gpusMax) {
+    this(seed, machinesAtStart, capacity, controllers, gpusMax, t -> t.withLog(2, 900));
+  }
+
+  SimWorld(
+      long seed,
+      int machinesAtStart,
+      int capacity,
+      String controllers,
+      double gpusMax,
+      UnaryOperator<Tuning> tuning) {
     this.gpusMax = gpusMax;
+    this.tuning = tuning;
     this.controllerZones = controllers;
     for (int i = 0; i < controllers.length(); i++) {
       nodes.add("n" + i);
@@ -305,7 +318,7 @@
     n.controller =
         new Controller(
             s,
-            Tuning.defaults(s).withLog(2, 900),
+            tuning.apply(Tuning.defaults(s)),
             timers,
             caller(name, n),
             peers,
@@ -795,10 +808,12 @@
     return rules.zoneOf(task);
   }
 
-  /** A figure of a node's metrics. */
+  /** A figure of a node's metrics, as they are now. */
   public double metric(String node, String name) {
     try {
-      Object v = Doc.parse(ask(node, "GET", "/metrics", null).body()).raw(name + ".VALUE");
+      Answer[] got = new Answer[1];
+      running.get(node).controller.handle(exchange("GET", "/metrics", null, a -> got[0] = a));
+      Object v = Doc.parse(got[0].body()).raw(name + ".VALUE");
       return ((Number) v).doubleValue();
     } catch (BadMessage e) {
       throw new AssertionError(e);
