Scribe split by what it decides: placing, marks, giving way, folding

It keeps the pipeline and what is proved; Placing decides which waiting tasks go where, Marks what is kept free for gangs, GivingWay what is stopped for others, Folding what of the logs is stored elsewhere.

Machines that only a log's old entries name are dropped after a load (they stayed for the life of the process).

--- a/src/main/java/wickdrift/bookkeeping/Tables.java
+++ b/src/main/java/wickdrift/bookkeeping/Tables.java
@@ -402,6 +402,8 @@
       }
     }
     jobs.values().forEach(Job::doneTogether);
+    // Named by what a log still says of tasks that are over; itself it was forgotten long ago.
+    machines.values().removeIf(m -> m.info() == null && m.live().isEmpty() && m.report() == null);
     appliedRev = rev;
   }
 
--- /dev/null
+++ b/src/main/java/wickdrift/coordination/Folding.java
@@ -0,0 +1,107 @@
+package wickdrift.coordination;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import wickdrift.bookkeeping.Job;
+import wickdrift.bookkeeping.Ledger;
+import wickdrift.bookkeeping.Page;
+import wickdrift.bookkeeping.Tables;
+import wickdrift.transport.Timers;
+
+/** Decides what of the logs is stored elsewhere, so that their pages can go. */
+final class Folding {
+  private static final long SHELVES_MS = 5000;
+
+  private final Timers timers;
+  private final Ledger ledger;
+  private final Tables tables;
+  private final Membership membership;
+  private final Tuning tuning;
+  private final String node;
+  private long nextShelvesMs;
+
+  Folding(
+      Timers timers,
+      Ledger ledger,
+      Tables tables,
+      Membership membership,
+      Tuning tuning,
+      String node) {
+    this.timers = timers;
+    this.ledger = ledger;
+    this.tables = tables;
+    this.membership = membership;
+    this.tuning = tuning;
+    this.node = node;
+  }
+
+  /**
+   * Stores what the oldest page says in the jobs' chunks and the machines' shelves, then deletes
+   * it. While there is other work this waits, until the log is twice as long as it should be.
+   */
+  void draft(Draft draft) {
+    List<String> logs = new ArrayList<>(List.of(node));
+    if (membership.leads()) {
+      // A node outside the view can't write: the leader does it.
+      for (String n : tables.logs()) {
+        if (!tables.view().members().containsKey(n)) {
+          logs.add(n);
+        }
+      }
+      forgetShelves(draft);
+    }
+    for (String n : logs) {
+      var pages = tables.log(n);
+      // What has ended by the time its page is the oldest needs no folding.
+      int keep = n.equals(node) ? tuning.logPages() : 0;
+      if (pages.size() > (draft.empty() ? keep : 2 * keep)) {
+        fold(draft, pages.firstEntry().getValue());
+      }
+    }
+  }
+
+  private void fold(Draft draft, Page p) {
+    Tables.Needed needed = tables.needed(p);
+    long rev = ledger.rev();
+    for (Map.Entry<Job, Set<Integer>> e : needed.chunks().entrySet()) {
+      Job job = e.getKey();
+      for (int c : e.getValue()) {
+        if (!draft.hasRoom() || !draft.hasConditions()) {
+          return;
+        }
+        draft.when(job.key(), job.stamp());
+        draft.write(job.chunkKey(c), job.encodeChunk(c, rev, job::task), job.chunkStamp(c));
+      }
+    }
+    for (String shelf : needed.shelves()) {
+      if (!draft.hasRoom() || !draft.hasConditions()) {
+        return;
+      }
+      draft.write(
+          Tables.shelfKey(shelf), tables.encodeShelf(shelf, rev), tables.shelf(shelf).stamp());
+    }
+    // In the same transaction: if a chunk can't be stored, the page stays.
+    if (draft.hasRoom() && draft.hasConditions()) {
+      draft.when(p.key(), p.stamp());
+      draft.delete(p.key());
+    }
+  }
+
+  /** A shelf whose machines are all forgotten goes when no page is left that names them. */
+  private void forgetShelves(Draft draft) {
+    long now = timers.nowMs();
+    if (!draft.empty() || now < nextShelvesMs) {
+      return;
+    }
+    nextShelvesMs = now + SHELVES_MS;
+    long oldest = tables.oldestEntry();
+    for (Map.Entry<String, Tables.Shelf> e : tables.shelves().entrySet()) {
+      if (e.getValue().rev() < oldest && tables.emptyShelf(e.getKey()) && draft.hasRoom()) {
+        draft.when(Tables.shelfKey(e.getKey()), e.getValue().stamp());
+        draft.delete(Tables.shelfKey(e.getKey()));
+      }
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/wickdrift/coordination/GivingWay.java
@@ -0,0 +1,168 @@
+package wickdrift.coordination;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.Predicate;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import wickdrift.bookkeeping.Job;
+import wickdrift.bookkeeping.Machine;
+import wickdrift.bookkeeping.TaskState;
+import wickdrift.daemon.Settings;
+import wickdrift.protocol.JobSpec;
+
+/** Decides when a job that finds no room stops work of lower priority, and where. */
+final class GivingWay {
+  private static final Logger LOG = LoggerFactory.getLogger(GivingWay.class);
+
+  /** A job that found nothing looks again after this. */
+  private static final long AGAIN_MS = 500;
+
+  /** So many jobs a round look for what to stop, each for so many of its tasks. */
+  private static final int PREEMPT_SCANS = 4;
+
+  private static final int PREEMPT_MOST = 16;
+
+  private final Rooms rooms;
+  private final Types types;
+  private final Marks marks;
+  private final Tuning tuning;
+  private final Settings settings;
+  private final String node;
+  private int preemptScans;
+
+  GivingWay(Rooms rooms, Types types, Marks marks, Tuning tuning, Settings settings) {
+    this.rooms = rooms;
+    this.types = types;
+    this.marks = marks;
+    this.tuning = tuning;
+    this.settings = settings;
+    this.node = settings.node();
+  }
+
+  void newRound() {
+    preemptScans = 0;
+  }
+
+  /**
+   * A job that finds no room stops work of lower priority: work of the lowest at once, for that
+   * takes what others leave and gives it back; other work when a good part of the time in which the
+   * job should start has passed.
+   */
+  void draft(Draft draft, Job job, boolean asLeader, Quota quota, long now) {
+    JobSpec spec = job.spec();
+    long waited = now - job.waitingSinceMs(now);
+    if (spec.priority() == JobSpec.Priority.LOW
+        || job.suspect()
+        || preemptScans >= PREEMPT_SCANS
+        || now < job.preemptAtMs()) {
+      return;
+    }
+    long patience = preemptAfterMs(spec);
+    if (waited < Math.min(patience, tuning.preemptLowMs()) || !quota.allows(spec)) {
+      return;
+    }
+    preemptScans++;
+    job.preemptAtMs(now + AGAIN_MS);
+    JobSpec.Priority strongest = waited < patience ? JobSpec.Priority.LOW : JobSpec.Priority.HIGH;
+    List<Room> may = new ArrayList<>();
+    Map<String, Integer> zones = Placing.zones(draft, job);
+    Predicate<Rooms.Cell> scope = Placing.scope(node, asLeader);
+    boolean gang = spec.shape() == JobSpec.Shape.GANG;
+    if (gang && asLeader) {
+      emptyMarked(draft, job, strongest, now);
+    }
+    int lack = job.waiting() - (gang ? marks.of(job).size() : 0);
+    if (lack <= 0) {
+      return;
+    }
+    rooms.each(spec, c -> scope.test(c) && Placing.zoneAllows(spec, zones, c.zone), may::add);
+    if (gang) {
+      keepToMarkedZone(job, may);
+      if (spec.oneZone()) {
+        keepToCheapestZone(may, spec, strongest, lack, now);
+      }
+    }
+    for (Preemption.Choice c :
+        Preemption.cheapest(may, spec, strongest, now, Math.min(lack, PREEMPT_MOST))) {
+      if (gang && asLeader) {
+        // Else what is stopped for it makes room for others.
+        marks.markFor(job, c.machine(), now);
+      }
+      stop(draft, job, c);
+    }
+  }
+
+  private void stop(Draft draft, Job job, Preemption.Choice c) {
+    for (Machine.Slot s : c.victims()) {
+      if (draft.takes(s.job(), 1)) {
+        if (draft.state(s.job(), s.index()).stop() == TaskState.Stop.NONE) {
+          LOG.info("{} gives way to {}", s.task(), job.id());
+        }
+        draft.change(
+            s.job(), s.index(), t -> t.live() ? t.stopping(Preemption.how(s.job().spec())) : t);
+      }
+    }
+  }
+
+  /** Stops what may be stopped on all the machines that a gang has marked, not one by one. */
+  private void emptyMarked(Draft draft, Job job, JobSpec.Priority strongest, long now) {
+    for (Machine m : marks.of(job)) {
+      TypeInfo t = m.info() == null ? null : types.find(m.info().type());
+      Preemption.Choice c =
+          t == null ? null : Preemption.on(new Room(m, t), job.spec(), strongest, now);
+      if (c != null) {
+        stop(draft, job, c);
+      }
+    }
+  }
+
+  /** Machines already marked are being emptied; the rest of a one-zone gang goes beside them. */
+  private void keepToMarkedZone(Job job, List<Room> may) {
+    List<Machine> mine = marks.of(job);
+    if (job.spec().oneZone() && !mine.isEmpty()) {
+      String zone = mine.get(0).info().zone();
+      may.removeIf(r -> !zone.equals(r.machine().info().zone()));
+    }
+    may.removeIf(r -> mine.contains(r.machine()));
+  }
+
+  /** Of the zones where enough machines can be emptied, the one where that costs least. */
+  private static void keepToCheapestZone(
+      List<Room> may, JobSpec spec, JobSpec.Priority strongest, int lack, long now) {
+    Map<String, List<Room>> byZone = new HashMap<>();
+    for (Room r : may) {
+      byZone.computeIfAbsent(r.machine().info().zone(), k -> new ArrayList<>()).add(r);
+    }
+    List<Room> best = List.of();
+    double least = Double.MAX_VALUE;
+    for (List<Room> rooms : byZone.values()) {
+      List<Preemption.Choice> all = Preemption.cheapest(rooms, spec, strongest, now, lack);
+      double lost = all.stream().mapToDouble(Preemption.Choice::lost).sum();
+      if (all.size() == lack && lost < least) {
+        least = lost;
+        best = rooms;
+      }
+    }
+    may.retainAll(Set.copyOf(best));
+  }
+
+  private long preemptAfterMs(JobSpec spec) {
+    double boot = 0;
+    for (TypeInfo t : types.all()) {
+      boot = Math.max(boot, t.canHold(spec) ? t.bootS() * 1000 : 0);
+    }
+    // Where a rented machine comes in time, it is waited for: stopping work wastes it.
+    long patient = Math.max(tuning.preemptMs(), (long) (boot * tuning.preemptBoots()));
+    for (Settings.Objective o : settings.objectives()) {
+      boolean ours = o.kind().equals("wait") && spec.jobClass().equals(o.jobClass());
+      if (ours && o.withinS() * 1000 < boot * tuning.preemptBoots()) {
+        patient = Math.min(patient, (long) (o.withinS() * 1000 * tuning.preemptShare()));
+      }
+    }
+    return patient;
+  }
+}
--- /dev/null
+++ b/src/main/java/wickdrift/coordination/Marks.java
@@ -0,0 +1,162 @@
+package wickdrift.coordination;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import wickdrift.bookkeeping.Job;
+import wickdrift.bookkeeping.Machine;
+import wickdrift.bookkeeping.Part;
+import wickdrift.bookkeeping.Tables;
+import wickdrift.bookkeeping.View;
+import wickdrift.daemon.Settings;
+import wickdrift.protocol.JobSpec;
+
+/** Decides, as the leader, which machines take no new tasks for the sake of gangs that wait. */
+final class Marks {
+  private static final long MARKS_MS = 500;
+  private static final int MARK_BYTES = 48;
+
+  private final Tables tables;
+  private final Board board;
+  private final Rooms rooms;
+  private final Tuning tuning;
+  private final Settings settings;
+
+  /** By gang, the machines that take no new tasks until it starts or gives them up. */
+  private final Map<String, List<Machine>> marks = new LinkedHashMap<>();
+
+  private long nextMarksMs;
+
+  Marks(Tables tables, Board board, Tuning tuning, Settings settings) {
+    this.tables = tables;
+    this.board = board;
+    this.rooms = board.rooms();
+    this.tuning = tuning;
+    this.settings = settings;
+  }
+
+  /** Marks are of one view: the part records were written anew. */
+  void clear() {
+    marks.clear();
+  }
+
+  /** The machines that a gang has marked. */
+  List<Machine> of(Job job) {
+    return marks.getOrDefault(job.id(), List.of());
+  }
+
+  /**
+   * A gang that has waited for a while marks the machines that will be empty soonest. Marks are in
+   * the part records, so that their owners place nothing there; here is only whose they are.
+   */
+  void draft(Draft draft, View v, long now) {
+    if (now < nextMarksMs) {
+      return;
+    }
+    nextMarksMs = now + MARKS_MS;
+    Map<String, Job> waitingGangs = new LinkedHashMap<>();
+    for (Job job : board.queue().waiting()) {
+      if (job.spec().shape() == JobSpec.Shape.GANG
+          && job.part().equals(Job.LEADER)
+          && job.live() == 0
+          && draft.live(job) == 0
+          && !job.suspect()) {
+        waitingGangs.put(job.id(), job);
+      }
+    }
+    marks.keySet().retainAll(waitingGangs.keySet());
+    for (List<Machine> l : marks.values()) {
+      l.removeIf(m -> m.phase() != Machine.Phase.UP);
+    }
+    Set<Machine> marked = new HashSet<>();
+    marks.values().forEach(marked::addAll);
+    for (Job job : waitingGangs.values()) {
+      if (now - job.waitingSinceMs(now) >= tuning.markWaitMs()) {
+        mark(job, marked, now);
+      }
+    }
+    Map<String, List<String>> wanted = new HashMap<>();
+    for (Machine m : marked) {
+      wanted.computeIfAbsent(m.owner(v), k -> new ArrayList<>()).add(m.name());
+    }
+    for (String member : v.members().keySet()) {
+      Part p = tables.part(member);
+      List<String> names = wanted.getOrDefault(member, List.of());
+      names = names.stream().sorted().limit(maxMarks()).toList();
+      if (p != null
+          && !p.taken().equals(names)
+          && draft.hasRoom()
+          && !draft.touches(Part.key(member))) {
+        draft.write(Part.key(member), p.with(names).toStore(), p.stamp());
+      }
+    }
+  }
+
+  /** So many names leave room in a part's record for its shares, whatever the limit of a value. */
+  private int maxMarks() {
+    return (int) (settings.stateLimits().valueKb() * 1024 / 2 / MARK_BYTES);
+  }
+
+  private void mark(Job job, Set<Machine> marked, long now) {
+    List<Machine> mine = marks.computeIfAbsent(job.id(), k -> new ArrayList<>());
+    while (mine.size() < job.waiting() && marked.size() < maxMarks()) {
+      String zone = job.spec().oneZone() && !mine.isEmpty() ? mine.get(0).info().zone() : null;
+      Soonest s = new Soonest(now);
+      rooms.each(
+          job.spec(),
+          c -> zone == null || zone.equals(c.zone),
+          r -> {
+            if (!marked.contains(r.machine())) {
+              s.look(r.machine());
+            }
+          });
+      if (s.best == null) {
+        return;
+      }
+      mine.add(s.best);
+      marked.add(s.best);
+    }
+  }
+
+  /** The machine that will be empty soonest, as far as the estimates tell. */
+  private static final class Soonest {
+    private final long now;
+    private Machine best;
+    private double bestLeft;
+
+    Soonest(long now) {
+      this.now = now;
+    }
+
+    void look(Machine m) {
+      double left = 0;
+      for (Machine.Slot s : m.live()) {
+        left = Math.max(left, s.leftMs(now));
+      }
+      if (left < Double.MAX_VALUE && (best == null || left < bestLeft)) {
+        best = m;
+        bestLeft = left;
+      }
+    }
+  }
+
+  void markFor(Job job, Machine m, long now) {
+    List<Machine> mine = marks.computeIfAbsent(job.id(), k -> new ArrayList<>());
+    if (!mine.contains(m) && mine.size() < job.waiting()) {
+      mine.add(m);
+      nextMarksMs = now;
+    }
+  }
+
+  void lend(Job job) {
+    of(job).forEach(board::lend);
+  }
+
+  void takeBack(Job job) {
+    of(job).forEach(board::takeBack);
+  }
+}
--- /dev/null
+++ b/src/main/java/wickdrift/coordination/Placing.java
@@ -0,0 +1,397 @@
+package wickdrift.coordination;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.BooleanSupplier;
+import java.util.function.Predicate;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import wickdrift.bookkeeping.Job;
+import wickdrift.bookkeeping.Machine;
+import wickdrift.bookkeeping.Part;
+import wickdrift.bookkeeping.Tables;
+import wickdrift.bookkeeping.TaskState;
+import wickdrift.bookkeeping.View;
+import wickdrift.daemon.Settings;
+import wickdrift.protocol.JobSpec;
+import wickdrift.transport.Timers;
+
+/** Decides which waiting tasks go where, or to which part their job is handed. */
+final class Placing {
+  private static final Logger LOG = LoggerFactory.getLogger(Placing.class);
+  private static final int TASKS_A_ROUND = 256;
+
+  /** So many jobs are tried a round; the next round goes on from what that has changed. */
+  private static final int TRIES_A_ROUND = 64;
+
+  /**
+   * A job that found no room looks again when there is more, or after this: a fetch may be over.
+   */
+  private static final long BLOCKED_MS = 500;
+
+  private static final int ZONE_COUNT = 4;
+
+  private final Timers timers;
+  private final Tables tables;
+  private final Board board;
+  private final Rooms rooms;
+  private final Types types;
+  private final Marks marks;
+  private final GivingWay givingWay;
+  private final Tuning tuning;
+  private final Settings settings;
+  private final String node;
+  private final int nodeIndex;
+  private final Set<String> controllerZones;
+  private final BooleanSupplier leadSettled;
+  private long placed;
+
+  Placing(
+      Timers timers,
+      Tables tables,
+      Board board,
+      Types types,
+      Tuning tuning,
+      Settings settings,
+      int nodeIndex,
+      BooleanSupplier leadSettled) {
+    this.timers = timers;
+    this.tables = tables;
+    this.board = board;
+    this.rooms = board.rooms();
+    this.types = types;
+    this.marks = new Marks(tables, board, tuning, settings);
+    this.givingWay = new GivingWay(rooms, types, marks, tuning, settings);
+    this.tuning = tuning;
+    this.settings = settings;
+    this.node = settings.node();
+    this.nodeIndex = nodeIndex;
+    this.controllerZones = settings.controllerZones();
+    this.leadSettled = leadSettled;
+  }
+
+  /** Marks are of one view: the part records were written anew. */
+  void newView() {
+    marks.clear();
+  }
+
+  /** Tasks placed so far, those of transactions that failed too. */
+  long placed() {
+    return placed;
+  }
+
+  void draft(Draft draft) {
+    View v = tables.view();
+    Part mine = tables.part(node);
+    if (mine == null || mine.epoch() != v.epoch()) {
+      return;
+    }
+    boolean leader = node.equals(v.leader());
+    long now = timers.nowMs();
+    rooms.newRound(now);
+    Quota quota = new Quota(settings, tables);
+    boolean placedAny = false;
+    Set<String> foreign = new HashSet<>();
+    List<JobSpec> noRoom = new ArrayList<>();
+    List<JobSpec> noRoomAnywhere = new ArrayList<>();
+    int tries = 0;
+    givingWay.newRound();
+    for (Job job : board.queue().waiting()) {
+      if (!draft.hasRoom() || !draft.hasConditions() || tries >= TRIES_A_ROUND) {
+        break;
+      }
+      if (!node.equals(v.placer(job.part(), job.id()))
+          || job.part().equals(Job.LEADER) && !leadSettled.getAsBoolean()) {
+        continue;
+      }
+      if (job.retryAtMs() > now) {
+        job.notWaiting();
+        continue;
+      }
+      if (job.stillBlocked(rooms.version(), now)) {
+        continue;
+      }
+      boolean asLeader = leader && job.part().equals(Job.LEADER);
+      if (!asLeader && !foreign.isEmpty()) {
+        // Others may have written meanwhile: what is in our own part is not to fail with that.
+        continue;
+      }
+      List<JobSpec> failed = asLeader ? noRoomAnywhere : noRoom;
+      int before = draft.live(job);
+      boolean hopeless = failed.stream().anyMatch(f -> needsNoLess(job.spec(), f));
+      if (!asLeader && draft.hasRoom() && imageIsElsewhere(job)) {
+        // The leader, who sees all parts, places it beside the image at once.
+        draft.handOver(job, Job.LEADER);
+        continue;
+      }
+      if (!hopeless) {
+        tries++;
+        if (job.spec().shape() == JobSpec.Shape.GANG) {
+          placeGang(draft, job, quota, v, foreign);
+        } else {
+          placeTasks(draft, job, asLeader, quota, v, foreign, failed);
+        }
+      }
+      if (draft.live(job) > before) {
+        placedAny = true;
+        draft.when(job.key(), job.stamp());
+        job.notWaiting();
+        if (job.suspect()) {
+          job.probed(now);
+        }
+        continue;
+      }
+      job.blocked(rooms.version(), now + BLOCKED_MS);
+      if (draft.hasRoom()) {
+        givingWay.draft(draft, job, asLeader, quota, now);
+        if (!asLeader && draft.hasRoom() && handOver(job, now)) {
+          draft.handOver(job, Job.LEADER);
+        }
+      }
+    }
+    if (leader && leadSettled.getAsBoolean()) {
+      marks.draft(draft, v, now);
+    }
+    if (placedAny && !draft.touches(Part.key(node))) {
+      draft.when(Part.key(node), mine.stamp());
+    }
+  }
+
+  /**
+   * Whether a service would have to fetch its image here, while another part has room beside it.
+   */
+  private boolean imageIsElsewhere(Job job) {
+    JobSpec spec = job.spec();
+    if (spec.shape() != JobSpec.Shape.SERVICE
+        || rooms.freeBesideImage(spec, node, job.waiting()) >= job.waiting()) {
+      return false;
+    }
+    int elsewhere = 0;
+    for (String member : tables.view().members().keySet()) {
+      elsewhere += member.equals(node) ? 0 : rooms.freeBesideImage(spec, member, job.waiting());
+    }
+    return elsewhere >= job.waiting();
+  }
+
+  /** Whether there is no room for it either, given that there was none for the other. */
+  private static boolean needsNoLess(JobSpec s, JobSpec failed) {
+    return s.cpus() >= failed.cpus()
+        && s.gpus() >= failed.gpus()
+        && s.memoryGb() >= failed.memoryGb()
+        && s.image().equals(failed.image())
+        && (failed.spot() || !s.spot())
+        && (failed.zone() == null || failed.zone().equals(s.zone()))
+        && (failed.types() == null || failed.types().equals(s.types()));
+  }
+
+  static Predicate<Rooms.Cell> scope(String node, boolean asLeader) {
+    return asLeader ? c -> true : c -> c.owner.equals(node);
+  }
+
+  /** A job waits in a full part while another part has room: the leader, who sees all, takes it. */
+  private boolean handOver(Job job, long now) {
+    return now - job.waitingSinceMs(now) >= tuning.handoverMs()
+        && !rooms.any(job.spec(), scope(node, false))
+        && rooms.any(job.spec(), scope(node, true));
+  }
+
+  /** How many of the job's live attempts are in each zone, as durable plus drafted. */
+  static Map<String, Integer> zones(Draft draft, Job job) {
+    Map<String, Integer> n = new HashMap<>();
+    if (!job.spec().oneZone() && !job.spec().spread() || draft.live(job) == 0) {
+      return n;
+    }
+    for (int i = 0; i < job.size(); i++) {
+      TaskState s = draft.state(job, i);
+      if (s.live()) {
+        Machine.Info info = s.machine().info();
+        // A machine whose record is gone may be in any zone; the mark blocks a one-zone job.
+        n.merge(info == null ? "?" : info.zone(), 1, Integer::sum);
+      }
+    }
+    return n;
+  }
+
+  static boolean zoneAllows(JobSpec s, Map<String, Integer> zones, String zone) {
+    int unknown = zones.getOrDefault("?", 0);
+    if (s.oneZone() && !zones.isEmpty() && !(zones.size() == 1 && zones.containsKey(zone))) {
+      return false;
+    }
+    return !s.spread() || zones.getOrDefault(zone, 0) + unknown < s.zoneLimit();
+  }
+
+  private void placeTasks(
+      Draft draft,
+      Job job,
+      boolean asLeader,
+      Quota quota,
+      View v,
+      Set<String> foreign,
+      List<JobSpec> failed) {
+    JobSpec spec = job.spec();
+    Map<String, Integer> zones = zones(draft, job);
+    Predicate<Rooms.Cell> scope = scope(node, asLeader);
+    int placed = 0;
+    // Of a job that seems to fail everywhere, one task is enough to see.
+    int most = job.suspect() ? 1 : TASKS_A_ROUND;
+    for (int i = job.nextWaiting(0); i >= 0 && placed < most; i = job.nextWaiting(i + 1)) {
+      if (draft.state(job, i).phase() != TaskState.Phase.WAITING) {
+        continue;
+      }
+      if (!draft.takes(job, 1) || !quota.allows(spec)) {
+        return;
+      }
+      Room r = chooseFor(spec, c -> scope.test(c) && zoneAllows(spec, zones, c.zone));
+      if (r == null && zones.isEmpty()) {
+        failed.add(spec);
+      }
+      if (r == null || !reserve(draft, r, v, foreign)) {
+        return;
+      }
+      put(draft, job, i, draft.state(job, i).attempt() + 1, r, quota);
+      zones.merge(r.machine().info().zone(), 1, Integer::sum);
+      placed++;
+    }
+  }
+
+  /**
+   * Replicas go to zones that have a controller, if there is room: when another zone is cut off, no
+   * one renews its workers' leases, and all that runs there ends. A machine that has the image is
+   * worth more than that.
+   */
+  private Room chooseFor(JobSpec spec, Predicate<Rooms.Cell> allowed) {
+    if (spec.shape() != JobSpec.Shape.SERVICE) {
+      return rooms.choose(spec, allowed);
+    }
+    Room near = rooms.choose(spec, allowed.and(c -> controllerZones.contains(c.zone)));
+    if (near != null && near.hasImage(spec)) {
+      return near;
+    }
+    Room any = rooms.choose(spec, allowed);
+    return near == null || any != null && any.hasImage(spec) ? any : near;
+  }
+
+  private void put(Draft draft, Job job, int index, int attempt, Room r, Quota quota) {
+    LOG.debug(
+        "placing {} {}/{} on {}, load {}, image there {}, {} ms after it was accepted",
+        job.spec().jobClass(),
+        job.id(),
+        index,
+        r.machine().name(),
+        r.load(),
+        r.hasImage(job.spec()),
+        timers.wallMs() - job.acceptedWallMs());
+    placed++;
+    rooms.book(r, job.spec());
+    quota.book(job.spec());
+    draft.change(job, index, t -> t.placed(attempt, r.machine(), nodeIndex));
+  }
+
+  /**
+   * The leader takes a machine of another's part by rewriting that part's record, and hands it back
+   * in the same step: from then on the booking itself is what the owner sees.
+   */
+  private boolean reserve(Draft draft, Room r, View v, Set<String> foreign) {
+    String owner = r.machine().owner(v);
+    if (owner.equals(node) || foreign.contains(owner)) {
+      return true;
+    }
+    Part p = tables.part(owner);
+    if (p == null || !draft.hasRoom()) {
+      return false;
+    }
+    draft.write(Part.key(owner), p.toStore(), p.stamp());
+    // The owner's own placements leave its part's record alone. Those that we have not seen yet
+    // are in its log: if it has written since, what we took for room may be gone.
+    draft.whenLogStands(owner);
+    foreign.add(owner);
+    return true;
+  }
+
+  /** A gang starts whole: every member has a machine, or none is placed. */
+  private void placeGang(Draft draft, Job job, Quota quota, View v, Set<String> foreign) {
+    JobSpec spec = job.spec();
+    if (draft.live(job) > 0 || draft.done(job) > 0 && job.waiting() == 0) {
+      return;
+    }
+    // Counted as drafted: members whose exits are in this transaction wait from then on.
+    int waiting = 0;
+    int attempt = 0;
+    for (int i = 0; i < job.size(); i++) {
+      attempt = Math.max(attempt, draft.state(job, i).attempt());
+      waiting += draft.state(job, i).phase() == TaskState.Phase.WAITING ? 1 : 0;
+    }
+    if (!quota.allows(spec, waiting)
+        || !draft.takesWhole(job, waiting, v.members().size() - foreign.size())
+        || !draft.hasRoom(v.members().size() - foreign.size())) {
+      return;
+    }
+    marks.lend(job);
+    List<Room> chosen = gangRooms(job, waiting);
+    for (int n = 0; chosen != null && n < chosen.size(); n++) {
+      if (!reserve(draft, chosen.get(n), v, foreign)) {
+        chosen = null;
+      }
+    }
+    if (chosen != null) {
+      int k = 0;
+      for (int i = 0; i < job.size(); i++) {
+        if (draft.state(job, i).phase() == TaskState.Phase.WAITING) {
+          put(draft, job, i, attempt + 1, chosen.get(k++), quota);
+        }
+      }
+    }
+    marks.takeBack(job);
+  }
+
+  /** Machines for all waiting members, or null; nothing stays booked. */
+  private List<Room> gangRooms(Job job, int waiting) {
+    JobSpec spec = job.spec();
+    List<String> tries = new ArrayList<>();
+    if (spec.oneZone()) {
+      // Zones that have a controller, and of those the one with the most room, first.
+      Map<String, Integer> room = new HashMap<>();
+      for (String z : rooms.zones()) {
+        room.put(z, rooms.count(spec, c -> c.zone.equals(z), ZONE_COUNT * waiting));
+        if (room.get(z) >= waiting) {
+          tries.add(z);
+        }
+      }
+      tries.sort(
+          Comparator.comparing((String z) -> !controllerZones.contains(z))
+              .thenComparingInt(z -> -room.get(z)));
+    } else {
+      tries.add(null);
+    }
+    for (String zone : tries) {
+      List<Room> chosen = new ArrayList<>();
+      List<Room.Saved> saved = new ArrayList<>();
+      Map<String, Integer> zones = new HashMap<>();
+      for (int n = 0; n < waiting; n++) {
+        Room r =
+            rooms.choose(
+                spec,
+                c -> (zone == null || zone.equals(c.zone)) && zoneAllows(spec, zones, c.zone));
+        if (r == null) {
+          break;
+        }
+        saved.add(r.save());
+        rooms.book(r, spec);
+        zones.merge(r.machine().info().zone(), 1, Integer::sum);
+        chosen.add(r);
+      }
+      for (int n = chosen.size() - 1; n >= 0; n--) {
+        rooms.restore(chosen.get(n), saved.get(n));
+      }
+      if (chosen.size() == waiting) {
+        return chosen;
+      }
+    }
+    return null;
+  }
+}
