Members share the store's writes by what they tell each other; users take three quarters

Each of three members allowed itself half of the writes, and submissions went past the node's budget altogether; after each 429 it began from nothing, for placements too.

Change: frames between controllers tell how many writes a second each sends; what the others leave is ours, an even share is the least and all that is saved up. Submissions keep to the budget, before placements, but to three quarters of it. What the budget holds back goes to the head of the line again, not to its end.

ClusterTest.submissionsAtOnceKeepToTheLimitOfWrites (800 jobs in two seconds, three and five controllers) fails without it.

--- a/src/main/java/wickdrift/bookkeeping/Bucket.java
+++ b/src/main/java/wickdrift/bookkeeping/Bucket.java
@@ -1,40 +1,53 @@
 package wickdrift.bookkeeping;
 
-/** A token bucket holding one second's worth. */
+/** A token bucket holding one second's worth, or less. */
 public final class Bucket {
   private double perSecond;
+  private double most;
   private double tokens;
   private long lastMs;
 
   public Bucket(double perSecond, long nowMs) {
     this.perSecond = perSecond;
+    this.most = perSecond;
     this.tokens = perSecond;
     this.lastMs = nowMs;
   }
 
   /** Takes {@code n} unless that leaves less than {@code reserve}. */
   public boolean take(double n, double reserve, long nowMs) {
-    tokens = Math.min(perSecond, tokens + perSecond * (nowMs - lastMs) / 1000.0);
+    tokens = Math.min(most, tokens + perSecond * (nowMs - lastMs) / 1000.0);
     lastMs = nowMs;
-    if (tokens - n < Math.min(reserve, perSecond - n)) {
+    if (tokens - n < Math.min(reserve, most - n)) {
       return false;
     }
     tokens -= n;
     return true;
   }
 
+  /** Whether {@code n} could be taken. */
+  public boolean has(double n, long nowMs) {
+    return Math.min(most, tokens + perSecond * (nowMs - lastMs) / 1000.0) >= Math.min(n, most);
+  }
+
   /** Another rate from now on. */
   public void rate(double newPerSecond) {
+    rate(newPerSecond, newPerSecond);
+  }
+
+  /** Another rate from now on, of which no more than that is saved up. */
+  public void rate(double newPerSecond, double newMost) {
     perSecond = newPerSecond;
+    most = newMost;
   }
 
   /** How full it is, from 0 to 1. */
   public double level(long nowMs) {
-    return Math.min(1, (tokens + perSecond * (nowMs - lastMs) / 1000.0) / perSecond);
+    return Math.min(1, (tokens + perSecond * (nowMs - lastMs) / 1000.0) / most);
   }
 
   public void fill() {
-    tokens = perSecond;
+    tokens = most;
   }
 
   /** The far side says that the limit is passed: what we thought we had is gone. */
--- a/src/main/java/wickdrift/bookkeeping/Ledger.java
+++ b/src/main/java/wickdrift/bookkeeping/Ledger.java
@@ -28,6 +28,17 @@
   private static final long HOLD_MS = 10_000;
   private static final int PAGE = 400;
 
+  /** Of the writes that the state service takes a second. */
+  private static final double USED = 0.95;
+
+  private static final long WINDOW_MS = 500;
+
+  /** Of our writes, what submissions may take: hundreds at once are not to stop all placements. */
+  private static final double USERS = 0.75;
+
+  /** Left for authority and users. */
+  private static final double RESERVE = 3;
+
   /** Loading until a whole copy is there and has been caught up; then following. */
   public enum Phase {
     LOADING,
@@ -74,10 +85,15 @@
   private final Applier applier;
   private final Bucket requests;
   private final Bucket writes;
+  private final Bucket userWrites;
   private final double rps;
   private final int nodes;
   private final double writeRps;
   private double requestReserve;
+  private double fairWrites;
+  private long windowMs;
+  private int window;
+  private int lastWindow;
   private long syncGapMs;
 
   private Phase phase = Phase.LOADING;
@@ -114,22 +130,48 @@
     this.writeRps = writeRps;
     this.requests = new Bucket(1, now);
     this.writes = new Bucket(1, now);
+    this.userWrites = new Bucket(1, now);
     sharedBy(nodes);
     requests.fill();
     writes.fill();
+    userWrites.fill();
     this.lastOkMs = now;
   }
 
-  /**
-   * So many members share the limits. Half of the writes each is more than a fair share: seldom do
-   * all write at once, and an answer of 429 only delays. Requests leave room for one that joins.
-   */
+  /** So many members share the limits. Requests leave room for one that joins. */
   public final void sharedBy(int members) {
     double share = rps / Math.min(nodes, members + 1) * 0.95;
     requests.rate(share);
     requestReserve = share * 0.25;
     syncGapMs = Math.max(5, (long) (1000 / (share * 0.45)));
-    writes.rate(writeRps * Math.max(0.5, 0.95 / Math.max(1, members)));
+    fairWrites = writeRps * USED / Math.max(1, members);
+    othersWrite((members - 1) * fairWrites / 2);
+  }
+
+  /**
+   * What the other members are taken to write a second. What they leave is ours, but only an even
+   * share is saved up: were all to begin at once, the sum would still keep to the limit.
+   */
+  public void othersWrite(double perSecond) {
+    double ours = Math.max(fairWrites, writeRps * USED - perSecond);
+    writes.rate(ours, fairWrites);
+    userWrites.rate(ours * USERS, fairWrites * USERS);
+  }
+
+  /** An even share of the writes that the state service takes. */
+  public double fairWrites() {
+    return fairWrites;
+  }
+
+  /** How many writes a second we have sent lately. */
+  public double writing() {
+    long now = timers.nowMs();
+    if (now - windowMs >= WINDOW_MS) {
+      lastWindow = now - windowMs < 2 * WINDOW_MS ? window : 0;
+      window = 0;
+      windowMs = now;
+    }
+    return Math.max(window, lastWindow) * 1000.0 / WINDOW_MS;
   }
 
   public Phase phase() {
@@ -403,16 +445,34 @@
 
   // ---- writing ----
 
-  /**
-   * Commits. {@code urgent} transactions (views, leases, submissions) may use the last of the write
-   * budget; others leave a reserve.
-   */
-  public void commit(Txn txn, boolean urgent, Consumer<Result> done) {
+  /** Whose writes come first. */
+  public enum Rank {
+    /** Views, members, fences: never held back. */
+    AUTHORITY,
+    /** Submissions and withdrawals: before our work, but for a part that is kept for that. */
+    USER,
+    /** Placements, exits, records, and tidying up. */
+    WORK
+  }
+
+  /** Commits, or refuses at once where the budget of writes does not allow it. */
+  public void commit(Txn txn, Rank rank, Consumer<Result> done) {
     long now = timers.nowMs();
-    if (txn.changes() > 0 && !writes.take(txn.changes(), urgent ? -1e9 : 3, now)) {
+    int n = txn.changes();
+    boolean allowed =
+        switch (rank) {
+          case AUTHORITY -> writes.take(n, -1e9, now);
+          // Only one of them may be short: what was taken from the first is not to be lost.
+          case USER ->
+              userWrites.has(n, now) && writes.take(n, 0, now) && userWrites.take(n, 0, now);
+          case WORK -> writes.take(n, RESERVE, now);
+        };
+    if (n > 0 && !allowed) {
       timers.after(1, () -> done.accept(new Result(Outcome.REFUSED, 0, Set.of(), false)));
       return;
     }
+    writing();
+    window += txn.changes();
     call("POST", "/commit", Pack.encode(txn.toWire()), CALL_MS, a -> done.accept(result(a)));
   }
 
--- a/src/main/java/wickdrift/coordination/Admission.java
+++ b/src/main/java/wickdrift/coordination/Admission.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -174,7 +175,7 @@
       pump();
       return;
     }
-    ledger.commit(txn, true, r -> accepted(r, batch));
+    ledger.commit(txn, Ledger.Rank.USER, r -> accepted(r, batch));
   }
 
   private void refuse(Submission s, String why) {
@@ -223,7 +224,11 @@
               });
       case REFUSED -> {
         if (ledger.reachable()) {
-          batch.values().forEach(queue::addAll);
+          // Back where they were: the oldest is not to give up for those that came later.
+          List<Submission> again = new ArrayList<>();
+          batch.values().forEach(again::addAll);
+          Collections.reverse(again);
+          again.forEach(queue::addFirst);
           busy = true;
           timers.after(
               RETRY_MS,
@@ -435,7 +440,7 @@
                 Job.toStore(job.spec(), job.acceptedWallMs(), job.part(), timers.wallMs()));
     ledger.commit(
         txn,
-        true,
+        Ledger.Rank.USER,
         r -> {
           switch (r.outcome()) {
             case OK -> x.reply(200, Map.of("ref", job.id(), "phase", WITHDRAWN));
--- a/src/main/java/wickdrift/coordination/Membership.java
+++ b/src/main/java/wickdrift/coordination/Membership.java
@@ -20,6 +20,7 @@
   private static final Logger LOG = LoggerFactory.getLogger(Membership.class);
   private static final long TICK_MS = 250;
   private static final long PEER_FRESH_MS = 2000;
+  private static final double BUSIER = 1.25;
   private static final long BARRIER_MS = 1500;
 
   /** How this node stands. */
@@ -32,7 +33,7 @@
     GRACE
   }
 
-  private record Heard(boolean stateOk, long atMs) {}
+  private record Heard(boolean stateOk, long atMs, int writes) {}
 
   private final Timers timers;
   private final Ledger ledger;
@@ -157,6 +158,7 @@
       considerView();
     }
     tellPeers();
+    shareWrites();
   }
 
   // ---- the lease ----
@@ -212,7 +214,7 @@
             .write(key, Map.of("inc", incarnation, "zone", zone), tether);
     ledger.commit(
         txn,
-        true,
+        Ledger.Rank.AUTHORITY,
         r -> {
           if (r.noLease()) {
             tether = 0;
@@ -274,7 +276,7 @@
         next.leader());
     ledger.commit(
         txn,
-        true,
+        Ledger.Rank.AUTHORITY,
         r ->
             ledger.barrier(
                 2000,
@@ -286,14 +288,40 @@
 
   // ---- peers ----
 
+  /**
+   * The writes that the others leave are ours. One that is idle may begin at any time, one that is
+   * busy may become busier, and of one that is not heard half an even share is assumed.
+   */
+  private void shareWrites() {
+    View v = tables.view();
+    if (v == null) {
+      return;
+    }
+    double fair = ledger.fairWrites();
+    long now = timers.nowMs();
+    int known = 0;
+    double others = 0;
+    for (Heard h : heard.values()) {
+      if (now - h.atMs < PEER_FRESH_MS) {
+        known++;
+        others += Math.max(h.writes * BUSIER, fair / 4);
+      }
+    }
+    int unknown = Math.max(0, v.members().size() - 1 - known);
+    ledger.othersWrite(others + unknown * fair / 2);
+  }
+
   private void tellPeers() {
     long epoch = tables.view() == null ? 0 : tables.view().epoch();
-    ByteBuffer frame = new PeerFrame.Standing(nodeIndex, epoch, ledger.reachable()).encode();
+    ByteBuffer frame =
+        new PeerFrame.Standing(
+                nodeIndex, epoch, ledger.reachable(), (int) Math.ceil(ledger.writing()))
+            .encode();
     peers.values().forEach(p -> p.accept(frame.duplicate()));
   }
 
   public void peerStands(PeerFrame.Standing s) {
-    heard.put(s.from(), new Heard(s.stateOk(), timers.nowMs()));
+    heard.put(s.from(), new Heard(s.stateOk(), timers.nowMs(), s.writes()));
     peerEpoch = Math.max(peerEpoch, s.epoch());
   }
 }
--- a/src/main/java/wickdrift/coordination/Scribe.java
+++ b/src/main/java/wickdrift/coordination/Scribe.java
@@ -255,7 +255,7 @@
     transactions++;
     boolean places = draft.places();
     Txn txn = draft.finish();
-    ledger.commit(txn, false, r -> committed(r, places));
+    ledger.commit(txn, Ledger.Rank.WORK, r -> committed(r, places));
   }
 
   private Draft draft() {
@@ -303,7 +303,7 @@
           Txn txn = new Txn().when(Part.key(node), p.stamp()).write(Part.key(node), p.toStore());
           ledger.commit(
               txn,
-              true,
+              Ledger.Rank.AUTHORITY,
               r -> {
                 if (r.outcome() == Ledger.Outcome.OK) {
                   ledger.whenAt(r.rev(), this::ready);
--- a/src/main/java/wickdrift/protocol/PeerFrame.java
+++ b/src/main/java/wickdrift/protocol/PeerFrame.java
@@ -6,7 +6,7 @@
  * What controllers say to each other, laid out by hand: version, kind, sender, then the kind's own.
  */
 public sealed interface PeerFrame {
-  byte VERSION = 2;
+  byte VERSION = 3;
   byte STANDING = 1;
   byte REPORT = 2;
   byte ANSWER = 3;
@@ -17,11 +17,18 @@
 
   ByteBuffer encode();
 
-  /** How the sender stands: its epoch, and whether the state service serves it. */
-  record Standing(int from, long epoch, boolean stateOk) implements PeerFrame {
+  /**
+   * How the sender stands: its epoch, whether the state service serves it, and how many writes a
+   * second it sends there.
+   */
+  record Standing(int from, long epoch, boolean stateOk, int writes) implements PeerFrame {
     @Override
     public ByteBuffer encode() {
-      return head(STANDING, from, 9).put((byte) (stateOk ? 1 : 0)).putLong(epoch).flip();
+      return head(STANDING, from, 13)
+          .put((byte) (stateOk ? 1 : 0))
+          .putLong(epoch)
+          .putInt(writes)
+          .flip();
     }
   }
 
@@ -55,14 +62,14 @@
     }
     byte kind = b.get();
     int from = b.get();
-    int least = kind == STANDING ? 9 : kind == REPORT ? 8 : 10;
+    int least = kind == STANDING ? 13 : kind == REPORT ? 8 : 10;
     if (b.remaining() < least) {
       throw new BadMessage("a frame that ends early");
     }
     switch (kind) {
       case STANDING -> {
         boolean ok = b.get() == 1;
-        return new Standing(from, b.getLong(), ok);
+        return new Standing(from, b.getLong(), ok, b.getInt());
       }
       case REPORT -> {
         return new Relayed(from, b.getLong(), rest(b));
--- a/src/test/java/wickdrift/sim/ClusterTest.java
+++ b/src/test/java/wickdrift/sim/ClusterTest.java
@@ -10,6 +10,7 @@
 import java.util.Map;
 import java.util.Random;
 import java.util.function.Consumer;
+import java.util.function.UnaryOperator;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
@@ -640,6 +641,30 @@
     return looked / placed;
   }
 
+  /**
+   * Hundreds of jobs within two seconds: the controllers share the writes that the state service
+   * allows without being told so by a 429, and what is accepted first starts before the last is.
+   */
+  @ParameterizedTest
+  @ValueSource(ints = {3, 5})
+  void submissionsAtOnceKeepToTheLimitOfWrites(int controllers) {
+    SimWorld w =
+        new SimWorld(201, 40, 40, "a".repeat(controllers), 10_000, UnaryOperator.identity());
+    w.run(8000);
+    for (int i = 0; i < 800; i++) {
+      int n = i;
+      w.clock.after(i * 2000 / 800, () -> w.submit(SimWorld.job(n, "batch", 1, 0.1, 5), 0));
+    }
+    w.run(5000);
+    assertTrue(w.accepted.size() > 150, "accepted " + w.accepted.size());
+    assertTrue(w.accepted.size() < 800, "no queue, so nothing is shown");
+    assertTrue(w.starts() > 50, "started " + w.starts());
+    w.run(60_000);
+    assertEquals(800, w.accepted.size());
+    assertEquals(0, w.state().overWritten());
+    assertEquals(List.of(), w.broken());
+  }
+
   /**
    * A zone is cut off with its one controller, for longer than a worker's lease and than a silent
    * machine is kept elsewhere. The controller inside is the owner of all its machines, so that it
--- a/src/test/java/wickdrift/sim/SimState.java
+++ b/src/test/java/wickdrift/sim/SimState.java
@@ -28,6 +28,9 @@
   private static final int VALUE_BYTES = 4096;
   private static final int TXN_OPS = 8;
 
+  /** Writes a second, and so many at once, as the settings say. */
+  private static final double WRITES = 100;
+
   private final SimClock clock;
   private final TreeMap<String, Entry> entries = new TreeMap<>();
   private final List<Change> changes = new ArrayList<>();
@@ -49,6 +52,12 @@
   private long written;
   private long read;
 
+  /** The writes that the limit still allows, and how often it was passed. */
+  private double allowed = WRITES;
+
+  private long allowedAtMs;
+  private int overWritten;
+
   public SimState(SimClock clock) {
     this.clock = clock;
     sweep();
@@ -121,6 +130,22 @@
     return requests;
   }
 
+  /** How many transactions the limit of writes did not allow. */
+  public int overWritten() {
+    return overWritten;
+  }
+
+  private void count(int changes) {
+    long now = clock.nowMs();
+    allowed = Math.min(WRITES, allowed + WRITES * (now - allowedAtMs) / 1000.0);
+    allowedAtMs = now;
+    if (changes > allowed) {
+      overWritten++;
+    } else {
+      allowed -= changes;
+    }
+  }
+
   /** Bytes of all transactions, and of all answers. */
   public long written() {
     return written;
@@ -378,6 +403,7 @@
 
   private Answer commit(Doc d) throws BadMessage {
     commits++;
+    count(d.docs("then").size());
     List<Object> failed = new ArrayList<>();
     for (Doc w : d.docs("when")) {
       Entry e = entries.get(w.text("key"));
