--- a/src/main/java/wickdrift/bookkeeping/Machine.java
+++ b/src/main/java/wickdrift/bookkeeping/Machine.java
@@ -135,6 +135,7 @@
   Report report;
   private long heardMs;
   private boolean quiet;
+  private long ownedSinceMs;
   private long answeredMs;
   private long lapseBaseMs;
   private boolean synced;
@@ -361,7 +362,8 @@
   }
 
   /** A new owner starts with no report: an old one proves nothing to it. */
-  public void forgetReports(long lapseBase) {
+  public void forgetReports(long lapseBase, long nowMs) {
+    ownedSinceMs = nowMs;
     note();
     report = null;
     quiet = false;
@@ -369,6 +371,11 @@
     lapseBaseMs = Math.max(lapseBaseMs, lapseBase);
   }
 
+  /** Since when nothing was heard, for whoever answers it; a new owner has not listened before. */
+  public long silentSinceMs() {
+    return Math.max(heardMs, ownedSinceMs);
+  }
+
   /** Its worker has missed two reports: until the next one it takes no new task. */
   public void quiet() {
     if (!quiet && report != null) {
--- a/src/main/java/wickdrift/coordination/Reporting.java
+++ b/src/main/java/wickdrift/coordination/Reporting.java
@@ -153,14 +153,14 @@
         now.add(m.name());
         if (skipped || !owned.contains(m.name())) {
           // Its owner until now may go on answering it for as long as the grace allows.
-          m.forgetReports(viewSinceMs + tuning.graceMs());
+          m.forgetReports(viewSinceMs + tuning.graceMs(), viewSinceMs);
           runs.remove(m);
         }
         if (m.report() == null && m.phase() == Machine.Phase.UP) {
           unheard.add(m.name());
         }
       } else {
-        m.forgetReports(0);
+        m.forgetReports(0, viewSinceMs);
         runs.remove(m);
         waits.remove(m);
         directs.remove(m);
@@ -542,7 +542,9 @@
       if (!node.equals(m.owner(v))) {
         continue;
       }
-      long silent = now - Math.max(m.heardMs(), Math.max(viewSinceMs, pulse.listeningSinceMs()));
+      // A change of view is no news of a machine that was ours before: with one every few seconds
+      // none would ever be found silent.
+      long silent = now - Math.max(m.silentSinceMs(), pulse.listeningSinceMs());
       if ((up || lost) && silent > tuning.quietMs()) {
         m.quiet();
         zones.silent(m.info().zone());
