--- a/src/test/java/wickdrift/sim/ClusterTest.java
+++ b/src/test/java/wickdrift/sim/ClusterTest.java
@@ -641,6 +641,27 @@
     return looked / placed;
   }
 
+  /**
+   * With a change of view every few seconds, a machine that has died is found silent by the owner
+   * that it had all along: a change of view is no news of it.
+   */
+  @Test
+  void silenceCountsThroughChangesOfView() {
+    SimWorld w = new SimWorld(211, 12, 12);
+    w.run(8000);
+    int dead = 0;
+    while (!w.owner("n0", w.workers().get(dead).name).equals("n0")) {
+      dead++;
+    }
+    w.killMachine(dead);
+    for (int i = 0; i < 4; i++) {
+      w.crash(i % 2 == 0 ? "n1" : "n2", 5000);
+      w.run(6500);
+    }
+    assertTrue(w.epoch("n0") >= 7, "epoch " + w.epoch("n0"));
+    assertTrue(w.lost, "never found silent");
+  }
+
   /**
    * Hundreds of jobs within two seconds: the controllers share the writes that the state service
    * allows without being told so by a 429, and what is accepted first starts before the last is.
