--- a/src/main/java/wickdrift/coordination/Board.java
+++ b/src/main/java/wickdrift/coordination/Board.java
@@ -1,11 +1,9 @@
 package wickdrift.coordination;
 
 import java.util.ArrayList;
-import java.util.EnumMap;
 import java.util.HashSet;
 import java.util.LinkedHashSet;
 import java.util.List;
-import java.util.Map;
 import java.util.Set;
 import java.util.function.Predicate;
 import org.slf4j.Logger;
@@ -37,8 +35,6 @@
   private final Set<Job> halting = new LinkedHashSet<>();
   private final Set<Job> leaving = new LinkedHashSet<>();
   private final Set<Machine> gone = new LinkedHashSet<>();
-  private final Map<Machine.Phase, Set<Machine>> byPhase = new EnumMap<>(Machine.Phase.class);
-  private final Set<Machine> empty = new LinkedHashSet<>();
   private final Set<Machine> shunned = new HashSet<>();
   private final Set<Machine> changed = new LinkedHashSet<>();
   private Predicate<Machine> pending = m -> false;
@@ -51,9 +47,6 @@
     this.types = types;
     this.node = settings.node();
     this.queue = new Queue(settings);
-    for (Machine.Phase p : Machine.Phase.values()) {
-      byPhase.put(p, new LinkedHashSet<>());
-    }
   }
 
   /** Machines with a change of their record on the way take no tasks. */
@@ -87,16 +80,6 @@
     return leaving;
   }
 
-  /** The machines in a phase, as of the last update; a copy, for what is decided may change it. */
-  List<Machine> in(Machine.Phase p) {
-    return new ArrayList<>(byPhase.get(p));
-  }
-
-  /** Machines that are up with nothing on them. */
-  Set<Machine> empty() {
-    return empty;
-  }
-
   Set<Machine> gone() {
     return gone;
   }
@@ -117,9 +100,6 @@
       typesSeen = types.all().size();
       rooms.clear();
       shunned.clear();
-      // Some may have gone while there was no view, when nobody was told.
-      byPhase.values().forEach(Set::clear);
-      empty.clear();
       for (Machine m : new ArrayList<>(tables.machines())) {
         machine(m);
       }
@@ -177,8 +157,6 @@
       return;
     }
     boolean there = tables.machine(m.name()) == m;
-    byPhase.forEach((p, all) -> member(all, m, there && m.phase() == p));
-    member(empty, m, there && m.phase() == Machine.Phase.UP && m.live().isEmpty());
     member(gone, m, there && m.phase() == Machine.Phase.GONE && !m.live().isEmpty());
     TypeInfo t = m.info() == null ? null : types.find(m.info().type());
     String owner = m.owner(v);
--- a/src/main/java/wickdrift/coordination/Fleet.java
+++ b/src/main/java/wickdrift/coordination/Fleet.java
@@ -70,7 +70,7 @@
   private final Map<String, Long> absentSince = new HashMap<>();
   private final Map<String, Boolean> everListed = new HashMap<>();
   private final Map<String, Long> deleted = new HashMap<>();
-  private final Map<Machine, Long> emptySince = new HashMap<>();
+  private final Map<String, Long> emptySince = new HashMap<>();
   private final Map<Kind, Long> refusedUntil = new HashMap<>();
   private final List<Rental> rentals = new ArrayList<>();
 
@@ -154,7 +154,6 @@
       fromNothing = false;
       listedMs = Long.MIN_VALUE;
     }
-    board.update();
     if (now - toldMs >= TELL_MS) {
       toldMs = now;
       tell();
@@ -355,27 +354,37 @@
   private void deleteUnwanted() {
     long wall = timers.wallMs();
     deleteOverdue(wall);
-    for (Machine m : board.in(Machine.Phase.BOOTING)) {
-      TypeInfo t = types.find(m.info().type());
-      double boot = t == null ? 60 : t.bootS();
-      // One that came up meanwhile has told its owner, perhaps not yet us.
-      if (wall - m.info().atMs() > boot * 4000 + 5000 && settled()) {
-        condemn(m.name(), "it does not come up");
-      }
-    }
-    for (Machine m : board.in(Machine.Phase.LOST)) {
-      if (wall - m.info().atMs() > keepLostMs(m.info().zone()) && settled()) {
-        condemn(m.name(), "it is silent");
-      }
-    }
-    for (Machine m : board.in(Machine.Phase.DRAINING)) {
-      if (m.live().isEmpty() && wall - m.info().atMs() > 1000) {
-        condemn(m.name(), "it is empty and not needed");
+    for (Machine m : new ArrayList<>(tables.machines())) {
+      Machine.Info i = m.info();
+      if (i == null) {
+        continue;
       }
-    }
-    for (Machine m : board.in(Machine.Phase.GONE)) {
-      if (m.live().isEmpty() && !scribe.recording(m)) {
-        scribe.record(m, null);
+      long age = wall - i.atMs();
+      switch (i.phase()) {
+        case BOOTING -> {
+          TypeInfo t = types.find(i.type());
+          double boot = t == null ? 60 : t.bootS();
+          // One that came up meanwhile has told its owner, perhaps not yet us.
+          if (age > boot * 4000 + 5000 && settled()) {
+            condemn(m.name(), "it does not come up");
+          }
+        }
+        case LOST -> {
+          if (age > keepLostMs(i.zone()) && settled()) {
+            condemn(m.name(), "it is silent");
+          }
+        }
+        case DRAINING -> {
+          if (m.live().isEmpty() && age > 1000) {
+            condemn(m.name(), "it is empty and not needed");
+          }
+        }
+        case GONE -> {
+          if (m.live().isEmpty() && !scribe.recording(m)) {
+            scribe.record(m, null);
+          }
+        }
+        default -> {}
       }
     }
     if (condemned.isEmpty() || deleting || !calls.take(1, 0, timers.nowMs())) {
@@ -429,12 +438,15 @@
   private void retireIdle() {
     long now = timers.nowMs();
     long keepMs = idleMs();
-    Set<Machine> empty = board.empty();
-    emptySince.keySet().retainAll(empty);
-    int idle = empty.size();
+    int idle = 0;
     List<Machine> candidates = new ArrayList<>();
-    for (Machine m : empty) {
-      if (now - emptySince.computeIfAbsent(m, k -> now) > keepMs) {
+    for (Machine m : tables.machines()) {
+      if (m.phase() != Machine.Phase.UP || !m.live().isEmpty()) {
+        emptySince.remove(m.name());
+        continue;
+      }
+      idle++;
+      if (now - emptySince.computeIfAbsent(m.name(), k -> now) > keepMs) {
         candidates.add(m);
       }
     }
@@ -530,8 +542,8 @@
     rentals.forEach(r -> coming.merge(r.kind, r.count, Integer::sum));
     coming.keySet().stream().map(Kind::zone).filter(zones::dark).forEach(closed::add);
     // Where many are found at once, as by the first list of a new leader, records take a while.
-    for (Machine m : board.in(Machine.Phase.UNKNOWN)) {
-      Machine.Info i = scribe.recorded(m);
+    for (Machine m : tables.machines()) {
+      Machine.Info i = m.phase() == Machine.Phase.UNKNOWN ? scribe.recorded(m) : null;
       if (i != null && (i.phase() == Machine.Phase.UP || i.phase() == Machine.Phase.BOOTING)) {
         coming.merge(new Kind(i.type(), i.zone(), i.spot()), 1, Integer::sum);
       }
