--- a/src/main/java/wickdrift/bookkeeping/Bucket.java
+++ b/src/main/java/wickdrift/bookkeeping/Bucket.java
@@ -16,18 +16,18 @@
 
   /** Takes {@code n} unless that leaves less than {@code reserve}. */
   public boolean take(double n, double reserve, long nowMs) {
-    tokens = Math.min(most, tokens + perSecond * (nowMs - lastMs) / 1000.0);
-    lastMs = nowMs;
-    if (tokens - n < Math.min(reserve, most - n)) {
+    if (!has(n, reserve, nowMs)) {
       return false;
     }
     tokens -= n;
     return true;
   }
 
-  /** Whether {@code n} could be taken. */
-  public boolean has(double n, long nowMs) {
-    return Math.min(most, tokens + perSecond * (nowMs - lastMs) / 1000.0) >= Math.min(n, most);
+  /** Whether {@link #take} would take that. */
+  public boolean has(double n, double reserve, long nowMs) {
+    tokens = Math.min(most, tokens + perSecond * (nowMs - lastMs) / 1000.0);
+    lastMs = nowMs;
+    return tokens - n >= Math.min(reserve, most - n);
   }
 
   /** Another rate from now on. */
--- a/src/main/java/wickdrift/bookkeeping/Ledger.java
+++ b/src/main/java/wickdrift/bookkeeping/Ledger.java
@@ -165,13 +165,17 @@
 
   /** How many writes a second we have sent lately. */
   public double writing() {
+    nextWindow();
+    return Math.max(window, lastWindow) * 1000.0 / WINDOW_MS;
+  }
+
+  private void nextWindow() {
     long now = timers.nowMs();
     if (now - windowMs >= WINDOW_MS) {
       lastWindow = now - windowMs < 2 * WINDOW_MS ? window : 0;
       window = 0;
       windowMs = now;
     }
-    return Math.max(window, lastWindow) * 1000.0 / WINDOW_MS;
   }
 
   public Phase phase() {
@@ -464,15 +468,15 @@
           case AUTHORITY -> writes.take(n, -1e9, now);
           // Only one of them may be short: what was taken from the first is not to be lost.
           case USER ->
-              userWrites.has(n, now) && writes.take(n, 0, now) && userWrites.take(n, 0, now);
+              userWrites.has(n, 0, now) && writes.take(n, 0, now) && userWrites.take(n, 0, now);
           case WORK -> writes.take(n, RESERVE, now);
         };
     if (n > 0 && !allowed) {
       timers.after(1, () -> done.accept(new Result(Outcome.REFUSED, 0, Set.of(), false)));
       return;
     }
-    writing();
-    window += txn.changes();
+    nextWindow();
+    window += n;
     call("POST", "/commit", Pack.encode(txn.toWire()), CALL_MS, a -> done.accept(result(a)));
   }
 
--- a/src/main/java/wickdrift/coordination/GivingWay.java
+++ b/src/main/java/wickdrift/coordination/GivingWay.java
@@ -18,9 +18,6 @@
 final class GivingWay {
   private static final Logger LOG = LoggerFactory.getLogger(GivingWay.class);
 
-  /** A job that found nothing looks again after this. */
-  private static final long AGAIN_MS = 500;
-
   /** So many jobs a round look for what to stop, each for so many of its tasks. */
   private static final int PREEMPT_SCANS = 4;
 
@@ -66,7 +63,7 @@
       return;
     }
     preemptScans++;
-    job.preemptAtMs(now + AGAIN_MS);
+    job.preemptAtMs(now + Placing.BLOCKED_MS);
     JobSpec.Priority strongest = waited < patience ? JobSpec.Priority.LOW : JobSpec.Priority.HIGH;
     List<Room> may = new ArrayList<>();
     Map<String, Integer> zones = Placing.zones(draft, job);
--- a/src/main/java/wickdrift/coordination/Placing.java
+++ b/src/main/java/wickdrift/coordination/Placing.java
@@ -32,7 +32,7 @@
   /**
    * A job that found no room looks again when there is more, or after this: a fetch may be over.
    */
-  private static final long BLOCKED_MS = 500;
+  static final long BLOCKED_MS = 500;
 
   private static final int ZONE_COUNT = 4;
 
@@ -40,7 +40,6 @@
   private final Tables tables;
   private final Board board;
   private final Rooms rooms;
-  private final Types types;
   private final Marks marks;
   private final GivingWay givingWay;
   private final Tuning tuning;
@@ -64,7 +63,6 @@
     this.tables = tables;
     this.board = board;
     this.rooms = board.rooms();
-    this.types = types;
     this.marks = new Marks(tables, board, tuning, settings);
     this.givingWay = new GivingWay(rooms, types, marks, tuning, settings);
     this.tuning = tuning;
--- a/src/main/java/wickdrift/transport/HttpClient.java
+++ b/src/main/java/wickdrift/transport/HttpClient.java
@@ -70,11 +70,6 @@
     this.vital = vital;
   }
 
-  /** Connections that are open or being opened. */
-  public int open() {
-    return open;
-  }
-
   @Override
   public void call(
       String address,
--- a/src/test/java/wickdrift/sim/ClusterTest.java
+++ b/src/test/java/wickdrift/sim/ClusterTest.java
@@ -618,27 +618,13 @@
   private static double lookedAPlacement(int machines) {
     SimWorld w = new SimWorld(101, machines, machines, 5, 10_000);
     w.run(8000);
-    Random r = new Random(101);
-    for (int i = 0; i < 240; i++) {
-      int n = i;
-      String shape = i % 4 == 0 ? "ensemble" : i % 4 == 1 ? "daemon" : "batch";
-      int tasks = i % 4 < 2 ? 2 : 5;
-      w.clock.after(
-          r.nextInt(20_000),
-          () -> w.submit(SimWorld.job(n, shape, tasks, n % 4 == 0 ? 4 : 1, 5 + n % 9), 0));
-    }
+    w.submitMixed(101, 5);
     w.clock.after(9000, () -> w.crash("n3", 5000));
     w.run(60_000);
     assertEquals(List.of(), w.broken());
     assertNull(w.diverged());
     assertTrue(w.starts() > 800, "started " + w.starts());
-    double looked = 0;
-    double placed = 0;
-    for (String n : w.nodes) {
-      looked += w.metric(n, "wickdrift.rooms.looked");
-      placed += w.metric(n, "wickdrift.tasks.placed");
-    }
-    return looked / placed;
+    return w.total("wickdrift.rooms.looked") / w.total("wickdrift.tasks.placed");
   }
 
   /**
--- a/src/test/java/wickdrift/sim/ScaleTest.java
+++ b/src/test/java/wickdrift/sim/ScaleTest.java
@@ -7,7 +7,6 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.List;
-import java.util.Random;
 import java.util.function.UnaryOperator;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
@@ -28,18 +27,10 @@
   private static Cost cost(int machines) {
     SimWorld w = new SimWorld(101, machines, machines, "aabba", 100_000, UnaryOperator.identity());
     w.run(60_000);
-    Random r = new Random(101);
-    for (int i = 0; i < 240; i++) {
-      int n = i;
-      String shape = i % 4 == 0 ? "ensemble" : i % 4 == 1 ? "daemon" : "batch";
-      int tasks = i % 4 < 2 ? 2 : 9;
-      w.clock.after(
-          r.nextInt(20_000),
-          () -> w.submit(SimWorld.job(n, shape, tasks, n % 4 == 0 ? 4 : 1, 5 + n % 9), 0));
-    }
+    w.submitMixed(101, 9);
     SimState s = w.state();
-    double looked = metric(w, "wickdrift.rooms.looked");
-    double placed = metric(w, "wickdrift.tasks.placed");
+    double looked = w.total("wickdrift.rooms.looked");
+    double placed = w.total("wickdrift.tasks.placed");
     int requests = s.requests();
     int commits = s.commits();
     long written = s.written();
@@ -47,19 +38,15 @@
     w.run(40_000);
     assertEquals(List.of(), w.broken());
     assertTrue(w.starts() >= 1300, "started " + w.starts());
-    double n = metric(w, "wickdrift.tasks.placed") - placed;
+    double n = w.total("wickdrift.tasks.placed") - placed;
     return new Cost(
-        (metric(w, "wickdrift.rooms.looked") - looked) / n,
+        (w.total("wickdrift.rooms.looked") - looked) / n,
         (s.requests() - requests) / n,
         (s.commits() - commits) / n,
         (s.written() - written) / n,
         (s.read() - read) / n);
   }
 
-  private static double metric(SimWorld w, String name) {
-    return w.nodes.stream().mapToDouble(n -> w.metric(n, name)).sum();
-  }
-
   /** Eight times as many machines, the same work: nothing of it may cost half as much again. */
   @Test
   void whatATaskCostsDoesNotGrowWithTheFleet() {
--- a/src/test/java/wickdrift/sim/SimWorld.java
+++ b/src/test/java/wickdrift/sim/SimWorld.java
@@ -13,6 +13,7 @@
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.function.Consumer;
+import java.util.function.Predicate;
 import java.util.function.UnaryOperator;
 import wickdrift.bookkeeping.Job;
 import wickdrift.bookkeeping.Machine;
@@ -418,12 +419,9 @@
   /** Frames between a controller and its peers are lost. */
   public void cutFromPeers(String node, boolean cut) {
     for (String n : nodes) {
-      if (!n.equals(node) && cut) {
-        net.cut(node, "peer:" + n, false);
-        net.cut(n, "peer:" + node, false);
-      } else if (!n.equals(node)) {
-        net.heal(node, "peer:" + n);
-        net.heal(n, "peer:" + node);
+      if (!n.equals(node)) {
+        cut(node, "peer:" + n, cut);
+        cut(n, "peer:" + node, cut);
       }
     }
   }
@@ -436,27 +434,24 @@
    * Cuts a node and all workers off together, as with their zone: from all else, not each other.
    */
   public void isolate(String node) {
-    net.cut(node, STATE, false);
-    net.cut(node, CLOUD, false);
-    net.cut(node, "user", false);
-    cutFromPeers(node, true);
-    for (String n : nodes) {
-      if (!n.equals(node)) {
-        workers().forEach(w -> net.cut(n, w.address, false));
-      }
-    }
+    cutOff(node, w -> true, true);
   }
 
   /** Cuts a zone off from everything, its one controller and its workers with it, or heals it. */
   public void cutZone(String node, boolean cut) {
     String zone = "" + controllerZones.charAt(nodes.indexOf(node));
+    cutOff(node, w -> w.zone.equals(zone), cut);
+  }
+
+  /** Parts a node and the workers with it from all others, or joins them again. */
+  private void cutOff(String node, Predicate<SimWorker> with, boolean cut) {
     cutFromPeers(node, cut);
     for (String other : List.of(STATE, CLOUD, "user")) {
       cut(node, other, cut);
     }
     for (SimWorker w : workers()) {
       for (String n : nodes) {
-        if (!n.equals(node) && w.zone.equals(zone) || n.equals(node) && !w.zone.equals(zone)) {
+        if (n.equals(node) != with.test(w)) {
           cut(n, w.address, cut);
         }
       }
@@ -820,6 +815,23 @@
     }
   }
 
+  /** The same of all nodes together. */
+  public double total(String name) {
+    return nodes.stream().mapToDouble(n -> metric(n, name)).sum();
+  }
+
+  /** Submits 240 jobs of all shapes within 20 seconds; arrays have so many tasks. */
+  public void submitMixed(long seed, int arrayTasks) {
+    Random r = new Random(seed);
+    for (int i = 0; i < 240; i++) {
+      int n = i;
+      String shape = i % 4 == 0 ? "ensemble" : i % 4 == 1 ? "daemon" : "batch";
+      int tasks = i % 4 < 2 ? 2 : arrayTasks;
+      clock.after(
+          r.nextInt(20_000), () -> submit(job(n, shape, tasks, n % 4 == 0 ? 4 : 1, 5 + n % 9), 0));
+    }
+  }
+
   /** How many machines there are, those that have not come up too. */
   public int fleet() {
     return machines.size() + booting.size();
