A machine whose zone was learnt late is newly gained at the next change of view

Cause: a machine first named by the cloud has no zone; at a change of view the hash over all members may count it as this node's. Once its zone is known its zone's controllers own and answer it, but the name stayed among the owned: at the next change of view its silence here was taken for its own, and a lease that a controller behind a cut went on renewing was judged to have ended.

Change: ours until now is only what the view before gives us with the zone as it is known now.

--- a/src/main/java/wickdrift/bookkeeping/Machine.java
+++ b/src/main/java/wickdrift/bookkeeping/Machine.java
@@ -172,9 +172,14 @@
     return number;
   }
 
+  /** Where it is, or null when neither its record nor a report has told that yet. */
+  public String zone() {
+    return info != null ? info.zone() : report != null ? report.zone() : null;
+  }
+
   /** The member whose part it is in; worked out once a view, for reports ask for it each time. */
   public String owner(View v) {
-    String zone = info != null ? info.zone() : report != null ? report.zone() : null;
+    String zone = zone();
     if (ownerEpoch != v.epoch() || !Objects.equals(zone, ownerZone)) {
       owner = v.owner(name, zone);
       ownerEpoch = v.epoch();
--- a/src/main/java/wickdrift/coordination/Reporting.java
+++ b/src/main/java/wickdrift/coordination/Reporting.java
@@ -151,7 +151,7 @@
       m.synced(false);
       if (node.equals(m.owner(v))) {
         now.add(m.name());
-        if (skipped || !owned.contains(m.name())) {
+        if (skipped || !wasOurs(m)) {
           // Its owner until now may go on answering it for as long as the grace allows.
           m.forgetReports(viewSinceMs + tuning.graceMs(), viewSinceMs);
           runs.remove(m);
@@ -179,6 +179,16 @@
     }
   }
 
+  /**
+   * Whether a machine was ours until this change of view. One whose zone was not known at the last
+   * change may have been counted as ours by its name alone, and its zone's controllers have
+   * answered it since: to take its silence here for its own would end a lease that they renew.
+   */
+  private boolean wasOurs(Machine m) {
+    return owned.contains(m.name())
+        && (before == null || node.equals(before.owner(m.name(), m.zone())));
+  }
+
   // ---- reports ----
 
   public void hello(Exchange x) {
