state check, dump, restore and level show, hold, release, without

Need: operators steer a rollout, look through the stored state and keep it (issue "Rolling out").

Exit codes: 0 done, 1 found or refused, 2 bad input, 3 store away, 4 file.

--- a/src/main/java/wickdrift/daemon/Main.java
+++ b/src/main/java/wickdrift/daemon/Main.java
@@ -1,6 +1,8 @@
 package wickdrift.daemon;
 
 import picocli.CommandLine;
+import wickdrift.operator.LevelCommand;
+import wickdrift.operator.StateCommand;
 
 /** The command line. Sub-commands leave room for clients to come. */
 @CommandLine.Command(
@@ -19,7 +21,12 @@
 
   public static void main(String[] args) {
     logging();
-    int code = new CommandLine(new Main()).execute(args);
+    CommandLine line = new CommandLine(new Main());
+    if (args.length == 0 || !args[0].equals("serve")) {
+      // A controller, which starts on a part of a core, does without the operators' commands.
+      line.addSubcommand(new StateCommand()).addSubcommand(new LevelCommand());
+    }
+    int code = line.execute(args);
     if (code != Serve.RUNNING) {
       System.exit(code);
     }
--- /dev/null
+++ b/src/main/java/wickdrift/operator/Records.java
@@ -0,0 +1,111 @@
+package wickdrift.operator;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.TreeMap;
+import wickdrift.bookkeeping.Ledger;
+import wickdrift.protocol.BadMessage;
+import wickdrift.protocol.Doc;
+import wickdrift.protocol.Pack;
+import wickdrift.transport.Caller.Answer;
+
+/**
+ * All records as of one revision.
+ *
+ * @param rev the state service's revision
+ * @param all by key; the value as it is stored, and the revision of its last change
+ */
+public record Records(long rev, TreeMap<String, Item> all) {
+  /** What is stored under one key. */
+  public record Item(Object value, long stamp) {}
+
+  private static final int PAGE = 400;
+  private static final int TRIES = 5;
+
+  /**
+   * Reads everything page by page, each of another revision, then all changes since the first: so
+   * what is returned was there at once.
+   *
+   * @throws Store.Away if the state service does not answer, or changes faster than it can be read
+   */
+  public static Records read(Store store) throws Store.Away {
+    for (int i = 0; i < TRIES; i++) {
+      Records r = tryRead(store);
+      if (r != null) {
+        return r;
+      }
+    }
+    throw new Store.Away("the stored state changes faster than it can be read");
+  }
+
+  private static Records tryRead(Store store) throws Store.Away {
+    TreeMap<String, Item> all = new TreeMap<>();
+    long rev = Long.MAX_VALUE;
+    String from = null;
+    try {
+      boolean more = true;
+      while (more) {
+        String path = "/store?prefix=" + Ledger.PREFIX + "&most=" + PAGE;
+        Doc d = answer(store.call("GET", from == null ? path : path + "&from=" + from, null));
+        rev = Math.min(rev, d.count("ledgerRev"));
+        for (Doc e : d.docs("entries")) {
+          from = e.text("key");
+          all.put(from, new Item(e.raw("v"), e.count("stamp")));
+        }
+        more = d.flag("truncated", false);
+      }
+      String path = "/follow?prefix=" + Ledger.PREFIX + "&from=" + rev + "&holdMs=0";
+      Answer a = store.call("GET", path, null);
+      if (a.status() == 410) {
+        return null;
+      }
+      Doc d = answer(a);
+      List<Doc> news = new ArrayList<>(d.docs("news"));
+      List<Long> stamps = new ArrayList<>();
+      for (Doc n : news) {
+        stamps.add(n.count("stamp"));
+      }
+      List<Integer> order = new ArrayList<>();
+      for (int i = 0; i < news.size(); i++) {
+        order.add(i);
+      }
+      order.sort(Comparator.comparing(stamps::get));
+      for (int i : order) {
+        Doc n = news.get(i);
+        String written = n.textOrNull("write");
+        if (written == null) {
+          all.remove(n.text("delete"));
+        } else {
+          all.put(written, new Item(n.raw("v"), stamps.get(i)));
+        }
+      }
+      return new Records(d.count("ledgerRev"), all);
+    } catch (BadMessage e) {
+      throw new Store.Away("the state service answers what can't be read: " + e.getMessage());
+    }
+  }
+
+  private static Doc answer(Answer a) throws Store.Away, BadMessage {
+    if (a.status() != 200) {
+      throw new Store.Away("the state service answers " + a.status());
+    }
+    return Doc.parse(a.body());
+  }
+
+  /** The same as the controllers' tables take them. */
+  public List<Ledger.Change> changes() {
+    List<Ledger.Change> out = new ArrayList<>();
+    all.forEach((k, i) -> out.add(new Ledger.Change(k, i.value, i.stamp)));
+    return out;
+  }
+
+  /** One transaction; true if its conditions held. */
+  static boolean commit(Store store, wickdrift.bookkeeping.Txn txn) throws Store.Away {
+    Answer a = store.call("POST", "/commit", Pack.encode(txn.toWire()));
+    if (a.status() != 200 && a.status() != 409) {
+      throw new Store.Away("the state service refuses a change with " + a.status());
+    }
+    return a.status() == 200;
+  }
+}
--- /dev/null
+++ b/src/main/java/wickdrift/operator/StateCheck.java
@@ -0,0 +1,192 @@
+package wickdrift.operator;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.TreeSet;
+import wickdrift.bookkeeping.Job;
+import wickdrift.bookkeeping.Machine;
+import wickdrift.bookkeeping.Part;
+import wickdrift.bookkeeping.Tables;
+import wickdrift.bookkeeping.View;
+import wickdrift.bookkeeping.level.Announcement;
+import wickdrift.bookkeeping.level.Form;
+import wickdrift.bookkeeping.level.Gate;
+import wickdrift.bookkeeping.level.Range;
+import wickdrift.bookkeeping.level.Roster;
+import wickdrift.protocol.BadMessage;
+
+/** What of the stored state a build can't read, and what contradicts itself. A pure function. */
+public final class StateCheck {
+  /**
+   * @param error false: worth knowing, and mended by the controllers themselves
+   */
+  public record Finding(String key, boolean error, String why) {}
+
+  private static final double EPS = 1e-6;
+
+  private final Records records;
+  private final Range levels;
+  private final List<Finding> found = new ArrayList<>();
+
+  private StateCheck(Records records, Range levels) {
+    this.records = records;
+    this.levels = levels;
+  }
+
+  /**
+   * @param levels that the build speaks for which is asked
+   * @return errors first, each kind in the order of keys
+   */
+  public static List<Finding> check(Records records, Range levels) {
+    StateCheck c = new StateCheck(records, levels);
+    c.run();
+    List<Finding> out = new ArrayList<>(c.found);
+    out.sort((a, b) -> a.error != b.error ? (a.error ? -1 : 1) : a.key.compareTo(b.key));
+    return out;
+  }
+
+  private void error(String key, String why) {
+    found.add(new Finding(key, true, why));
+  }
+
+  private void note(String key, String why) {
+    found.add(new Finding(key, false, why));
+  }
+
+  private void run() {
+    Tables t = new Tables(List.of(), levels, () -> {});
+    t.load(records.changes(), records.rev());
+    t.unreadable().forEach(this::error);
+    View v = t.view();
+    if (v == null) {
+      if (!records.all().isEmpty() && !t.unreadable().containsKey(View.KEY)) {
+        error(View.KEY, "is missing, and other records are there");
+      }
+    } else if (!levels.includes(v.level())) {
+      error(View.KEY, "level " + v.level() + " is in force, and this build speaks " + levels);
+    }
+    if (v != null) {
+      view(t, v);
+      parts(t, v);
+      forms(t, v);
+    }
+    roster(t);
+    jobs(t);
+  }
+
+  private void view(Tables t, View v) {
+    if (!v.members().containsKey(v.leader())) {
+      error(View.KEY, "its leader " + v.leader() + " is no member");
+    }
+    for (String m : v.members().keySet()) {
+      if (t.part(m) == null) {
+        error(Part.key(m), "is missing, and " + m + " is a member");
+      }
+      if (v.open(Gate.NUMBERS) && t.roster().number(m) < 0) {
+        error(View.KEY, "member " + m + " has no number");
+      }
+    }
+  }
+
+  private void parts(Tables t, View v) {
+    Map<String, Double> sums = new HashMap<>();
+    boolean told = true;
+    for (Map.Entry<String, Part> e : new TreeMap<>(t.parts()).entrySet()) {
+      Part p = e.getValue();
+      String key = Part.key(e.getKey());
+      if (p.epoch() > v.epoch()) {
+        error(key, "is of epoch " + p.epoch() + ", the view of epoch " + v.epoch());
+      }
+      if (v.members().containsKey(e.getKey()) && p.epoch() != v.epoch()) {
+        error(key, "is of epoch " + p.epoch() + ", and its member's view of " + v.epoch());
+      }
+      if (p.form() > Form.at(v.level())) {
+        error(key, "is of form " + p.form() + ", which level " + v.level() + " does not have");
+      }
+      told &= p.form() == Form.NUMBERED;
+      p.shares().forEach((team, s) -> sums.merge(team, s.gpus() + 1e3 * s.cpus(), Double::sum));
+    }
+    if (told) {
+      sums.forEach(
+          (team, sum) -> {
+            if (Math.abs(sum) > EPS * 1e3) {
+              error("w/p/", "what the parts gave and got of " + team + " does not sum to nothing");
+            }
+          });
+    }
+  }
+
+  private void forms(Tables t, View v) {
+    for (String key : t.oldForms()) {
+      note(key, "is of a form older than level " + v.level() + "; it is being brought to it");
+    }
+    if (t.roster().doneLevel() > v.level()) {
+      error(Roster.DONE, "tells of level " + t.roster().doneLevel() + ", which is not in force");
+    }
+    for (Map.Entry<String, Records.Item> e : records.all().entrySet()) {
+      try {
+        if (Form.of(e.getValue().value()) > Form.at(v.level())) {
+          error(e.getKey(), "is of a form that level " + v.level() + " does not have");
+        }
+      } catch (BadMessage x) {
+        // Told as unreadable.
+        continue;
+      }
+    }
+  }
+
+  private void roster(Tables t) {
+    Map<String, Integer> names = new HashMap<>();
+    for (Announcement a : t.roster().announced()) {
+      Integer other = names.putIfAbsent(a.name(), a.number());
+      if (other != null) {
+        error(Announcement.key(a.number()), a.name() + " has the number " + other + " too");
+      }
+      List<String> first = t.roster().first();
+      if (a.number() < first.size() && !first.get(a.number()).equals(a.name())) {
+        error(
+            Announcement.key(a.number()),
+            "is of "
+                + a.name()
+                + ", and the first list gives the number to "
+                + first.get(a.number()));
+      }
+    }
+    if (!t.roster().announced().isEmpty() && !t.roster().hasList()) {
+      error(Roster.LIST, "is missing, and controllers have numbers");
+    }
+    for (String held : t.roster().word().held()) {
+      if (Gate.of(held) == null) {
+        note("w/c/word", "holds back the gate " + held + ", which this build does not know");
+      }
+    }
+  }
+
+  private void jobs(Tables t) {
+    for (String key : t.orphans()) {
+      note(key, "is of a job that is over; it is deleted in time");
+    }
+    TreeSet<Integer> unknown = new TreeSet<>();
+    for (Job j : t.jobs()) {
+      if (records.all().containsKey(Job.finalKey(j.id()))) {
+        error(j.key(), "is unfinished, and " + Job.finalKey(j.id()) + " says that it is over");
+      }
+      for (int i = 0; i < j.size(); i++) {
+        if (j.task(i).live() && t.roster().name(j.task(i).placer()) == null) {
+          unknown.add(j.task(i).placer());
+        }
+        if (j.task(i).live() && j.task(i).machine().phase() == Machine.Phase.UNKNOWN) {
+          note(j.key(), "task " + i + " is on " + j.task(i).machine().name() + ", of no record");
+        }
+      }
+    }
+    for (int n : unknown) {
+      if (t.roster().hasList()) {
+        error(Announcement.key(n), "is missing, and tasks that run were placed by that number");
+      }
+    }
+  }
+}
--- /dev/null
+++ b/src/test/java/wickdrift/sim/OperatorTest.java
@@ -0,0 +1,393 @@
+package wickdrift.sim;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.netty.channel.Channel;
+import java.io.ByteArrayInputStream;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.PrintWriter;
+import java.io.StringWriter;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.stream.Stream;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import picocli.CommandLine;
+import wickdrift.bookkeeping.Tables;
+import wickdrift.bookkeeping.level.Form;
+import wickdrift.bookkeeping.level.Range;
+import wickdrift.bookkeeping.level.Roster;
+import wickdrift.operator.LevelCommand;
+import wickdrift.operator.Records;
+import wickdrift.operator.Restore;
+import wickdrift.operator.Snapshot;
+import wickdrift.operator.StateCheck;
+import wickdrift.operator.StateCommand;
+import wickdrift.operator.Store;
+import wickdrift.protocol.BadMessage;
+import wickdrift.protocol.Doc;
+import wickdrift.protocol.Pack;
+import wickdrift.transport.Caller.Answer;
+import wickdrift.transport.EventLoop;
+import wickdrift.transport.Exchange;
+import wickdrift.transport.HttpServer;
+
+/** Stored state of other builds and other days: read, looked through, kept and put back. */
+class OperatorTest {
+  /** The simulated state service, asked from outside. */
+  private static Store store(SimState state) {
+    return (method, path, body) -> {
+      Answer[] got = new Answer[1];
+      state.serve("operator", method, path, body, a -> got[0] = a);
+      return got[0];
+    };
+  }
+
+  private static SimWorld busy(long seed) {
+    SimWorld w = new SimWorld(seed, 8, 30, "aab", 40);
+    for (int i = 0; i < 30; i++) {
+      int n = i;
+      String shape = i % 8 == 0 ? "daemon" : i % 5 < 2 ? "ensemble" : "batch";
+      w.clock.after(
+          i * 700, () -> w.submit(SimWorld.job(n, shape, 1 + n % 4, 1 + n % 2, 5 + n % 25), 0));
+    }
+    w.run(25_000);
+    return w;
+  }
+
+  private static byte[] written(Records r) throws IOException {
+    ByteArrayOutputStream out = new ByteArrayOutputStream();
+    Snapshot.write(r, out);
+    return out.toByteArray();
+  }
+
+  // ---- what the build before levels wrote ----
+
+  private record Golden(long rev, TreeMap<String, Records.Item> all, String digest) {
+    static Golden read() throws IOException, BadMessage {
+      try (InputStream in = OperatorTest.class.getResourceAsStream("/golden/dc24b21.msgpack");
+          InputStream text = OperatorTest.class.getResourceAsStream("/golden/dc24b21.txt")) {
+        Doc d = Doc.parse(in.readAllBytes());
+        TreeMap<String, Records.Item> all = new TreeMap<>();
+        for (Object o : d.list("records")) {
+          List<?> l = (List<?>) o;
+          all.put((String) l.get(0), new Records.Item(l.get(1), (Long) l.get(2)));
+        }
+        return new Golden(
+            d.count("rev"), all, new String(text.readAllBytes(), StandardCharsets.UTF_8));
+      }
+    }
+  }
+
+  /** Records that dc24b21 wrote mean to this build what they meant to that one. */
+  @Test
+  void recordsOfTheBuildBeforeAreReadAsItReadThem() throws Exception {
+    Golden g = Golden.read();
+    Tables t = new Tables(List.of("n0", "n1", "n2"), Range.BUILD, () -> {});
+    t.load(new Records(g.rev, g.all).changes(), g.rev);
+    assertNull(t.barred());
+    StringBuilder b = new StringBuilder(SimWorld.digest(t));
+    for (int n = 0; n < 3; n++) {
+      b.append("n").append(n).append(' ').append(t.usage().of("vision", n).gpus()).append('\n');
+    }
+    assertEquals(g.digest, b.toString());
+    assertEquals(
+        0,
+        StateCheck.check(new Records(g.rev, g.all), Range.BUILD).stream()
+            .filter(StateCheck.Finding::error)
+            .count());
+  }
+
+  /** And this build goes on from them: jobs that were accepted then end once. */
+  @Test
+  void aStoreOfTheBuildBeforeIsGoneOnWith() throws Exception {
+    Golden g = Golden.read();
+    SimWorld w = new SimWorld(501, 4, 30, "aab", 40);
+    w.nodes.forEach(w::kill);
+    w.machineNumber = 1000;
+    Map<String, Object> records = new TreeMap<>();
+    g.all.forEach((k, i) -> records.put(k, i.value()));
+    // The members' leases have ended.
+    records.keySet().removeIf(k -> k.startsWith("w/m/"));
+    w.state().preload(records, g.rev);
+    List<String> open = new ArrayList<>();
+    for (Map.Entry<String, Object> e : records.entrySet()) {
+      if (e.getKey().startsWith("w/j/")) {
+        Doc spec = Doc.of(Doc.of(e.getValue()).raw("spec"));
+        w.describe(new TreeMap<>(spec.without()));
+        if (!spec.text("shape").equals("daemon") && !Doc.of(e.getValue()).flag("off")) {
+          open.add(spec.text("ref"));
+        }
+      }
+    }
+    w.nodes.forEach(w::startNode);
+    w.run(240_000);
+    assertEquals(Range.BUILD.most(), w.tables("n0").level());
+    assertFalse(open.isEmpty());
+    for (String id : open) {
+      assertTrue(w.state().keys().contains("w/d/" + id), id);
+      assertFalse(w.state().keys().contains("w/j/" + id), id);
+    }
+    assertEquals(List.of(), w.broken());
+    assertNull(w.diverged());
+    assertTrue(w.state().keys().contains(Roster.DONE));
+  }
+
+  // ---- snapshots ----
+
+  @Test
+  void aSnapshotHoldsWhatWasThereAtOnce() throws Exception {
+    SimWorld w = busy(511);
+    // While it is read, page by page, the controllers go on writing.
+    Store slow =
+        (method, path, body) -> {
+          w.run(400);
+          return store(w.state()).call(method, path, body);
+        };
+    Records r = Records.read(slow);
+    Records now = Records.read(store(w.state()));
+    assertEquals(now.rev(), r.rev());
+    assertEquals(now.all(), r.all());
+    assertEquals(r, Snapshot.read(new ByteArrayInputStream(written(r))));
+  }
+
+  static Stream<String> damages() {
+    return Stream.of("first byte", "form", "cut", "cut late", "flip early", "flip late", "more");
+  }
+
+  @ParameterizedTest
+  @org.junit.jupiter.params.provider.MethodSource("damages")
+  void aDamagedSnapshotIsRefused(String damage) throws Exception {
+    byte[] b = written(Records.read(store(busy(512).state())));
+    byte[] bad = b.clone();
+    switch (damage) {
+      case "first byte" -> bad[0]++;
+      case "form" -> bad[7] = 9;
+      case "cut" -> bad = Arrays.copyOf(b, 40);
+      case "cut late" -> bad = Arrays.copyOf(b, b.length - 9);
+      case "flip early" -> bad[60] ^= 4;
+      case "flip late" -> bad[b.length - 30] ^= 1;
+      default -> bad = Arrays.copyOf(b, b.length + 5);
+    }
+    byte[] file = bad;
+    Snapshot.Damaged e =
+        assertThrows(Snapshot.Damaged.class, () -> Snapshot.read(new ByteArrayInputStream(file)));
+    String wanted =
+        damage.equals("form") ? "form 9" : damage.equals("first byte") ? "no snapshot" : " at ";
+    assertTrue(e.getMessage().contains(wanted), e.getMessage());
+  }
+
+  /** A restore that is interrupted at any step goes on; only a whole one lets controllers in. */
+  @Test
+  void aRestoreIsWholeOrLetsNobodyIn() throws Exception {
+    Records r = Records.read(store(busy(513).state()));
+    int steps = 0;
+    boolean whole = false;
+    for (int stop = 0; !whole; stop++) {
+      SimWorld w = new SimWorld(514, 4, 30, "aab", 40);
+      w.nodes.forEach(w::kill);
+      w.machineNumber = 1000;
+      int[] left = {stop};
+      Store failing =
+          (method, path, body) -> {
+            if (path.equals("/commit") && left[0]-- == 0) {
+              throw new Store.Away("interrupted");
+            }
+            return store(w.state()).call(method, path, body);
+          };
+      try {
+        new Restore(failing, 8).run(r);
+        whole = true;
+      } catch (Store.Away e) {
+        steps++;
+        if (stop % 3 == 1) {
+          w.nodes.forEach(w::startNode);
+          w.run(5000);
+          w.nodes.forEach(n -> assertTrue(w.tables(n).barred() != null, n));
+          w.nodes.forEach(w::kill);
+        }
+        new Restore(store(w.state()), 8).run(r);
+      }
+      assertThrows(Restore.Refused.class, () -> new Restore(store(w.state()), 8).run(r));
+      goesOn(w, r);
+    }
+    assertTrue(steps > 3, "steps " + steps);
+  }
+
+  private static void goesOn(SimWorld w, Records r) throws BadMessage {
+    int open = 0;
+    for (Map.Entry<String, Records.Item> e : r.all().entrySet()) {
+      if (e.getKey().startsWith("w/j/")) {
+        Doc spec = Doc.of(Doc.of(e.getValue().value()).raw("spec"));
+        w.describe(new TreeMap<>(spec.without()));
+        open++;
+      }
+    }
+    assertTrue(open > 5);
+    w.nodes.forEach(w::startNode);
+    w.run(6000);
+    assertEquals(List.of(), w.broken());
+    w.nodes.forEach(n -> assertNull(w.tables(n).barred(), n));
+    assertTrue(w.epoch("n0") > 10_000_000);
+    assertNull(w.diverged());
+    w.run(20_000);
+    assertTrue(w.starts() > 0);
+    assertEquals(List.of(), w.broken());
+  }
+
+  // ---- state check ----
+
+  @ParameterizedTest
+  @CsvSource({
+    "w/x/1, 1, nobody here knows",
+    "w/v, 3, form 3 is newer",
+    "w/p/n1, 2, is of epoch",
+    "w/c/0, 1, first list gives the number",
+    "w/c/9, 1, has the number",
+    "w/c/done, 1, which is not in force",
+    "w/d/req-000008, 1, says that it is over",
+    "w/l/n9/0000000001, 2, unknown kind"
+  })
+  void whatContradictsItselfIsFound(String key, int form, String why) throws Exception {
+    SimWorld w = busy(521);
+    Store store = store(w.state());
+    assertEquals(
+        0,
+        StateCheck.check(Records.read(store), Range.BUILD).stream()
+            .filter(StateCheck.Finding::error)
+            .count());
+    Map<String, Object> v = new TreeMap<>();
+    v.put("name", "n1");
+    v.put("peers", List.of("n1"));
+    v.put("level", 7L);
+    v.put("epoch", 10_000L);
+    v.put("phase", "done");
+    v.put("g", List.of(List.of(0L, List.of(List.of("z", "req-000008")))));
+    w.state().force(key, Form.wrap(form, v));
+    List<StateCheck.Finding> found = StateCheck.check(Records.read(store), Range.BUILD);
+    assertTrue(found.stream().anyMatch(f -> f.error() && f.why().contains(why)), found.toString());
+  }
+
+  /** A build of fewer levels is told that it can't read what this one wrote. */
+  @Test
+  void aBuildOfFewerLevelsIsToldSo() throws Exception {
+    List<StateCheck.Finding> found =
+        StateCheck.check(Records.read(store(busy(522).state())), Range.FIRST);
+    assertTrue(found.get(0).error() && found.get(0).why().contains("this build speaks 1 to 1"));
+  }
+
+  // ---- the command line, over real sockets ----
+
+  private static final class Line implements AutoCloseable {
+    final SimState state;
+    final EventLoop loop = new EventLoop();
+    final Channel server;
+    final Path config;
+    String out;
+    String err;
+
+    Line(SimWorld world, Path dir) throws Exception {
+      this.state = world.state();
+      server =
+          new HttpServer(loop.group(), 16, this::serve)
+              .listen(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
+      int port = ((InetSocketAddress) server.localAddress()).getPort();
+      config = dir.resolve("settings.toml");
+      Files.writeString(config, world.settingsText("n0", "127.0.0.1:" + port));
+    }
+
+    private void serve(Exchange x) {
+      state.serve(
+          "operator",
+          x.method(),
+          x.path(),
+          x.body(),
+          a -> {
+            try {
+              x.reply(a.status(), Pack.decode(a.body()));
+            } catch (BadMessage e) {
+              throw new AssertionError(e);
+            }
+          });
+    }
+
+    int run(Object command, String... args) {
+      StringWriter o = new StringWriter();
+      StringWriter e = new StringWriter();
+      List<String> all = new ArrayList<>(List.of(args));
+      all.add(1, "--config");
+      all.add(2, config.toString());
+      int code =
+          new CommandLine(command)
+              .setOut(new PrintWriter(o))
+              .setErr(new PrintWriter(e))
+              .execute(all.toArray(new String[0]));
+      out = o.toString();
+      err = e.toString();
+      return code;
+    }
+
+    @Override
+    public void close() {
+      server.close().syncUninterruptibly();
+      loop.group().shutdownGracefully(0, 10, java.util.concurrent.TimeUnit.MILLISECONDS);
+    }
+  }
+
+  @Test
+  void theCommandsOfOperators(@TempDir Path dir) throws Exception {
+    SimWorld w = busy(531);
+    try (Line l = new Line(w, dir)) {
+      assertEquals(0, l.run(new StateCommand(), "check"));
+      assertEquals(1, l.run(new StateCommand(), "check", "--levels", "1-1"));
+      assertEquals(2, l.run(new StateCommand(), "check", "--levels", "2-1"));
+      assertEquals(0, l.run(new LevelCommand(), "show"));
+      assertTrue(l.out.contains("level 2 is in force"), l.out);
+      assertTrue(l.out.contains("gate numbers: open"), l.out);
+      assertEquals(0, l.run(new LevelCommand(), "show", "--json"));
+      assertTrue(l.out.contains("\"level\": 2"), l.out);
+      assertEquals(1, l.run(new LevelCommand(), "hold", "numbers"));
+      assertTrue(l.err.contains("is open"), l.err);
+      assertEquals(2, l.run(new LevelCommand(), "hold", "nonsense"));
+      assertTrue(l.err.contains("there are: numbers"), l.err);
+      assertEquals(2, l.run(new LevelCommand(), "release", "numbers"));
+      assertEquals(1, l.run(new LevelCommand(), "without", "n1"));
+      assertEquals(2, l.run(new LevelCommand(), "without", "n7"));
+      w.kill("n1");
+      w.run(8000);
+      assertEquals(0, l.run(new LevelCommand(), "without", "n1"));
+      w.run(1000);
+      assertEquals(List.of("n1"), w.tables("n0").roster().word().without());
+      assertEquals(0, l.run(new LevelCommand(), "without", "n1", "--undo"));
+      String file = dir.resolve("kept").toString();
+      assertEquals(0, l.run(new StateCommand(), "dump", file));
+      assertEquals(1, l.run(new StateCommand(), "restore", file));
+      assertTrue(l.err.contains("not empty"), l.err);
+      assertEquals(4, l.run(new StateCommand(), "restore", file + "x"));
+      assertEquals(4, l.run(new StateCommand(), "dump", dir.resolve("no/where").toString()));
+      Files.write(Path.of(file), new byte[] {1, 2, 3});
+      assertEquals(4, l.run(new StateCommand(), "restore", file));
+      assertTrue(l.err.contains("no snapshot"), l.err);
+      w.state().outage(true);
+      assertEquals(3, l.run(new StateCommand(), "check", "--wait", "0.5"));
+      assertEquals(1, l.err.lines().count(), l.err);
+      assertEquals(2, l.run(new StateCommand(), "check", "--wait", "0"));
+    }
+  }
+}
--- a/src/test/java/wickdrift/sim/SimState.java
+++ b/src/test/java/wickdrift/sim/SimState.java
@@ -469,6 +469,12 @@
     return e == null ? null : e.value;
   }
 
+  /** The whole content, as if it had been there before anything ran. */
+  public void preload(Map<String, Object> records, long stamp) {
+    rev = stamp;
+    records.forEach((k, v) -> entries.put(k, new Entry(v, stamp, 0)));
+  }
+
   /** Puts a record there past all conditions, as a fault or another build might. */
   void force(String key, Object value) {
     rev++;
--- a/src/test/java/wickdrift/sim/SimWorld.java
+++ b/src/test/java/wickdrift/sim/SimWorld.java
@@ -72,7 +72,10 @@
   private final Set<String> booting = new HashSet<>();
   private final Map<String, List<String>> claims = new HashMap<>();
   private int capacity;
-  private int machineNumber;
+
+  /** Of the next machine: a name is never used again, nor may one be that a stored state names. */
+  int machineNumber;
+
   private int incarnations;
 
   /** A rented machine as the cloud knows it, from when to when. */
@@ -212,7 +215,7 @@
     return compared > 0 ? null : "no node caught up";
   }
 
-  private static String digest(Tables t) {
+  static String digest(Tables t) {
     StringBuilder b = new StringBuilder();
     t.jobs().stream()
         .sorted(Comparator.comparing(Job::id))
@@ -246,7 +249,8 @@
     return "" + controllerZones.charAt((node.charAt(1) - '0') % controllerZones.length());
   }
 
-  private Settings settings(String node) {
+  /** The settings file of a node, in the platform's format. */
+  String settingsText(String node, String stateAddress) {
     int self = node.charAt(1) - '0';
     List<String> names = lists.getOrDefault(node, nodes);
     StringBuilder b = new StringBuilder("host_name = \"" + node + "\"\n");
@@ -263,7 +267,7 @@
         """
         [endpoints]
         cloud = "10.2.0.2:1"
-        state = "10.2.0.1:1"
+        state = "%s"
         [cluster]
         nodes = %d
         zones = ["a", "b"]
@@ -293,9 +297,13 @@
         [cluster.quota]
         fd_limit = 1000
         """
-            .formatted(names.size(), gpusMax, state.txnOps));
+            .formatted(stateAddress, names.size(), gpusMax, state.txnOps));
+    return b.toString();
+  }
+
+  private Settings settings(String node) {
     try {
-      return Settings.parse(new TomlParser().parse(b.toString()));
+      return Settings.parse(new TomlParser().parse(settingsText(node, STATE)));
     } catch (Settings.Invalid e) {
       throw new AssertionError(e);
     }
