--- a/src/main/java/wickdrift/coordination/Membership.java
+++ b/src/main/java/wickdrift/coordination/Membership.java
@@ -406,7 +406,9 @@
             base.level(), levels, tables.announcedLive(), settings.nodeNames(), tables.roster());
     boolean rises = rise.level() > base.level() && tables.roster().hasList();
     waitsFor = rise.waitsFor();
-    if (next == null && !rises) {
+    View wanted = fitting(rises ? base.at(rise.level()) : base);
+    boolean same = now != null && wanted.members().equals(now.members());
+    if (same && !rises) {
       differsSinceMs = -1;
       return;
     }
@@ -422,9 +424,9 @@
       LOG.info("level {} may come into force: all speak it", rise.level());
       Map<String, Long> conditions = new LinkedHashMap<>(rise.conditions());
       conditions.put(Roster.LIST, tables.roster().listStamp());
-      propose(fitting(base.at(rise.level())), conditions);
+      propose(wanted, conditions);
     } else {
-      propose(fitting(base), Map.of());
+      propose(wanted, Map.of());
     }
   }
 
--- /dev/null
+++ b/src/test/java/wickdrift/sim/Loopback.java
@@ -0,0 +1,396 @@
+package wickdrift.sim;
+
+import io.netty.channel.Channel;
+import java.io.File;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import java.util.function.Supplier;
+import wickdrift.bookkeeping.Tables;
+import wickdrift.bookkeeping.level.Range;
+import wickdrift.protocol.BadMessage;
+import wickdrift.protocol.Pack;
+import wickdrift.transport.Caller.Answer;
+import wickdrift.transport.EventLoop;
+import wickdrift.transport.Exchange;
+import wickdrift.transport.HttpClient;
+import wickdrift.transport.HttpServer;
+
+/**
+ * Real controller processes of two builds on loopback, against this project's own state service,
+ * cloud, workers and users in one process and real time: rolled forward, back and forward again
+ * under load, with kills; then the older build is started once more, to see that it is kept out.
+ * Not a part of CI: it takes some five minutes. See {@code docs/operations-rollout.md}.
+ *
+ * <p>Arguments: the older jar, the newer jar, a folder for settings and logs; {@code --same} rolls
+ * the newer build only, for comparison.
+ */
+public final class Loopback {
+  private static final int NODES = 3;
+  private static final long STEP_MS = 9000;
+  private static final List<String> NAMES = List.of("n0", "n1", "n2");
+
+  private final EventLoop loop = new EventLoop();
+  private final HttpClient client = new HttpClient(loop.group(), 500, Set.of());
+  private final SimWorld world;
+  private final Path dir;
+  private final Map<String, String> ports = new HashMap<>();
+  private final Map<String, Process> processes = new TreeMap<>();
+  private final Map<String, Integer> seenOn = new HashMap<>();
+  private final long startedMs = System.nanoTime() / 1_000_000;
+  private double lostReplicaS;
+  private double replicaS;
+  private int kills;
+
+  private Loopback(Path dir) throws Exception {
+    this.dir = dir;
+    world =
+        ask(
+            () -> {
+              SimWorld w = new SimWorld(7, 10, 30, "aab", 60);
+              w.nodes.forEach(w::kill);
+              return w;
+            });
+    ask(
+        () -> {
+          world.net.opened = this::open;
+          open(SimWorld.STATE);
+          open(SimWorld.CLOUD);
+          for (SimWorker w : world.workers()) {
+            open(w.address);
+          }
+          world.published = a -> ports.getOrDefault(a, a);
+          return null;
+        });
+    for (String n : NAMES) {
+      ports.put(n, "127.0.0.1:" + freePort());
+      ports.put("back:" + n, "127.0.0.1:" + freePort());
+      String front = ports.get(n);
+      world.net.outside.put(
+          n,
+          (address, method, path, body, timeoutMs, done) ->
+              client.call(front, method, path, body, timeoutMs, done));
+    }
+    loop.run(this::turn);
+  }
+
+  private <T> T ask(Supplier<T> what) throws Exception {
+    CompletableFuture<T> got = new CompletableFuture<>();
+    loop.run(
+        () -> {
+          try {
+            got.complete(what.get());
+          } catch (RuntimeException e) {
+            got.completeExceptionally(e);
+          }
+        });
+    return got.get(20, TimeUnit.SECONDS);
+  }
+
+  private static int freePort() throws IOException {
+    try (ServerSocket s = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+      return s.getLocalPort();
+    }
+  }
+
+  /** Simulated time follows real time. */
+  private void turn() {
+    loop.after(5, this::turn);
+    world.clock.runUntil(1000 + System.nanoTime() / 1_000_000 - startedMs);
+  }
+
+  private void open(String address) {
+    if (ports.containsKey(address) || NAMES.contains(address) || address.startsWith("peer:")) {
+      return;
+    }
+    try {
+      // Bound from another thread: the loop's own may not wait for itself.
+      CompletableFuture<Channel> bound = new CompletableFuture<>();
+      int port = freePort();
+      Thread t =
+          new Thread(
+              () -> {
+                try {
+                  bound.complete(
+                      new HttpServer(loop.group(), 400, x -> serve(address, x))
+                          .listen(new InetSocketAddress(InetAddress.getLoopbackAddress(), port)));
+                } catch (InterruptedException e) {
+                  bound.completeExceptionally(e);
+                }
+              });
+      t.setDaemon(true);
+      t.start();
+      ports.put(address, "127.0.0.1:" + port);
+    } catch (IOException e) {
+      throw new IllegalStateException(e);
+    }
+  }
+
+  private void serve(String address, Exchange x) {
+    SimNet.Server s = world.net.at(address);
+    if (s == null) {
+      return;
+    }
+    Consumer<Answer> done =
+        a -> {
+          try {
+            x.reply(a.status(), a.body() == null ? Map.of() : Pack.decode(a.body()));
+          } catch (BadMessage e) {
+            throw new IllegalStateException(e);
+          }
+        };
+    s.serve("real", x.method(), x.path(), x.body(), done);
+  }
+
+  // ---- processes ----
+
+  private void start(String node, Path jar) throws Exception {
+    String text = ask(() -> world.settingsText(node, SimWorld.STATE));
+    Map<String, String> to = new LinkedHashMap<>();
+    to.put(SimWorld.STATE, ports.get(SimWorld.STATE));
+    to.put(SimWorld.CLOUD, ports.get(SimWorld.CLOUD));
+    for (int i = 0; i < NODES; i++) {
+      to.put("10.0.0." + i + ":1", ports.get("n" + i));
+      to.put("10.0.1." + i + ":1", ports.get("back:n" + i));
+    }
+    for (Map.Entry<String, String> e : to.entrySet()) {
+      text = text.replace("\"" + e.getKey() + "\"", "\"" + e.getValue() + "\"");
+    }
+    Path config = dir.resolve(node + ".toml");
+    Files.writeString(config, text);
+    ProcessBuilder b =
+        new ProcessBuilder(
+            Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+            "-Xmx112m",
+            "-jar",
+            jar.toString(),
+            "serve",
+            "--config",
+            config.toString());
+    b.environment().put("LOG_LEVEL", "info");
+    b.redirectErrorStream(true);
+    b.redirectOutput(ProcessBuilder.Redirect.appendTo(new File(dir.toFile(), node + ".log")));
+    processes.put(node, b.start());
+  }
+
+  private void end(String node, boolean orderly) throws Exception {
+    Process p = processes.get(node);
+    long at = System.nanoTime();
+    if (orderly) {
+      p.destroy();
+    } else {
+      kills++;
+      p.destroyForcibly();
+    }
+    if (!p.waitFor(8, TimeUnit.SECONDS)) {
+      throw new IllegalStateException(node + " does not end");
+    }
+    say(
+        "%s %s after %d ms",
+        node, orderly ? "ended" : "killed", (System.nanoTime() - at) / 1_000_000);
+  }
+
+  private void replace(String node, Path jar, boolean orderly) throws Exception {
+    end(node, orderly);
+    start(node, jar);
+    rest(STEP_MS);
+    say("%s runs %s; level %d", node, jar.getFileName(), level());
+  }
+
+  private static void say(String form, Object... of) {
+    System.out.printf(form + "%n", of);
+  }
+
+  private void rest(long ms) throws InterruptedException {
+    Thread.sleep(ms);
+  }
+
+  private int level() throws Exception {
+    return ask(
+        () -> {
+          Tables t = new Tables(NAMES, Range.BUILD, () -> {});
+          t.load(world.state().all(), world.state().rev());
+          return t.level();
+        });
+  }
+
+  // ---- load and what is measured ----
+
+  private void load(int jobs, long forMs) throws Exception {
+    ask(
+        () -> {
+          for (int i = 0; i < jobs; i++) {
+            int n = i;
+            String shape = i < 8 ? "daemon" : i % 3 == 0 ? "ensemble" : "batch";
+            world.clock.after(
+                i < 8 ? 0 : (long) (forMs * (double) i / jobs),
+                () -> world.submit(SimWorld.job(n, shape, 1 + n % 3, 1 + n % 2, 2 + n % 12), 0));
+          }
+          watchReplicas();
+          return null;
+        });
+  }
+
+  /** Replicas that were up and are not: what a rollout may not cost. */
+  private void watchReplicas() {
+    world.clock.after(250, this::watchReplicas);
+    for (int j = 0; j < 8; j++) {
+      for (int i = 0; i < 1 + j % 3; i++) {
+        String task = String.format("req-%06d/%d", j, i);
+        boolean on = world.rules.isOn(task);
+        if (on || seenOn.containsKey(task)) {
+          seenOn.put(task, 1);
+          replicaS += 0.25;
+          lostReplicaS += on ? 0 : 0.25;
+        }
+      }
+    }
+  }
+
+  private int status(String node, String method, String path, byte[] body) throws Exception {
+    CompletableFuture<Answer> got = new CompletableFuture<>();
+    loop.run(() -> client.call(ports.get(node), method, path, body, 3000, got::complete));
+    return got.get(5, TimeUnit.SECONDS).status();
+  }
+
+  private boolean done(int jobs) throws Exception {
+    for (int i = 8; i < jobs; i++) {
+      String id = String.format("req-%06d", i);
+      if (!"done".equals(ask(() -> world.lastTold(id)))) {
+        say("not done: %s is %s", id, ask(() -> world.lastTold(id)));
+        return false;
+      }
+    }
+    return true;
+  }
+
+  private boolean play(Path old, Path next, boolean same) throws Exception {
+    int jobs = 160;
+    for (String n : NAMES) {
+      start(n, same ? next : old);
+    }
+    rest(5000);
+    load(jobs, same ? 60_000 : 150_000);
+    rest(8000);
+    List<String> wrong = new ArrayList<>();
+    if (same) {
+      for (String n : NAMES) {
+        replace(n, next, true);
+      }
+    } else {
+      replace("n0", next, false);
+      replace("n2", next, true);
+      replace("n2", old, true);
+      replace("n0", old, true);
+      replace("n1", next, true);
+      end("n2", false);
+      start("n2", old);
+      rest(STEP_MS);
+      replace("n0", next, true);
+      if (level() != 1) {
+        wrong.add("the level rose while n2 ran the older build");
+      }
+      replace("n2", next, false);
+      if (level() != Range.BUILD.most()) {
+        wrong.add("the level did not rise");
+      }
+      keptOut(old, next, wrong);
+      replace("n1", next, false);
+    }
+    rest(30_000);
+    for (int i = 0; i < 12 && !done(jobs); i++) {
+      rest(5000);
+    }
+    if (!done(jobs)) {
+      wrong.add("a job did not end");
+    }
+    wrong.addAll(ask(world::broken));
+    say(
+        "replicas lost %.1f s of %.0f s (%.3f%%); submissions refused %d; tasks killed by leases %d;"
+            + " kills %d; starts %d",
+        lostReplicaS,
+        replicaS,
+        100 * lostReplicaS / replicaS,
+        world.refusedSubmissions,
+        ask(world::killedByLease),
+        kills,
+        world.starts());
+    wrong.forEach(w -> say("WRONG: %s", w));
+    return wrong.isEmpty();
+  }
+
+  /** The older build is started after the switch, as an operator might who does not know of it. */
+  private void keptOut(Path old, Path next, List<String> wrong) throws Exception {
+    end("n1", true);
+    long[] commits = new long[1];
+    List<String> wrote = new ArrayList<>();
+    ask(
+        () -> {
+          world.state().fate =
+              (from, d) -> {
+                try {
+                  for (var t : d.docs("then")) {
+                    String key = t.textOrNull("write");
+                    if (key != null && key.equals("w/m/n1")) {
+                      wrote.add(key);
+                    }
+                  }
+                } catch (BadMessage e) {
+                  wrote.add("malformed");
+                }
+                commits[0]++;
+                return SimState.Fate.APPLIED;
+              };
+          return null;
+        });
+    start("n1", old);
+    rest(12_000);
+    byte[] job = ask(() -> world.describe(SimWorld.job(900, "batch", 1, 1, 2)));
+    Map<String, Integer> got = new TreeMap<>();
+    got.put("up", status("n1", "GET", "/up", null));
+    got.put("submit", status("n1", "POST", "/api/jobs", job));
+    got.put("poll", status("n1", "GET", "/api/jobs/req-000010", null));
+    say("the older build after the switch answers %s and wrote %s", got, wrote);
+    got.forEach(
+        (what, code) -> {
+          if (code != 503) {
+            wrong.add("the older build answers " + what + " with " + code);
+          }
+        });
+    if (!wrote.isEmpty()) {
+      wrong.add("the older build wrote " + wrote);
+    }
+    end("n1", false);
+    start("n1", next);
+    rest(STEP_MS);
+  }
+
+  public static void main(String[] args) throws Exception {
+    Path old = Path.of(args[0]).toAbsolutePath();
+    Path next = Path.of(args[1]).toAbsolutePath();
+    boolean same = args.length > 3 && args[3].equals("--same");
+    Path dir = Files.createDirectories(Path.of(args[2]));
+    Loopback l = new Loopback(dir);
+    boolean ok = false;
+    try {
+      ok = l.play(old, next, same);
+    } finally {
+      l.processes.values().forEach(Process::destroyForcibly);
+    }
+    say(ok ? "no rule broken, every accepted job ended once" : "FAILED");
+    System.exit(ok ? 0 : 1);
+  }
+}
--- a/src/test/java/wickdrift/sim/RolloutTest.java
+++ b/src/test/java/wickdrift/sim/RolloutTest.java
@@ -360,6 +360,52 @@
     }
   }
 
+  /** Whatever the rise was drawn from changes while its transaction is under way: it fails. */
+  @ParameterizedTest
+  @ValueSource(strings = {"word", "live", "back", "announced", "list"})
+  void whatChangesWhileTheRiseIsUnderWay(String what) throws BadMessage {
+    SimWorld w = new SimWorld(376, 4, 20, "aaabb", 40);
+    w.nodes.forEach(w::kill);
+    for (String n : w.nodes) {
+      w.levels.put(n, Range.FIRST);
+      w.startNode(n);
+    }
+    w.run(6000);
+    for (String n : List.of("n0", "n1", "n2", "n3")) {
+      w.levels.remove(n);
+      w.crash(n, 1000);
+      w.run(6000);
+    }
+    // n3 is down when the last one comes, and counts as it has announced.
+    w.kill("n3");
+    w.run(6000);
+    w.levels.remove("n4");
+    w.crash("n4", 1000);
+    Map<String, Object> less = new TreeMap<>(Map.of("name", "n3", "least", 1L, "most", 1L));
+    less.put("peers", List.of("n3"));
+    boolean[] met = new boolean[1];
+    w.state().fate =
+        (from, d) -> {
+          if (Step.RISES.is(d) && !met[0]) {
+            met[0] = true;
+            switch (what) {
+              case "word" ->
+                  w.state().force(Word.KEY, Word.NONE.hold(Gate.NUMBERS.label(), true).toStore());
+              case "live" -> w.state().force("w/m/n1", Map.of("inc", "x", "zone", "a"));
+              case "back" -> w.state().force("w/m/n3", Map.of("inc", "x", "zone", "a"));
+              case "announced" -> w.state().force("w/c/3", less);
+              default -> w.state().force(Roster.LIST, Roster.listToStore(w.nodes));
+            }
+            w.clock.after(60, () -> assertEquals(1, level(w, from), what));
+          }
+          return SimState.Fate.APPLIED;
+        };
+    w.run(12_000);
+    assertTrue(met[0], "the level did not try to rise");
+    assertEquals(what.equals("list") ? NEW : 1, level(w, "n0"));
+    assertEquals(List.of(), w.broken());
+  }
+
   /** One that never comes back is waited for until an operator says that it is not. */
   @Test
   void withoutOneThatNeverComesBack() throws BadMessage {
@@ -413,7 +459,8 @@
     "aaa, n0 n1 n2, n0 n1 n2 n3 n4",
     "aaabb, n0 n1 n2 n3 n4, n0 n3 n4",
     "aaa, n0 n1 n2, n0 n1 n7",
-    "aaa, n0 n1 n2, n4 n5 n6"
+    "aaa, n0 n1 n2, n4 n5 n6",
+    "aaabbbb, n0 n1 n2 n3 n4 n5 n6, n0 n1 n2 n3 n4 n5 n9"
   })
   void controllersAreAddedRemovedAndRenamed(String zones, String before, String after)
       throws BadMessage {
@@ -483,6 +530,31 @@
     assertEquals(List.of(), w.broken());
   }
 
+  /** Where nobody may join before the level rises, those who wait raise it. */
+  @Test
+  void theListOfAllChangesAtOnceBeforeTheSwitch() {
+    SimWorld w = old(396, "aaa");
+    w.state().force(Word.KEY, Word.NONE.hold(Gate.NUMBERS.label(), true).toStore());
+    w.run(6000);
+    for (String n : w.nodes) {
+      replace(w, n);
+      w.run(6000);
+    }
+    assertEquals(1, level(w, "n0"));
+    w.nodes.forEach(w::kill);
+    w.run(6000);
+    w.nodes.clear();
+    w.nodes.addAll(List.of("n0", "n1", "n5"));
+    w.nodes.forEach(w::startNode);
+    w.run(10_000);
+    assertTrue(w.tables("n0").members().isEmpty());
+    w.state().force(Word.KEY, Word.NONE.toStore());
+    untilLevel(w, NEW);
+    w.run(10_000);
+    assertEquals(List.of("n0", "n1", "n5"), List.copyOf(w.tables("n0").view().members().keySet()));
+    assertEquals(3, w.tables("n0").roster().number("n5"));
+  }
+
   @ParameterizedTest
   @CsvSource({
     "w/x/1, 1",
--- a/src/test/java/wickdrift/sim/SimNet.java
+++ b/src/test/java/wickdrift/sim/SimNet.java
@@ -24,6 +24,12 @@
   private final Set<String> cuts = new HashSet<>();
   private final Map<String, List<Runnable>> held = new HashMap<>();
 
+  /** Hosts that are real processes, by name: how to call them. */
+  final Map<String, Caller> outside = new HashMap<>();
+
+  /** Told of whatever begins to listen. */
+  Consumer<String> opened = a -> {};
+
   public SimNet(SimClock clock, Random random) {
     this.clock = clock;
     this.random = random;
@@ -31,12 +37,18 @@
 
   public void listen(String address, Server server) {
     servers.put(address, server);
+    opened.accept(address);
   }
 
   public void close(String address) {
     servers.remove(address);
   }
 
+  /** What listens at an address, or null. */
+  Server at(String address) {
+    return servers.get(address);
+  }
+
   private static String link(String a, String b) {
     return a.compareTo(b) < 0 ? a + "|" + b : b + "|" + a;
   }
@@ -89,6 +101,10 @@
           from,
           address,
           () -> {
+            if (outside.containsKey(address)) {
+              outside.get(address).call(address, method, path, body, timeoutMs, once);
+              return;
+            }
             Server s = servers.get(address);
             if (s == null) {
               send(address, from, () -> once.accept(Caller.Answer.NONE));
--- a/src/test/java/wickdrift/sim/SimWorker.java
+++ b/src/test/java/wickdrift/sim/SimWorker.java
@@ -177,7 +177,7 @@
     }
     Map<String, Object> m = new LinkedHashMap<>();
     m.put("host", name);
-    m.put("address", address);
+    m.put("address", world.published.apply(address));
     m.put("flavour", "g4");
     m.put("region", zone);
     m.put("reclaimable", spot);
--- a/src/test/java/wickdrift/sim/SimWorld.java
+++ b/src/test/java/wickdrift/sim/SimWorld.java
@@ -36,8 +36,8 @@
 /** Three controllers with stand-ins for all they deal with, on a simulated clock. */
 public final class SimWorld {
   static final double GPUS = 4;
-  private static final String STATE = "10.2.0.1:1";
-  private static final String CLOUD = "10.2.0.2:1";
+  static final String STATE = "10.2.0.1:1";
+  static final String CLOUD = "10.2.0.2:1";
   private static final List<String> ZONES = List.of("a", "b");
 
   final SimClock clock = new SimClock();
@@ -51,6 +51,10 @@
   final long reportMs = 2_500;
   final long cancelMs = 36_000;
   int refusals;
+
+  /** Answers to submissions that sent the user away for now, and submissions without an answer. */
+  int refusedSubmissions;
+
   int deleted;
 
   /** Whether a machine was ever recorded as silent. */
@@ -63,6 +67,10 @@
   final List<String> nodes = new ArrayList<>();
 
   final double gpusMax;
+
+  /** What a worker says that its address is. */
+  UnaryOperator<String> published = a -> a;
+
   private final String controllerZones;
   private final UnaryOperator<Tuning> tuning;
 
@@ -736,6 +744,7 @@
               } else if (a.status() == 400 || a.status() == 422) {
                 rules.broken.add("refused " + id + " with " + a.status());
               } else {
+                refusedSubmissions++;
                 clock.after(1000, () -> trySubmit(id, body, withdrawAfterMs));
               }
             });
