--- a/src/main/java/wickdrift/bookkeeping/level/Gate.java
+++ b/src/main/java/wickdrift/bookkeeping/level/Gate.java
@@ -1,5 +1,7 @@
 package wickdrift.bookkeeping.level;
 
+import java.util.Locale;
+
 /**
  * What is new, each bound to the level of stored state with which it is switched on. Whoever
  * decides asks the tables, as of their revision, whether a gate is open; never what its own build
@@ -27,7 +29,7 @@
 
   /** The name that operators use: lower case. */
   public String label() {
-    return name().toLowerCase(java.util.Locale.ROOT);
+    return name().toLowerCase(Locale.ROOT);
   }
 
   /** The gate of that label, or null if nobody here knows it. */
--- a/src/main/java/wickdrift/bookkeeping/level/Range.java
+++ b/src/main/java/wickdrift/bookkeeping/level/Range.java
@@ -1,5 +1,6 @@
 package wickdrift.bookkeeping.level;
 
+import java.util.Map;
 import wickdrift.protocol.BadMessage;
 import wickdrift.protocol.Doc;
 
@@ -45,7 +46,7 @@
   }
 
   /** Adds both ends to a record that is about to be stored. */
-  public void into(java.util.Map<String, Object> record) {
+  public void into(Map<String, Object> record) {
     record.put(LEAST, least);
     record.put(MOST, most);
   }
--- a/src/main/java/wickdrift/operator/LevelCommand.java
+++ b/src/main/java/wickdrift/operator/LevelCommand.java
@@ -9,6 +9,7 @@
 import picocli.CommandLine;
 import wickdrift.bookkeeping.Tables;
 import wickdrift.bookkeeping.Txn;
+import wickdrift.bookkeeping.View;
 import wickdrift.bookkeeping.level.Announcement;
 import wickdrift.bookkeeping.level.Gate;
 import wickdrift.bookkeeping.level.Range;
@@ -35,7 +36,7 @@
     spec.commandLine().usage(spec.commandLine().getErr());
   }
 
-  /** What the commands read; null if this build does not understand the stored state. */
+  /** What the commands read; barred if this build does not understand the stored state. */
   private static Tables tables(Store store, Settings settings) throws Store.Away {
     Records r = Records.read(store);
     Tables t = new Tables(settings.nodeNames(), Range.BUILD, () -> {});
@@ -145,7 +146,7 @@
       Txn txn =
           new Txn()
               .when(Word.KEY, stamp)
-              .when(wickdrift.bookkeeping.View.KEY, t.viewStamp())
+              .when(View.KEY, t.viewStamp())
               .write(Word.KEY, next.toStore());
       if (!Records.commit(store, txn)) {
         return fail(NO, "the state has just changed; nothing was done, try again");
--- a/src/main/java/wickdrift/operator/Records.java
+++ b/src/main/java/wickdrift/operator/Records.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.TreeMap;
 import wickdrift.bookkeeping.Ledger;
+import wickdrift.bookkeeping.Txn;
 import wickdrift.protocol.BadMessage;
 import wickdrift.protocol.Doc;
 import wickdrift.protocol.Pack;
@@ -101,7 +102,7 @@
   }
 
   /** One transaction; true if its conditions held. */
-  static boolean commit(Store store, wickdrift.bookkeeping.Txn txn) throws Store.Away {
+  static boolean commit(Store store, Txn txn) throws Store.Away {
     Answer a = store.call("POST", "/commit", Pack.encode(txn.toWire()));
     if (a.status() != 200 && a.status() != 409) {
       throw new Store.Away("the state service refuses a change with " + a.status());
