More controllers than a view holds: spares serve users and take members' places

Change: the view takes as many as its transaction can rewrite the parts of, zone by zone; the others are spares. They take submissions and polls, tell workers their owner, count in the budgets of the store, may propose a view, and come in when a member goes. A rise of the level is conditional on the members of the view, on what operators said, and on as many of the others as fit.

It is a step, not the sharing itself: the spares own no machines yet.

--- a/src/main/java/wickdrift/bookkeeping/Ledger.java
+++ b/src/main/java/wickdrift/bookkeeping/Ledger.java
@@ -93,6 +93,7 @@
   private final int nodes;
   private final double writeRps;
   private double requestReserve;
+  private int sharing;
   private double fairWrites;
   private long windowMs;
   private int window;
@@ -147,6 +148,10 @@
 
   /** So many members share the limits. Requests leave room for one that joins. */
   public final void sharedBy(int members) {
+    if (members == sharing) {
+      return;
+    }
+    sharing = members;
     double share = rps / Math.min(nodes, members + 1) * 0.95;
     requests.rate(share);
     requestReserve = share * 0.25;
--- a/src/main/java/wickdrift/coordination/Membership.java
+++ b/src/main/java/wickdrift/coordination/Membership.java
@@ -34,6 +34,10 @@
   private static final long PEER_FRESH_MS = 2000;
   private static final double BUSIER = 1.25;
   private static final double RAMP = 2;
+
+  /** The protocol allows four conditions for each write. */
+  private static final int CONDITIONS_AN_OP = 4;
+
   private static final long BARRIER_MS = 1500;
 
   /** How this node stands. */
@@ -163,6 +167,15 @@
         });
   }
 
+  /** Whether this node is there with a lease that holds, and the view has no room for it. */
+  public boolean spare() {
+    return timers.nowMs() < leaseUntilMs
+        && caughtUp
+        && stage == Stage.SERVING
+        && tables.barred() == null
+        && incarnation.equals(tables.members().get(node));
+  }
+
   public boolean leads() {
     return standing() == Standing.MEMBER && node.equals(tables.view().leader());
   }
@@ -407,8 +420,8 @@
     boolean rises = rise.level() > base.level() && tables.roster().hasList();
     waitsFor = rise.waitsFor();
     View wanted = fitting(rises ? base.at(rise.level()) : base);
-    boolean same = now != null && wanted.members().equals(now.members());
-    if (same && !rises) {
+    boolean same = wanted == null || now != null && wanted.members().equals(now.members());
+    if (same && !rises || wanted == null) {
       differsSinceMs = -1;
       return;
     }
@@ -424,6 +437,10 @@
       LOG.info("level {} may come into force: all speak it", rise.level());
       Map<String, Long> conditions = new LinkedHashMap<>(rise.conditions());
       conditions.put(Roster.LIST, tables.roster().listStamp());
+      tables
+          .announcedLive()
+          .keySet()
+          .forEach(m -> conditions.put("w/m/" + m, tables.memberStamp(m)));
       propose(wanted, conditions);
     } else {
       propose(wanted, Map.of());
@@ -451,26 +468,29 @@
 
   /**
    * One transaction rewrites the parts of all that come, stay and go. Where that is more than it
-   * may hold, those that go come first, and of those that come as many as fit.
+   * may hold, those that go come first, and of those that come as many as fit. The rest are spares:
+   * they serve users as all do, and take the place of the next member that goes.
+   *
+   * @return null if none of those that stay or come fits
    */
   private View fitting(View next) {
     View now = tables.view();
     int most = settings.stateLimits().txnOps() - 1;
     TreeSet<String> all = new TreeSet<>(next.members().keySet());
     all.addAll(now == null ? Set.of() : now.members().keySet());
-    if (all.size() <= most || now == null) {
+    if (all.size() <= most) {
       return next;
     }
+    Set<String> before = now == null ? Set.of() : now.members().keySet();
     Map<String, String> fewer = new TreeMap<>(next.members());
-    fewer.keySet().retainAll(now.members().keySet());
-    if (fewer.isEmpty()) {
-      return next;
+    fewer.keySet().retainAll(before);
+    int room = most - before.size();
+    while (room-- > 0 && fewer.size() < next.members().size()) {
+      String comes = nextIn(next, fewer.keySet());
+      fewer.put(comes, next.members().get(comes));
     }
-    int room = most - now.members().size();
-    for (Map.Entry<String, String> m : next.members().entrySet()) {
-      if (room > 0 && fewer.putIfAbsent(m.getKey(), m.getValue()) == null) {
-        room--;
-      }
+    if (fewer.isEmpty()) {
+      return null;
     }
     Map<String, String> zones = new TreeMap<>(next.zones());
     zones.keySet().retainAll(fewer.keySet());
@@ -479,10 +499,27 @@
     return new View(next.epoch(), fewer, leader, zones, next.level(), next.extra());
   }
 
+  /** Who comes next: of the zone that has the fewest members, or it would stand alone in a cut. */
+  private static String nextIn(View next, Set<String> in) {
+    Map<String, Integer> zones = new HashMap<>();
+    in.forEach(m -> zones.merge(next.zones().getOrDefault(m, ""), 1, Integer::sum));
+    String best = null;
+    for (String m : next.members().keySet()) {
+      int here = zones.getOrDefault(next.zones().getOrDefault(m, ""), 0);
+      if (!in.contains(m)
+          && (best == null || here < zones.getOrDefault(next.zones().getOrDefault(best, ""), 0))) {
+        best = m;
+      }
+    }
+    return best;
+  }
+
   /** The same view under a higher epoch, so that commands given under this one are void. */
   public void raiseEpoch() {
     View v = tables.view();
-    if (!proposing && standing() == Standing.MEMBER && v.members().equals(tables.members())) {
+    // Spares are there too.
+    boolean whole = tables.members().entrySet().containsAll(v.members().entrySet());
+    if (!proposing && standing() == Standing.MEMBER && whole) {
       propose(v.raised(), Map.of());
     }
   }
@@ -490,10 +527,7 @@
   private void propose(View next, Map<String, Long> conditions) {
     proposing = true;
     Txn txn = new Txn().when(View.KEY, tables.viewStamp()).write(View.KEY, next.toStore());
-    for (String m : tables.members().keySet()) {
-      txn.when("w/m/" + m, tables.memberStamp(m));
-    }
-    conditions.forEach(txn::when);
+    next.members().keySet().forEach(m -> txn.when("w/m/" + m, tables.memberStamp(m)));
     // Rewriting the parts makes whatever was prepared under the old view fail. Those of nodes in
     // neither view were rewritten when they left: nothing of theirs can come any more.
     Set<String> all = new TreeSet<>(next.members().keySet());
@@ -507,6 +541,14 @@
       txn.when(Part.key(m), p == null ? 0 : p.stamp());
       txn.write(Part.key(m), told.inEpoch(next.epoch()).toStore());
     }
+    // Nobody outside the view acts, so what is known of them is asked for as far as it fits.
+    int most = CONDITIONS_AN_OP * settings.stateLimits().txnOps();
+    conditions.forEach(
+        (key, stamp) -> {
+          if (txn.conditions().size() < most) {
+            txn.when(key, stamp);
+          }
+        });
     LOG.info(
         "proposing epoch {}: level {}, members {}, leader {}",
         next.epoch(),
@@ -540,6 +582,8 @@
     if (v == null) {
       return;
     }
+    int there = Math.max(v.members().size(), tables.announcedLive().size());
+    ledger.sharedBy(there);
     double fair = ledger.fairWrites();
     long now = timers.nowMs();
     int known = 0;
@@ -550,7 +594,7 @@
         others += Math.max(h.writes * BUSIER, fair / 4);
       }
     }
-    int unknown = Math.max(0, v.members().size() - 1 - known);
+    int unknown = Math.max(0, there - 1 - known);
     ledger.othersWrite(others + unknown * fair / 2, Math.max(fair, toldWrites * RAMP));
     toldWrites = ledger.writing();
   }
--- a/src/main/java/wickdrift/coordination/Reporting.java
+++ b/src/main/java/wickdrift/coordination/Reporting.java
@@ -137,7 +137,6 @@
     before = current;
     current = v;
     viewEpoch = v.epoch();
-    ledger.sharedBy(v.members().size());
     sentAway.clear();
     viewSinceMs = timers.nowMs();
     LOG.info("epoch {}: members {}, leader {}", v.epoch(), v.members().keySet(), v.leader());
@@ -247,7 +246,9 @@
         return;
       }
       sentAway.add(r.machine());
-      x.reply(421, standing == Membership.Standing.MEMBER ? Map.of("upstream", owner) : Map.of());
+      // A spare knows as much as a member; who is cut off from the store may not.
+      boolean knows = standing == Membership.Standing.MEMBER || membership.spare();
+      x.reply(421, knows ? Map.of("upstream", owner) : Map.of());
       return;
     }
     if (standing == Membership.Standing.OUTSIDE) {
--- a/src/main/java/wickdrift/daemon/Settings.java
+++ b/src/main/java/wickdrift/daemon/Settings.java
@@ -45,6 +45,9 @@
 
   public record CloudLimits(double rps, double listLagS) {}
 
+  /** A view, the part of one that comes, its lasting record, and the first list. */
+  private static final int LEAST_OPS = 4;
+
   /** A setting that keeps the service from starting. */
   public static final class Invalid extends Exception {
     public Invalid(String message) {
@@ -141,9 +144,8 @@
             positive(c, "cluster.state.write_rps"),
             positive(c, "cluster.state.value_kb"),
             (int) positive(c, "cluster.state.txn_ops"));
-    if (state.txnOps < nodes + 1) {
-      throw new Invalid(
-          "cluster.state.txn_ops is too small to change the view of " + nodes + " nodes");
+    if (state.txnOps < LEAST_OPS) {
+      throw new Invalid("cluster.state.txn_ops is too small to change a view: " + state.txnOps);
     }
     return new Settings(
         node,
--- /dev/null
+++ b/src/test/java/wickdrift/bookkeeping/level/RiseTest.java
@@ -0,0 +1,131 @@
+package wickdrift.bookkeeping.level;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import wickdrift.protocol.BadMessage;
+import wickdrift.protocol.Doc;
+import wickdrift.protocol.Pack;
+
+/** When the level may rise, and what of it is malformed. */
+class RiseTest {
+  private static Doc doc(Map<String, Object> m) throws BadMessage {
+    return Doc.parse(Pack.encode(m));
+  }
+
+  /** Names with the most that they speak: {@code a2 b1}. */
+  private static Map<String, Integer> levels(String text) {
+    Map<String, Integer> out = new TreeMap<>();
+    for (String s : text == null ? new String[0] : text.split(" ")) {
+      out.put(s.substring(0, 1), Integer.parseInt(s.substring(1)));
+    }
+    return out;
+  }
+
+  @ParameterizedTest(name = "{0}: there {1}, announced {2}, named {3}, said {4}, done {5}")
+  @CsvSource({
+    // level | there | announced for good | settings name | operators say | done | then | why
+    "1, a2 b2 c2, a2 b2 c2, a b c, ,          0, 2, ''",
+    "1, a2 b2,    a2 b2 c2, a b c, ,          0, 2, ''",
+    "1, a2 b2,    a2 b2,    a b c, ,          0, 1, c is down and has announced nothing",
+    "1, a2 b2,    a2 b2 c1, a b c, ,          0, 1, c is down and spoke levels 1 to 1",
+    "1, a2 b2 c1, a2 b2 c2, a b c, ,          0, 1, c speaks levels 1 to 1",
+    "1, a2 b2,    a2 b2,    a b c, without c, 0, 2, ''",
+    "1, a2 b2 c1, a2 b2,    a b c, without c, 0, 1, c speaks levels 1 to 1",
+    "1, a2 b2 c2, a2 b2 c2, a b c, held numbers, 0, 1, gate numbers is held back",
+    "1, a2 b2 c2, a2 b2 c2, a b c, held later, 0, 1, gate later is held back",
+    // One that nobody here names, but a member's settings do.
+    "1, a2 b2,    a2 b2,    a,     ,          0, 2, ''",
+    "1, a2 b2 d2, a2 b2 d2, a b,   ,          0, 1, e is down and has announced nothing",
+    "2, a3 b3,    a3 b3,    a b,   ,          2, 3, ''",
+    "2, a3 b3,    a3 b3,    a b,   ,          0, 2, records of a form older than level 2 are left",
+    "3, a3 b3,    a3 b3,    a b,   ,          3, 3, ''"
+  })
+  void theLevelRisesWhenAllThatMayActSpeakIt(
+      int now,
+      String there,
+      String announced,
+      String named,
+      String said,
+      int done,
+      int then,
+      String why)
+      throws BadMessage {
+    Roster roster = new Roster(List.of("a", "b", "c"));
+    int stamp = 10;
+    for (Map.Entry<String, Integer> e : levels(announced).entrySet()) {
+      int n = e.getKey().charAt(0) - 'a';
+      List<String> peers = e.getKey().equals("d") ? List.of("d", "e") : List.of(e.getKey());
+      Announcement a = Announcement.fresh(n, e.getKey(), new Range(1, e.getValue()), peers);
+      roster.apply("" + n, doc(a.toStore()), stamp++);
+    }
+    if (said != null) {
+      String[] word = said.split(" ");
+      Word w =
+          word[0].equals("held") ? Word.NONE.hold(word[1], true) : Word.NONE.without(word[1], true);
+      roster.apply("word", doc(w.toStore()), 30);
+    }
+    if (done > 0) {
+      roster.apply("done", doc(Roster.doneToStore(done)), 31);
+    }
+    Map<String, Range> live = new TreeMap<>();
+    levels(there).forEach((n, most) -> live.put(n, new Range(1, most)));
+    Rise r = Rise.judge(now, new Range(1, 3), live, List.of(named.split(" ")), roster);
+    assertEquals(then, r.level());
+    assertEquals(why.isEmpty() ? List.of() : List.of(why), r.waitsFor());
+    if (then > now) {
+      assertEquals(said == null ? 0L : 30L, r.conditions().get(Word.KEY));
+      for (String n : levels(announced).keySet()) {
+        // Of one that is down: that it has not come back, nor announced anything else.
+        boolean asked = r.conditions().containsKey("w/m/" + n);
+        assertEquals(!live.containsKey(n) && List.of(named.split(" ")).contains(n), asked, n);
+      }
+    }
+  }
+
+  @ParameterizedTest
+  @CsvSource({"0, 1", "2, 1", "-1, 2", "1, 99999999999", "1, ", ", 2"})
+  void aRangeThatIsNoneIsRefused(Long least, Long most) throws BadMessage {
+    Map<String, Object> m = new TreeMap<>();
+    if (least != null) {
+      m.put("least", least);
+    }
+    if (most != null) {
+      m.put("most", most);
+    }
+    Doc d = doc(m);
+    assertThrows(BadMessage.class, () -> Range.parse(d));
+  }
+
+  /** What is malformed leaves the roster as it was. */
+  @ParameterizedTest
+  @CsvSource({"70000, number", "what, number", "list, names one twice", "word, not a list"})
+  void aMalformedRecordOfTheRosterIsRefused(String name, String why) throws BadMessage {
+    Roster roster = new Roster(List.of("a", "b"));
+    Doc d = doc(Map.of("name", "x", "peers", List.of(), "names", List.of("a", "a"), "held", 7L));
+    BadMessage e = assertThrows(BadMessage.class, () -> roster.apply(name, d, 5));
+    assertTrue(e.getMessage().contains(why), e.getMessage());
+    assertEquals(List.of("a", "b"), roster.first());
+    assertEquals(Word.NONE, roster.word());
+  }
+
+  /** A number is never given twice, whoever is gone. */
+  @Test
+  void aNumberIsNeverGivenTwice() throws BadMessage {
+    Roster roster = new Roster(List.of("a", "b"));
+    roster.apply("list", doc(Roster.listToStore(List.of("a", "b", "c"))), 1);
+    assertEquals(3, roster.nextNumber());
+    roster.apply("7", doc(Announcement.fresh(7, "z", Range.BUILD, List.of("z")).toStore()), 2);
+    assertEquals(8, roster.nextNumber());
+    assertEquals(7, roster.number("z"));
+    assertEquals("c", roster.name(2));
+    assertEquals(-1, roster.number("q"));
+  }
+}
--- a/src/test/java/wickdrift/sim/RolloutTest.java
+++ b/src/test/java/wickdrift/sim/RolloutTest.java
@@ -714,6 +714,36 @@
     assertTrue(w.tables("n1").view().members().containsKey("n0"));
   }
 
+  /**
+   * More controllers than a transaction can change the view of: those that do not fit serve users,
+   * and take the places of members that go, zone by zone.
+   */
+  @ParameterizedTest
+  @CsvSource({"9, 8", "33, 8", "12, 4"})
+  void moreControllersThanAViewHolds(int controllers, int txnOps) {
+    SimWorld w =
+        new SimWorld(
+            420, 8, 30, "a".repeat(controllers - 4) + "bbbb", 60, t -> t.withLog(2, 900), txnOps);
+    List<String> finite = load(w, 60, 60_000);
+    w.run(12_000);
+    View v = w.tables("n0").view();
+    assertEquals(txnOps - 1, v.members().size());
+    assertTrue(v.zones().containsValue("b"), "a zone with controllers has none in the view");
+    assertEquals(NEW, v.level());
+    List<String> members = List.copyOf(v.members().keySet());
+    String spare = w.nodes.stream().filter(n -> !v.members().containsKey(n)).findFirst().get();
+    assertEquals(200, w.ask(spare, "GET", "/up", null).status());
+    w.kill(members.get(0));
+    w.crash(members.get(1), 3000);
+    w.run(15_000);
+    View then = w.tables(spare).view();
+    assertEquals(txnOps - 1, then.members().size());
+    assertFalse(then.members().containsKey(members.get(0)));
+    w.nodes.remove(members.get(0));
+    w.run(150_000);
+    check(w, finite);
+  }
+
   /**
    * Two processes of one name: the later one serves, and the view does not change back and forth.
    */
