--- a/src/test/java/wickdrift/sim/RolloutTest.java
+++ b/src/test/java/wickdrift/sim/RolloutTest.java
@@ -617,6 +617,28 @@
     assertNull(w.diverged());
   }
 
+  /** What could not be read when a node loaded is not known to it later: it loads anew. */
+  @Test
+  void whatWasUnreadableAtALoadIsLoadedAnew() {
+    SimWorld w = new SimWorld(404, 6, 20, "aaa", 60);
+    w.run(8000);
+    for (int i = 0; i < 40; i++) {
+      w.submit(SimWorld.job(i, i % 3 == 0 ? "daemon" : "batch", 3, 1, 4), 0);
+      w.run(900);
+    }
+    String key = w.state().keys().stream().filter(Job::isChunk).findFirst().orElseThrow();
+    Object was = w.state().value(key);
+    w.state().force(key, Form.wrap(9, Map.of("rev", 1L)));
+    w.crash("n1", 500);
+    w.run(6000);
+    assertNotNull(w.tables("n1").barred());
+    w.state().force(key, was);
+    w.run(10_000);
+    assertNull(w.tables("n1").barred());
+    assertNull(w.diverged());
+    assertEquals(List.of(), w.broken());
+  }
+
   /** A member that can't be read is none, and nothing stops for it. */
   @Test
   void aMemberWithAnEmptyRangeIsNone() {
