Tests: a leaver's late placement; what was asked before a final answer is not older

A placement of a node that has left the view now has a test that fails when the parts of old members are not rewritten; the state service checks that none is applied from outside.

--- a/src/test/java/wickdrift/sim/RolloutTest.java
+++ b/src/test/java/wickdrift/sim/RolloutTest.java
@@ -310,6 +310,61 @@
     nothingOldIsLeft(w);
   }
 
+  /** A placement of one that has left the view fails, whenever it comes: its part was rewritten. */
+  @Test
+  void aPlacementOfOneThatLeftTheViewFails() throws BadMessage {
+    // A limit so large that nobody gives of its share: that rewrites a part too.
+    SimWorld w = new SimWorld(355, 8, 20, "aaa", 10_000);
+    w.run(10_000);
+    Doc[] held = new Doc[1];
+    w.state().fate =
+        (from, d) -> {
+          if (held[0] == null && from.equals("n1") && places(d)) {
+            held[0] = d;
+            w.cutFromState("n1", false);
+            return SimState.Fate.LOST;
+          }
+          return SimState.Fate.APPLIED;
+        };
+    for (int i = 0; i < 12; i++) {
+      w.submit(SimWorld.job(i, "batch", 2, 1, 20), 0);
+    }
+    while (held[0] == null) {
+      w.run(50);
+    }
+    while (w.tables("n0").view().members().containsKey("n1")) {
+      w.run(5);
+    }
+    assertEquals(409, late(w, held[0]));
+    w.run(5000);
+    assertEquals(409, late(w, held[0]));
+    assertEquals(List.of(), w.broken());
+  }
+
+  private static boolean places(Doc txn) {
+    try {
+      for (Doc t : txn.docs("then")) {
+        String key = t.textOrNull("write");
+        if (key != null && key.startsWith("w/l/")) {
+          List<?> runs = Form.read(t.raw("v"), Form.NUMBERED).list("g");
+          if (runs.toString().contains("[p, ")) {
+            return true;
+          }
+        }
+      }
+      return false;
+    } catch (BadMessage e) {
+      throw new AssertionError(e);
+    }
+  }
+
+  private static int late(SimWorld w, Doc txn) {
+    int[] status = new int[1];
+    w.state()
+        .serve("n1", "POST", "/commit", Pack.encode(txn.rawMap()), a -> status[0] = a.status());
+    return status[0];
+  }
+
   /** Whoever does not speak the level in force neither joins, proposes, writes nor serves. */
   @ParameterizedTest
   @CsvSource({"1, 1, 2", "1, 2, 3", "3, 4, 2"})
--- a/src/test/java/wickdrift/sim/SimRules.java
+++ b/src/test/java/wickdrift/sim/SimRules.java
@@ -15,6 +15,7 @@
   private final Set<String> doneTasks = new HashSet<>();
   private final Map<String, Long> withdrawnAt = new HashMap<>();
   private final Map<String, String> told = new HashMap<>();
+  private final Map<String, Long> finalAt = new HashMap<>();
   final List<String> broken = new ArrayList<>();
   int starts;
 
@@ -71,8 +72,13 @@
     withdrawnAt.putIfAbsent(job, world.clock.nowMs());
   }
 
-  /** A user was told a phase (null: 404) of an accepted job. */
-  void told(String job, String phase) {
+  /**
+   * A user was told a phase (null: 404) of an accepted job.
+   *
+   * @param askedMs when the question was sent: what was answered to an earlier one while a final
+   *     phase was on its way is not older than what its user knew when asking
+   */
+  void told(String job, String phase, long askedMs) {
     JobSpec s = world.specs.get(job);
     if (phase == null) {
       broke("forgotten " + job);
@@ -80,6 +86,9 @@
     }
     String before = told.get(job);
     boolean wasFinal = "done".equals(before) || "withdrawn".equals(before);
+    if (wasFinal && !before.equals(phase) && askedMs < finalAt.get(job)) {
+      return;
+    }
     if (wasFinal && !before.equals(phase)) {
       broke("went_back " + job + " from " + before + " to " + phase);
     }
@@ -93,6 +102,9 @@
     if (phase.equals("withdrawn") && !withdrawnAt.containsKey(job) && !world.asked.contains(job)) {
       broke("went_back " + job + ": withdrawn, but no one asked");
     }
+    if (phase.equals("done") || phase.equals("withdrawn")) {
+      finalAt.putIfAbsent(job, world.clock.nowMs());
+    }
     told.put(job, phase);
   }
 
--- a/src/test/java/wickdrift/sim/SimState.java
+++ b/src/test/java/wickdrift/sim/SimState.java
@@ -423,6 +423,9 @@
       for (Object o : fresh ? (List<?>) last.get(1) : List.of()) {
         List<?> e = (List<?>) o;
         String job = "w/j/" + e.get(1);
+        if (e.get(0).equals("p") && !inView(part.substring(4))) {
+          unfenced.add(key + " places " + e + " from outside the view");
+        }
         if (e.get(0).equals("p") && !(when.contains(part) && when.contains(job))) {
           unfenced.add(key + " places " + e + " without " + part + ", " + job);
         }
@@ -433,6 +436,13 @@
     }
   }
 
+  private boolean inView(String node) throws BadMessage {
+    Object view = value("w/v");
+    return view != null
+        && Doc.of(Form.read(Pack.decode(Pack.encode(view)), Form.NUMBERED).raw("members")).raw(node)
+            != null;
+  }
+
   /** Transactions that lacked a condition; must stay empty. */
   public List<String> unfenced() {
     return unfenced;
--- a/src/test/java/wickdrift/sim/SimWorld.java
+++ b/src/test/java/wickdrift/sim/SimWorld.java
@@ -776,6 +776,7 @@
   }
 
   private void poll(String id) {
+    long asked = clock.nowMs();
     net.caller("user", () -> true)
         .call(
             anyNode(),
@@ -785,9 +786,9 @@
             2000,
             a -> {
               if (a.status() == 200) {
-                rules.told(id, phase(a));
+                rules.told(id, phase(a), asked);
               } else if (a.status() == 404) {
-                rules.told(id, null);
+                rules.told(id, null, asked);
               }
               clock.after(5000, () -> poll(id));
             });
@@ -803,6 +804,7 @@
 
   private void withdraw(String id) {
     asked.add(id);
+    long asked = clock.nowMs();
     net.caller("user", () -> true)
         .call(
             anyNode(),
@@ -816,9 +818,9 @@
                 if (p.equals("withdrawn")) {
                   rules.withdrawn(id);
                 }
-                rules.told(id, p);
+                rules.told(id, p, asked);
               } else if (a.status() == 404) {
-                rules.told(id, null);
+                rules.told(id, null, asked);
               } else {
                 clock.after(1000, () -> withdraw(id));
               }
