--- a/src/main/java/wickdrift/coordination/Membership.java
+++ b/src/main/java/wickdrift/coordination/Membership.java
@@ -420,8 +420,8 @@
     boolean rises = rise.level() > base.level() && tables.roster().hasList();
     waitsFor = rise.waitsFor();
     View wanted = fitting(rises ? base.at(rise.level()) : base);
-    boolean same = wanted == null || now != null && wanted.members().equals(now.members());
-    if (same && !rises || wanted == null) {
+    boolean same = now != null && wanted.members().equals(now.members());
+    if (same && !rises) {
       differsSinceMs = -1;
       return;
     }
@@ -470,8 +470,6 @@
    * One transaction rewrites the parts of all that come, stay and go. Where that is more than it
    * may hold, those that go come first, and of those that come as many as fit. The rest are spares:
    * they serve users as all do, and take the place of the next member that goes.
-   *
-   * @return null if none of those that stay or come fits
    */
   private View fitting(View next) {
     View now = tables.view();
@@ -490,9 +488,12 @@
       fewer.put(comes, next.members().get(comes));
     }
     if (fewer.isEmpty()) {
-      return null;
+      // All members are gone at once: one of them makes room for the first that comes.
+      fewer.putAll(now.members());
+      fewer.remove(before.iterator().next());
     }
-    Map<String, String> zones = new TreeMap<>(next.zones());
+    Map<String, String> zones = new TreeMap<>(now == null ? Map.of() : now.zones());
+    zones.putAll(next.zones());
     zones.keySet().retainAll(fewer.keySet());
     String leader =
         fewer.containsKey(next.leader()) ? next.leader() : fewer.keySet().iterator().next();
--- a/src/test/java/wickdrift/sim/RolloutTest.java
+++ b/src/test/java/wickdrift/sim/RolloutTest.java
@@ -817,6 +817,14 @@
     assertEquals(txnOps - 1, then.members().size());
     assertFalse(then.members().containsKey(members.get(0)));
     w.nodes.remove(members.get(0));
+    // All members at once: the spares take over.
+    List<String> all = List.copyOf(then.members().keySet());
+    all.forEach(w::kill);
+    w.nodes.removeAll(all);
+    w.run(20_000);
+    View last = w.tables(w.nodes.get(0)).view();
+    assertEquals(Math.min(w.nodes.size(), txnOps - 1), last.members().size());
+    assertTrue(w.nodes.containsAll(last.members().keySet()));
     w.run(150_000);
     check(w, finite);
   }
