--- a/src/test/java/wickdrift/sim/RolloutTest.java
+++ b/src/test/java/wickdrift/sim/RolloutTest.java
@@ -28,6 +28,7 @@
 import wickdrift.protocol.BadMessage;
 import wickdrift.protocol.Doc;
 import wickdrift.protocol.Pack;
+import wickdrift.transport.Caller.Answer;
 
 /**
  * Controllers are replaced one after the other by those of a newer build while jobs run. In place
@@ -777,6 +778,31 @@
     assertTrue(took[0] >= 3 * took[1], "killed " + took[0] + ", orderly " + took[1] + " ms");
   }
 
+  /** Once its lease is given back a node is nothing any more, whatever its own clock says of it. */
+  @Test
+  void whoHasGivenItsLeaseBackAnswersNobody() {
+    SimWorld w = new SimWorld(413, 8, 20, "aaa", 60);
+    w.run(10_000);
+    String mine =
+        w.workers().stream()
+            .map(m -> m.name)
+            .filter(m -> w.owner("n0", m).equals("n0"))
+            .findFirst()
+            .orElseThrow();
+    long epoch = w.epoch("n0");
+    w.leave("n0", 3000);
+    w.run(60);
+    // The others have not changed the view yet.
+    assertEquals(epoch, w.epoch("n1"));
+    Answer[] got = w.report("n0", mine, epoch);
+    w.state().writers.clear();
+    w.run(1500);
+    assertNotEquals(200, got[0].status());
+    assertFalse(w.state().writers.contains("n0"));
+    w.run(10_000);
+    assertEquals(List.of(), w.broken());
+  }
+
   /** With the store away an orderly end is bounded all the same. */
   @Test
   void anOrderlyEndIsBounded() {
--- a/src/test/java/wickdrift/sim/SimState.java
+++ b/src/test/java/wickdrift/sim/SimState.java
@@ -12,7 +12,9 @@
 import java.util.function.BiFunction;
 import java.util.function.Consumer;
 import wickdrift.bookkeeping.Ledger;
+import wickdrift.bookkeeping.Tables;
 import wickdrift.bookkeeping.level.Form;
+import wickdrift.bookkeeping.level.Roster;
 import wickdrift.protocol.BadMessage;
 import wickdrift.protocol.Doc;
 import wickdrift.protocol.Pack;
@@ -406,6 +408,15 @@
           unfenced.add(key + " without its own stamp");
         }
       }
+      if (key.equals(Roster.DONE) && t.raw("v") != null) {
+        for (Map.Entry<String, Entry> e : entries.entrySet()) {
+          boolean old =
+              Tables.formOf(e.getKey()) > Form.of(Pack.decode(Pack.encode(e.getValue().value)));
+          if (old) {
+            unfenced.add(key + " while " + e.getKey() + " is of an older form");
+          }
+        }
+      }
       if (!key.startsWith("w/l/") || t.raw("v") == null) {
         continue;
       }
--- a/src/test/java/wickdrift/sim/SimWorld.java
+++ b/src/test/java/wickdrift/sim/SimWorld.java
@@ -440,6 +440,11 @@
     running.get(name).controller.leave(withinMs, () -> crash(name, forMs));
   }
 
+  /** Tells a process to end that then does not: what it is by then matters, not that it is gone. */
+  public void leave(String name, long withinMs) {
+    running.get(name).controller.leave(withinMs, () -> {});
+  }
+
   /** A node's tables; what it holds for durable. */
   Tables tables(String node) {
     return running.get(node).controller.tables();
