--- a/src/test/java/wickdrift/sim/OperatorTest.java
+++ b/src/test/java/wickdrift/sim/OperatorTest.java
@@ -29,6 +29,7 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 import picocli.CommandLine;
+import wickdrift.bookkeeping.Job;
 import wickdrift.bookkeeping.Tables;
 import wickdrift.bookkeeping.level.Form;
 import wickdrift.bookkeeping.level.Range;
@@ -225,6 +226,13 @@
         new Restore(store(w.state()), 8).run(r);
       }
       assertThrows(Restore.Refused.class, () -> new Restore(store(w.state()), 8).run(r));
+      for (String key : w.state().keys()) {
+        if (Job.isChunk(key)) {
+          // What ran has ended with its worker's lease.
+          Object v = Pack.decode(Pack.encode(w.state().value(key)));
+          assertEquals(List.of(), Form.read(v, Form.NUMBERED).list("live"), key);
+        }
+      }
       goesOn(w, r);
     }
     assertTrue(steps > 3, "steps " + steps);
