--- a/src/main/java/wickdrift/bookkeeping/Tables.java
+++ b/src/main/java/wickdrift/bookkeeping/Tables.java
@@ -89,11 +89,6 @@
     return roster;
   }
 
-  /** The levels that a member has announced with its lease; the first where it announces none. */
-  public Range memberLevels(String member) {
-    return memberLevels.getOrDefault(member, Range.FIRST);
-  }
-
   /** The level in force, as of the tables' revision. */
   public int level() {
     return view == null ? 1 : view.level();
--- a/src/main/java/wickdrift/coordination/Membership.java
+++ b/src/main/java/wickdrift/coordination/Membership.java
@@ -76,7 +76,6 @@
   private boolean writing;
   private long differsSinceMs = -1;
   private boolean proposing;
-  private List<String> waitsFor = List.of();
   private long peerEpoch;
 
   /** False from waking until the tables hold all that was durable by then. */
@@ -418,7 +417,6 @@
         Rise.judge(
             base.level(), levels, tables.announcedLive(), settings.nodeNames(), tables.roster());
     boolean rises = rise.level() > base.level() && tables.roster().hasList();
-    waitsFor = rise.waitsFor();
     View wanted = fitting(rises ? base.at(rise.level()) : base);
     boolean same = now != null && wanted.members().equals(now.members());
     if (same && !rises) {
@@ -456,11 +454,6 @@
         || tables.members().isEmpty() && tables.view() != null && tether > 0;
   }
 
-  /** Why the level does not rise, as this node sees it; empty when nothing newer is known to it. */
-  public List<String> waitsFor() {
-    return waitsFor;
-  }
-
   /** This node's place among those that are there: it decides whose turn it is. */
   private int place() {
     return new ArrayList<>(tables.members().keySet()).indexOf(node);
--- a/src/main/java/wickdrift/operator/LevelCommand.java
+++ b/src/main/java/wickdrift/operator/LevelCommand.java
@@ -74,7 +74,7 @@
         m.put("member", t.view() != null && t.view().members().containsKey(name));
         m.put(
             "levels",
-            live ? t.memberLevels(name).toString() : a == null ? "" : a.range().toString());
+            live ? t.announcedLive().get(name).toString() : a == null ? "" : a.range().toString());
         m.put("waitedFor", !t.roster().word().without().contains(name));
         list.add(m);
       }
