--- /dev/null
+++ b/src/main/java/wickdrift/lab/Variant.java
@@ -0,0 +1,217 @@
+package wickdrift.lab;
+
+import com.electronwill.nightconfig.core.Config;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+/**
+ * Another deployment made of a site file: more machines, load, controllers, quicker returns, other
+ * zones and teams. A description names no site, so that the same one serves every site file; what
+ * it does not name stays as it is.
+ *
+ * <p>Amounts are factors or shares, times are in seconds. Fields:
+ *
+ * <ul>
+ *   <li>{@code machines}: factor on the machines that are up and that can be had
+ *   <li>{@code load}: factor on the jobs at the start and on the rates of arrival
+ *   <li>{@code limits}: factor on the teams' guarantees and limits
+ *   <li>{@code faults}: factor on how many machines a fault of the site's days strikes (default: as
+ *       {@code machines})
+ *   <li>{@code controllers}: how many
+ *   <li>{@code restart_delay_s}: how long a process that has ended stays away
+ *   <li>{@code skew}: from 0 to 1, the share of each zone's machines but the first's that are moved
+ *       to the first
+ *   <li>{@code zone}: a further zone without a controller, with an even share of the machines
+ *   <li>{@code teams}: tables with {@code name}, {@code weight} (of what is asked for) and {@code
+ *       guaranteed}, {@code most} (shares of all GPUs; 0: none), in place of the site's
+ * </ul>
+ */
+final class Variant {
+  private static final Set<String> FIELDS =
+      Set.of(
+          "name",
+          "machines",
+          "load",
+          "limits",
+          "faults",
+          "controllers",
+          "restart_delay_s",
+          "skew",
+          "zone",
+          "teams");
+
+  private final Config spec;
+  private final String name;
+
+  Variant(Config spec) throws BadInput {
+    this.spec = spec;
+    this.name = Toml.text(spec, "name", "variant");
+    Toml.only(spec, FIELDS, "variant " + name);
+  }
+
+  String name() {
+    return name;
+  }
+
+  private double factor(String field, double otherwise) throws BadInput {
+    return Toml.number(spec, field, otherwise, "variant " + name);
+  }
+
+  /** Changes a site in place. */
+  void apply(Config site) throws BadInput {
+    double machines = factor("machines", 1);
+    double load = factor("load", 1);
+    double limits = factor("limits", 1);
+    for (Config c : Toml.tables(site, "capacity")) {
+      scale(c, "count", machines);
+      scale(c, "spot", machines);
+    }
+    for (Config c : Toml.tables(site, "machines")) {
+      scale(c, "count", machines);
+    }
+    for (Config j : Toml.tables(site, "jobs")) {
+      scale(j, "initial", load);
+      if (j.get("arrivals") instanceof Config a && a.get("rate") instanceof Number r) {
+        a.set("rate", r.doubleValue() * load);
+      }
+    }
+    for (Config t : Toml.tables(site, "teams")) {
+      for (String f : List.of("cpus", "cpus_max", "gpus", "gpus_max")) {
+        if (t.get(f) instanceof Number n) {
+          t.set(f, n.doubleValue() * limits);
+        }
+      }
+    }
+    double faults = factor("faults", machines);
+    for (Config d : Toml.tables(site, "day")) {
+      for (Config f : Toml.tables(d, "faults")) {
+        if (f.get("kind") instanceof String kind && kind.startsWith("machine_")) {
+          scale(f, "count", faults);
+        }
+      }
+    }
+    if (spec.contains("controllers")) {
+      long n = (long) factor("controllers", 0);
+      if (n < 1) {
+        throw new BadInput("variant " + name + ": controllers is less than 1");
+      }
+      site.set("nodes.count", n);
+      for (Config d : Toml.tables(site, "day")) {
+        crashes(d, n);
+      }
+    }
+    if (spec.contains("restart_delay_s")) {
+      site.set("nodes.restart_delay_s", factor("restart_delay_s", 0));
+    }
+    skew(site, factor("skew", 0));
+    if (spec.contains("zone")) {
+      addZone(site, Toml.text(spec, "zone", "variant " + name));
+    }
+    if (spec.contains("teams")) {
+      teams(site);
+    }
+  }
+
+  /** What struck all controllers of the site strikes all of these. */
+  private static void crashes(Config day, long n) {
+    long most = 0;
+    for (Config f : Toml.tables(day, "faults")) {
+      if ("node_crash".equals(f.get("kind")) && f.get("count") instanceof Number c) {
+        most = Math.max(most, c.longValue());
+      }
+    }
+    for (Config f : Toml.tables(day, "faults")) {
+      if ("node_crash".equals(f.get("kind"))
+          && f.get("count") instanceof Number c
+          && c.longValue() == most
+          && most > 1) {
+        f.set("count", n);
+      }
+    }
+  }
+
+  private static void scale(Config c, String field, double factor) {
+    if (c.get(field) instanceof Number n) {
+      c.set(field, Math.round(n.doubleValue() * factor));
+    }
+  }
+
+  private static void skew(Config site, double share) {
+    if (share == 0) {
+      return;
+    }
+    for (String table : List.of("capacity", "machines")) {
+      for (String field : List.of("count", "spot")) {
+        Config first = null;
+        for (Config c : Toml.tables(site, table)) {
+          if (!(c.get(field) instanceof Number n)) {
+            continue;
+          }
+          if (first == null) {
+            first = c;
+            continue;
+          }
+          long moved = Math.round(n.doubleValue() * share);
+          c.set(field, n.longValue() - moved);
+          first.set(field, first.<Number>get(field).longValue() + moved);
+        }
+      }
+    }
+  }
+
+  private static void addZone(Config site, String zone) {
+    for (String table : List.of("capacity", "machines")) {
+      List<Config> all = new ArrayList<>(Toml.tables(site, table));
+      if (all.isEmpty()) {
+        continue;
+      }
+      Config last = Toml.copy(all.get(all.size() - 1));
+      last.set("zone", zone);
+      for (String field : List.of("count", "spot")) {
+        long sum = 0;
+        for (Config c : all) {
+          sum += c.get(field) instanceof Number n ? n.longValue() : 0;
+        }
+        for (Config c : all) {
+          scale(c, field, all.size() / (all.size() + 1.0));
+        }
+        if (last.get(field) instanceof Number) {
+          last.set(field, sum / (all.size() + 1));
+        }
+      }
+      all.add(last);
+      site.set(table, all);
+    }
+  }
+
+  private void teams(Config site) throws BadInput {
+    Map<String, Double> gpus = new LinkedHashMap<>();
+    for (Config t : Toml.tables(site, "machine_types")) {
+      gpus.put(t.get("name"), Toml.number(t, "gpus", 0, "machine_types"));
+    }
+    double all = 0;
+    for (Config c : Toml.tables(site, "capacity")) {
+      double n = Toml.number(c, "count", 0, "capacity") + Toml.number(c, "spot", 0, "capacity");
+      all += n * gpus.getOrDefault(c.<String>get("type"), 0.0);
+    }
+    List<Config> out = new ArrayList<>();
+    for (Config t : Toml.tables(spec, "teams")) {
+      String at = "variant " + name + ", team";
+      Config team = Toml.fresh();
+      team.set("name", Toml.text(t, "name", at));
+      team.set("weight", Toml.number(t, "weight", 1, at));
+      for (var f : Map.of("gpus", "guaranteed", "gpus_max", "most").entrySet()) {
+        double share = Toml.number(t, f.getValue(), 0, at);
+        if (share > 0) {
+          team.set(f.getKey(), (double) Math.round(share * all));
+        }
+      }
+      out.add(team);
+    }
+    site.set("teams", out);
+    Toml.tables(site, "jobs").forEach(j -> j.remove("teams"));
+  }
+}
--- /dev/null
+++ b/src/test/java/wickdrift/lab/ServedTest.java
@@ -0,0 +1,87 @@
+package wickdrift.lab;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+import java.util.stream.Stream;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.Arguments;
+import org.junit.jupiter.params.provider.MethodSource;
+
+/** The arithmetic of who was served, on small made-up reports. */
+class ServedTest {
+  private static final String TWO_CLASSES =
+      "{'scenario':'d','rules_broken':{'total':0},"
+          + "'classes':{'a':{'jobs':10,'accepted':9,'started':8,'done':7},"
+          + "'b':{'jobs':4,'accepted':4,'started':1,'done':0}},"
+          + "'teams':{'t':{'jobs':14,'started':9}}}";
+
+  private static String json(String s) {
+    return s.replace('\'', '"');
+  }
+
+  static Stream<Arguments> reports() {
+    return Stream.of(
+        Arguments.of(TWO_CLASSES, "d: least served class b 0.250, FAILED"),
+        Arguments.of(
+            TWO_CLASSES.replace("'started':1", "'started':2"), "d: least served class b 0.500"),
+        // Of two that were served alike, a class is named before a team.
+        Arguments.of(
+            "{'scenario':'d','rules_broken':{'total':0},"
+                + "'classes':{'z':{'jobs':2,'accepted':2,'started':2,'done':2}},"
+                + "'teams':{'a':{'jobs':2,'started':2}}}",
+            "d: least served class z 1.000"),
+        // Nothing was asked for: nobody went without.
+        Arguments.of(
+            "{'scenario':'d','rules_broken':{'total':0},"
+                + "'classes':{'a':{'jobs':0,'accepted':0,'started':0,'done':0}},'teams':{}}",
+            "d: least served class a 1.000"),
+        Arguments.of(
+            "{'scenario':'d','rules_broken':{'total':3},'classes':{},"
+                + "'teams':{'a':{'jobs':3,'started':2}}}",
+            "d: least served team a 0.667, 3 times a rule was broken, FAILED"));
+  }
+
+  @ParameterizedTest
+  @MethodSource("reports")
+  void tellsTheLeastServed(String report, String line) throws BadInput {
+    assertEquals(line, Served.read(json(report)).line());
+  }
+
+  static Stream<Arguments> bad() {
+    return Stream.of(
+        Arguments.of("[]", "not a JSON object"),
+        Arguments.of("{'scenario':'d'}", "classes is missing"),
+        Arguments.of(TWO_CLASSES.replace("'jobs':4,", ""), "classes.b.jobs is missing"),
+        Arguments.of(TWO_CLASSES.replace("'done':7", "'done':-1"), "classes.a.done is not a count"),
+        Arguments.of(
+            TWO_CLASSES.replace("'accepted':9", "'accepted':'9'"),
+            "classes.a.accepted is not a count"),
+        Arguments.of(TWO_CLASSES.replace("'teams'", "'crews'"), "teams is missing"),
+        Arguments.of(TWO_CLASSES.replace("'started':9}", "'ran':9}"), "teams.t.started is missing"),
+        Arguments.of(TWO_CLASSES.replace("'total'", "'sum'"), "rules_broken.total is missing"),
+        Arguments.of(TWO_CLASSES.replace("'scenario':'d',", ""), "scenario is missing"),
+        Arguments.of(
+            "{'scenario':'d','classes':{},'teams':{},'rules_broken':{'total':0}}",
+            "classes and teams are empty"));
+  }
+
+  @ParameterizedTest
+  @MethodSource("bad")
+  void refusesAReportThatLacksAField(String report, String why) {
+    BadInput e = assertThrows(BadInput.class, () -> Served.read(json(report)));
+    assertEquals(why, e.getMessage());
+  }
+
+  @Test
+  void everyRowIsTold() throws BadInput {
+    assertEquals(
+        """
+        d: least served class b 0.250, FAILED
+          class b: served 0.250 (asked 4, accepted 4, started 1, done 0)
+          team t: served 0.643 (asked 14, accepted -, started 9, done -)
+          class a: served 0.800 (asked 10, accepted 9, started 8, done 7)""",
+        Served.read(json(TWO_CLASSES)).text());
+  }
+}
--- /dev/null
+++ b/src/test/java/wickdrift/lab/VariantTest.java
@@ -0,0 +1,161 @@
+package wickdrift.lab;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+import com.electronwill.nightconfig.core.Config;
+import com.electronwill.nightconfig.toml.TomlParser;
+import java.util.List;
+import java.util.stream.Stream;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.Arguments;
+import org.junit.jupiter.params.provider.MethodSource;
+
+/** Deployments and days made of a small made-up site. */
+class VariantTest {
+  private static final String SITE =
+      """
+      name = "s"
+      duration_s = 200.0
+      [nodes]
+      count = 3
+      restart_delay_s = 5.0
+      [[machine_types]]
+      name = "m"
+      gpus = 4.0
+      [[capacity]]
+      type = "m"
+      zone = "x"
+      count = 100
+      spot = 20
+      [[capacity]]
+      type = "m"
+      zone = "y"
+      count = 60
+      [[teams]]
+      name = "t"
+      gpus = 10.0
+      [[jobs]]
+      name = "c"
+      kind = "gang"
+      initial = 7
+      teams = ["t"]
+      arrivals = { rate = 0.5 }
+      [[day]]
+      name = "d"
+      faults = [
+        { at_s = 1.0, kind = "node_crash", count = 3 },
+        { at_s = 2.0, kind = "node_crash", count = 1 },
+        { at_s = 3.0, kind = "machine_die", count = 10 },
+      ]
+      """;
+
+  private static Config parse(String s) {
+    return new TomlParser().parse(s);
+  }
+
+  private static Config site(String variant) throws BadInput {
+    Config site = Toml.copy(parse(SITE));
+    new Variant(parse("name = \"v\"\n" + variant)).apply(site);
+    return site;
+  }
+
+  private static String at(Config c, String path) {
+    Object v = c;
+    for (String p : path.split("/")) {
+      v = v instanceof List<?> l ? l.get(Integer.parseInt(p)) : ((Config) v).get(p);
+    }
+    return String.valueOf(v);
+  }
+
+  static Stream<Arguments> variants() {
+    return Stream.of(
+        Arguments.of("machines = 1.5", "capacity/0/count", "150"),
+        Arguments.of("machines = 1.5", "capacity/0/spot", "30"),
+        Arguments.of("machines = 1.5", "day/0/faults/2/count", "15"),
+        Arguments.of("machines = 1.5", "day/0/faults/0/count", "3"),
+        Arguments.of("machines = 1.5", "jobs/0/initial", "7"),
+        Arguments.of("load = 2.0", "jobs/0/initial", "14"),
+        Arguments.of("load = 2.0", "jobs/0/arrivals/rate", "1.0"),
+        Arguments.of("limits = 2.0", "teams/0/gpus", "20.0"),
+        Arguments.of("controllers = 7", "nodes/count", "7"),
+        // What struck all three strikes all seven; what struck one strikes one.
+        Arguments.of("controllers = 7", "day/0/faults/0/count", "7"),
+        Arguments.of("controllers = 7", "day/0/faults/1/count", "1"),
+        Arguments.of("restart_delay_s = 0.1", "nodes/restart_delay_s", "0.1"),
+        Arguments.of("skew = 0.5", "capacity/0/count", "130"),
+        Arguments.of("skew = 0.5", "capacity/1/count", "30"),
+        Arguments.of("zone = \"z\"", "capacity/2/zone", "z"),
+        Arguments.of("zone = \"z\"", "capacity/2/count", "53"),
+        Arguments.of("zone = \"z\"", "capacity/0/count", "67"),
+        Arguments.of("teams = [{name = \"g\", guaranteed = 0.1}]", "teams/0/gpus", "72.0"),
+        Arguments.of("teams = [{name = \"g\", guaranteed = 0.1}]", "jobs/0/teams", "null"));
+  }
+
+  @ParameterizedTest
+  @MethodSource("variants")
+  void changesWhatItNames(String variant, String path, String value) throws BadInput {
+    assertEquals(value, at(site(variant), path));
+  }
+
+  static Stream<Arguments> bad() {
+    return Stream.of(
+        Arguments.of("machine = 2.0", "variant v: machine is not known"),
+        Arguments.of("load = \"2\"", "variant v: load is no number of at least 0"),
+        Arguments.of("controllers = 0", "variant v: controllers is less than 1"),
+        Arguments.of("teams = [{weight = 1.0}]", "variant v, team: name is missing or no text"));
+  }
+
+  @ParameterizedTest
+  @MethodSource("bad")
+  void refusesWhatItDoesNotKnow(String variant, String why) {
+    assertEquals(why, assertThrows(BadInput.class, () -> site(variant)).getMessage());
+  }
+
+  static Stream<Arguments> faults() {
+    return Stream.of(
+        Arguments.of("at = 0.5, kind = \"state_outage\"", "at_s", "100.0"),
+        Arguments.of("at_s = 7.0, kind = \"state_outage\"", "at_s", "7.0"),
+        Arguments.of("at_s = 7.0, kind = \"job_burst\", class = \"@gang\"", "class", "c"),
+        Arguments.of("at_s = 7.0, kind = \"zone_cut\", zone = \"@1\"", "zone", "y"),
+        Arguments.of("at_s = 7.0, kind = \"machine_die\", share = 0.1", "count", "18"),
+        Arguments.of("at_s = 7.0, kind = \"node_crash\", share = 1.0", "count", "3"),
+        // Of other kinds a share is the fault's own.
+        Arguments.of("at_s = 7.0, kind = \"spot_taken\", share = 0.3", "share", "0.3"));
+  }
+
+  @ParameterizedTest
+  @MethodSource("faults")
+  void putsADayOnASite(String fault, String field, String value) throws BadInput {
+    Config day = new Day(parse("name = \"d\"\nfaults = [{" + fault + "}]")).on(parse(SITE));
+    assertEquals(value, at(day, "faults/0/" + field));
+  }
+
+  @Test
+  void aFaultThatComesAgainIsListedEachTime() throws BadInput {
+    Config day =
+        new Day(
+                parse(
+                    "name = \"d\"\nfaults = ["
+                        + "{at_s = 9.0, kind = \"a\", times = 3, every_s = 2.0},"
+                        + "{at_s = 10.0, kind = \"b\"}]"))
+            .on(parse(SITE));
+    List<String> times =
+        Toml.tables(day, "faults").stream().map(f -> f.get("kind") + "@" + f.get("at_s")).toList();
+    assertEquals(List.of("a@9.0", "b@10.0", "a@11.0", "a@13.0"), times);
+  }
+
+  @Test
+  void aClassThatTheSiteLacksIsNamed() {
+    BadInput e =
+        assertThrows(
+            BadInput.class,
+            () ->
+                new Day(
+                        parse(
+                            "name=\"d\"\nfaults=[{at_s=1.0,kind=\"job_burst\",class=\"@array\"}]"))
+                    .on(parse(SITE)));
+    assertEquals("day d, fault job_burst: the site has no jobs of kind array", e.getMessage());
+  }
+}
