Drafts that can be paid; gangs count the owners they need; ties by owner; leader's writes

A draft over all parts writes eight records, the own budget holds 6.8 at most, and users' writes kept it from being full. A gang was placed only where records of ALL parts fitted into the transaction, whatever it touched: with seven members not one beside the end of a job, so for 300 s no gang started, while each marked machines that stood empty.

Change: what is drafted can be paid (Ledger.payable), and what was too wide waits for its width once; a gang counts the owners of the machines chosen for it; a job that lacks writes only is not blocked, and nothing is stopped for it; of equals the leader takes machines of parts that are in the transaction already; half of what is kept for work is the leader's; a node saves up four writes for its work, so that users' writes can't keep an end from being written. Counters as metrics: drafted, unpaid, refused by the own budget, by the store, failed by condition.

--- a/src/main/java/wickdrift/bookkeeping/Bucket.java
+++ b/src/main/java/wickdrift/bookkeeping/Bucket.java
@@ -23,6 +23,12 @@
     return true;
   }
 
+  /** Takes what is there of {@code n}: it was allowed elsewhere. */
+  public void spend(double n, long nowMs) {
+    has(0, 0, nowMs);
+    tokens = Math.max(Math.min(tokens, 0), tokens - n);
+  }
+
   /** Whether {@link #take} would take that. */
   public boolean has(double n, double reserve, long nowMs) {
     tokens = Math.min(most, tokens + perSecond * (nowMs - lastMs) / 1000.0);
--- a/src/main/java/wickdrift/bookkeeping/Ledger.java
+++ b/src/main/java/wickdrift/bookkeeping/Ledger.java
@@ -39,6 +39,15 @@
   /** Left for authority and users. */
   private static final double RESERVE = 3;
 
+  /** Of what is kept for work, the leader's part: gangs and what is spread over zones are its. */
+  private static final double LEADERS = 0.5;
+
+  /**
+   * So many writes a node may save up for its work even where its share of a second is less: the
+   * end of a job takes so many, and must come to be written however many controllers there are.
+   */
+  private static final double WORK_SAVED = 4;
+
   /** Loading until a whole copy is there and has been caught up; then following. */
   public enum Phase {
     LOADING,
@@ -89,12 +98,18 @@
   private final Bucket requests;
   private final Bucket writes;
   private final Bucket userWrites;
+  private final Bucket workWrites;
   private final double rps;
   private final int nodes;
   private final double writeRps;
   private double requestReserve;
   private int sharing;
+  private boolean leading;
   private double fairWrites;
+  private double fairUserWrites;
+  private long refusedByBudget;
+  private long refusedByStore;
+  private long failedByCondition;
   private long windowMs;
   private int window;
   private int lastWindow;
@@ -139,25 +154,37 @@
     this.requests = new Bucket(1, now);
     this.writes = new Bucket(1, now);
     this.userWrites = new Bucket(1, now);
-    sharedBy(nodes);
+    this.workWrites = new Bucket(1, now);
+    sharedBy(nodes, false);
     requests.fill();
     writes.fill();
     userWrites.fill();
     this.lastOkMs = now;
   }
 
-  /** So many members share the limits. Requests leave room for one that joins. */
-  public final void sharedBy(int members) {
-    if (members == sharing) {
+  /**
+   * So many members share the limits. Requests leave room for one that joins. What users may take
+   * of the writes is divided evenly, for they come to all alike; of what is kept for work the
+   * leader has more, since more of the placements are its: with an even share, each controller more
+   * would have the leader place less.
+   */
+  public final void sharedBy(int members, boolean leads) {
+    if (members == sharing && leads == leading) {
       return;
     }
     sharing = members;
+    leading = leads;
     double share = rps / Math.min(nodes, members + 1) * 0.95;
     requests.rate(share);
     requestReserve = share * 0.25;
     syncGapMs = Math.max(5, (long) (1000 / (share * 0.45)));
-    fairWrites = writeRps * USED / Math.max(1, members);
-    othersWrite((members - 1) * fairWrites / 2, fairWrites);
+    int n = Math.max(1, members);
+    double all = writeRps * USED;
+    double work = all * (1 - USERS);
+    fairUserWrites = all * USERS / n;
+    fairWrites =
+        fairUserWrites + (n == 1 ? work : leads ? work * LEADERS : work * (1 - LEADERS) / (n - 1));
+    othersWrite((all - fairWrites) / 2, fairWrites);
   }
 
   /**
@@ -168,14 +195,61 @@
   public void othersWrite(double perSecond, double most) {
     double ours = Math.min(most, Math.max(fairWrites, writeRps * USED - perSecond));
     writes.rate(ours, fairWrites);
-    userWrites.rate(ours * USERS, fairWrites * USERS);
+    double users = fairUserWrites / fairWrites;
+    userWrites.rate(ours * users, fairUserWrites);
+    double work = ours * (1 - users);
+    workWrites.rate(work, Math.max(work, WORK_SAVED));
   }
 
-  /** An even share of the writes that the state service takes. */
+  /** This node's share of the writes that the state service takes, were all to write. */
   public double fairWrites() {
     return fairWrites;
   }
 
+  /** What another member may write at least, the leader apart. */
+  public double evenWrites() {
+    return writeRps * USED / Math.max(1, sharing);
+  }
+
+  /** How many changes a transaction of our work may have now, {@code most} at most. */
+  public int payable(int most) {
+    long now = timers.nowMs();
+    int n = most;
+    while (n > 0 && !mayWork(n, now)) {
+      n--;
+    }
+    return n;
+  }
+
+  /** From what all may use, if enough stays there, or from what is kept for work. */
+  private boolean mayWork(int n, long now) {
+    return writes.has(n, RESERVE, now) || workWrites.has(n, 0, now);
+  }
+
+  private boolean takeForWork(int n, long now) {
+    if (!mayWork(n, now)) {
+      return false;
+    }
+    writes.take(n, -1e9, now);
+    workWrites.spend(n, now);
+    return true;
+  }
+
+  /** Transactions of our work that our own budget refused. */
+  public long refusedByBudget() {
+    return refusedByBudget;
+  }
+
+  /** Transactions that the state service refused: over its limits, or away. */
+  public long refusedByStore() {
+    return refusedByStore;
+  }
+
+  /** Transactions whose conditions did not hold. */
+  public long failedByCondition() {
+    return failedByCondition;
+  }
+
   /** How many writes a second we have sent lately. */
   public double writing() {
     nextWindow();
@@ -505,9 +579,10 @@
           // Only one of them may be short: what was taken from the first is not to be lost.
           case USER ->
               userWrites.has(n, 0, now) && writes.take(n, 0, now) && userWrites.take(n, 0, now);
-          case WORK -> writes.take(n, RESERVE, now);
+          case WORK -> n == 0 || takeForWork(n, now);
         };
     if (n > 0 && !allowed) {
+      refusedByBudget += rank == Rank.WORK ? 1 : 0;
       timers.after(1, () -> done.accept(new Result(Outcome.REFUSED, 0, Set.of(), false)));
       return;
     }
@@ -522,17 +597,21 @@
         case 200:
           return new Result(Outcome.OK, Doc.parse(a.body()).count("ledgerRev"), Set.of(), false);
         case 409:
+          failedByCondition++;
           Doc d = Doc.parse(a.body());
           return new Result(
               Outcome.FAILED, d.count("ledgerRev"), new HashSet<>(d.texts("failed")), false);
         case 429:
+          refusedByStore++;
           writes.drain();
+          workWrites.drain();
           return new Result(Outcome.REFUSED, 0, Set.of(), false);
         case 400:
           String why = String.valueOf(Doc.parse(a.body()).raw("error"));
           LOG.warn("state service refused a transaction: {}", why);
           return new Result(Outcome.REFUSED, 0, Set.of(), why.contains("lease"));
         case 503:
+          refusedByStore++;
           return new Result(Outcome.REFUSED, 0, Set.of(), false);
         default:
           return new Result(Outcome.UNKNOWN, 0, Set.of(), false);
--- a/src/main/java/wickdrift/coordination/Draft.java
+++ b/src/main/java/wickdrift/coordination/Draft.java
@@ -53,11 +53,24 @@
   /** The tasks whose attempt ended with an error. */
   private final Map<Job, Set<Integer>> failed = new HashMap<>();
 
+  /** What a transaction may have at the most: {@link #maxChanges} may be less for now. */
+  private final int mostChanges;
+
   private boolean places;
   private int others;
+  private int wanted;
   private int bytes;
 
   Draft(Tables tables, String node, int maxChanges, int pageBytes) {
+    this(tables, node, maxChanges, maxChanges, pageBytes);
+  }
+
+  /**
+   * @param maxChanges how many changes can be paid now
+   * @param mostChanges how many a transaction may have
+   */
+  Draft(Tables tables, String node, int maxChanges, int mostChanges, int pageBytes) {
+    this.mostChanges = mostChanges;
     this.tables = tables;
     this.node = node;
     this.number = tables.roster().number(node);
@@ -76,12 +89,38 @@
 
   /** Room for so many more writes, besides that of the page. */
   boolean hasRoom(int n) {
-    return 1 + others + n <= maxChanges;
+    if (1 + others + n <= maxChanges) {
+      return true;
+    }
+    if (1 + n > wanted && maxChanges < mostChanges) {
+      wanted = Math.min(1 + n, mostChanges);
+    }
+    return false;
+  }
+
+  /**
+   * Something was left out that is dear to write: the next transaction is to be as wide as may be,
+   * for one wide one holds more of that than several narrow ones of as many changes.
+   */
+  void wantAll() {
+    wanted = mostChanges;
+  }
+
+  /**
+   * How many changes a transaction must be able to have for something that was left out here,
+   * because what can be paid now was too little for it; 0: nothing was.
+   */
+  int wanted() {
+    return wanted;
   }
 
   /** Room for the conditions that placing one more job brings. */
   boolean hasConditions() {
-    return txn.conditions().size() + others + 4 < CONDITIONS_AN_OP * maxChanges;
+    return hasConditions(4);
+  }
+
+  boolean hasConditions(int n) {
+    return txn.conditions().size() + others + n < CONDITIONS_AN_OP * mostChanges;
   }
 
   boolean empty() {
--- a/src/main/java/wickdrift/coordination/Membership.java
+++ b/src/main/java/wickdrift/coordination/Membership.java
@@ -577,19 +577,20 @@
       return;
     }
     int there = Math.max(v.members().size(), tables.announcedLive().size());
-    ledger.sharedBy(there);
+    ledger.sharedBy(there, node.equals(v.leader()));
     double fair = ledger.fairWrites();
+    double even = ledger.evenWrites();
     long now = timers.nowMs();
     int known = 0;
     double others = 0;
     for (Heard h : heard.values()) {
       if (now - h.atMs < PEER_FRESH_MS) {
         known++;
-        others += Math.max(h.writes * BUSIER, fair / 4);
+        others += Math.max(h.writes * BUSIER, even / 4);
       }
     }
     int unknown = Math.max(0, there - 1 - known);
-    ledger.othersWrite(others + unknown * fair / 2, Math.max(fair, toldWrites * RAMP));
+    ledger.othersWrite(others + unknown * even / 2, Math.max(fair, toldWrites * RAMP));
     toldWrites = ledger.writing();
   }
 
--- a/src/main/java/wickdrift/coordination/Placing.java
+++ b/src/main/java/wickdrift/coordination/Placing.java
@@ -29,6 +29,12 @@
   /** So many jobs are tried a round; the next round goes on from what that has changed. */
   private static final int TRIES_A_ROUND = 64;
 
+  /** So many that find room, but no writes left for it, end a round. */
+  private static final int NARROWED_A_ROUND = 8;
+
+  /** The part's record, and two that say that its log stands. */
+  private static final int CONDITIONS_AN_OWNER = 3;
+
   /**
    * A job that found no room looks again when there is more, or after this: a fetch may be over.
    */
@@ -49,6 +55,9 @@
   private final BooleanSupplier leadSettled;
   private long placed;
 
+  /** Set when the job at hand was left out for lack of writes, not of room. */
+  private boolean narrow;
+
   Placing(
       Timers timers,
       Tables tables,
@@ -96,8 +105,10 @@
     List<JobSpec> noRoomAnywhere = new ArrayList<>();
     int tries = 0;
     givingWay.newRound();
+    rooms.prefer(owner -> owner.equals(node) || foreign.contains(owner));
+    int narrowed = 0;
     for (Job job : board.queue().waiting()) {
-      if (!draft.hasRoom() || !draft.hasConditions() || tries >= TRIES_A_ROUND) {
+      if (!draft.hasConditions() || tries >= TRIES_A_ROUND) {
         break;
       }
       if (!node.equals(v.placer(job.part(), job.id()))
@@ -124,6 +135,7 @@
         draft.handOver(job, Job.LEADER);
         continue;
       }
+      narrow = false;
       if (!hopeless) {
         tries++;
         if (job.spec().shape() == JobSpec.Shape.GANG) {
@@ -141,6 +153,14 @@
         }
         continue;
       }
+      if (narrow) {
+        // There is room: it is not blocked, and nothing is stopped for it.
+        draft.wantAll();
+        if (++narrowed >= NARROWED_A_ROUND) {
+          break;
+        }
+        continue;
+      }
       job.blocked(rooms.version(), now + BLOCKED_MS);
       if (draft.hasRoom()) {
         givingWay.draft(draft, job, asLeader, quota, now);
@@ -297,7 +317,11 @@
       return true;
     }
     Part p = tables.part(owner);
-    if (p == null || !draft.hasRoom()) {
+    if (p == null) {
+      return false;
+    }
+    if (!draft.hasRoom() || !draft.hasConditions()) {
+      narrow = true;
       return false;
     }
     draft.write(Part.key(owner), p.toStore(), p.stamp());
@@ -321,13 +345,25 @@
       attempt = Math.max(attempt, draft.state(job, i).attempt());
       waiting += draft.state(job, i).phase() == TaskState.Phase.WAITING ? 1 : 0;
     }
-    if (!quota.allows(spec, waiting)
-        || !draft.takesWhole(job, waiting, v.members().size() - foreign.size())
-        || !draft.hasRoom(v.members().size() - foreign.size())) {
+    if (!quota.allows(spec, waiting)) {
       return;
     }
     marks.lend(job);
     List<Room> chosen = gangRooms(job, waiting);
+    if (chosen != null) {
+      // All of it or nothing: counted before anything of it is in the transaction.
+      Set<String> owners = new HashSet<>();
+      chosen.forEach(r -> owners.add(r.machine().owner(v)));
+      owners.remove(node);
+      owners.removeAll(foreign);
+      int more = owners.size();
+      if (!draft.takesWhole(job, waiting, more)
+          || more > 0 && !draft.hasRoom(more)
+          || !draft.hasConditions(CONDITIONS_AN_OWNER * more + 4)) {
+        narrow = true;
+        chosen = null;
+      }
+    }
     for (int n = 0; chosen != null && n < chosen.size(); n++) {
       if (!reserve(draft, chosen.get(n), v, foreign)) {
         chosen = null;
--- a/src/main/java/wickdrift/coordination/Rooms.java
+++ b/src/main/java/wickdrift/coordination/Rooms.java
@@ -82,6 +82,19 @@
 
   private long version;
   private long looked;
+  private Predicate<String> preferred = owner -> true;
+
+  /**
+   * Of equals, machines of these owners are taken: for the leader those whose booking takes no
+   * further part's record into the transaction.
+   */
+  void prefer(Predicate<String> owners) {
+    preferred = owners;
+  }
+
+  private boolean isPreferred(Room r) {
+    return preferred.test(r.cell.owner);
+  }
 
   /** Changes whenever there is more room somewhere. */
   long version() {
@@ -420,14 +433,17 @@
     return 1 - share + Room.EPS;
   }
 
-  private static Room better(Room a, Room b, JobSpec s) {
+  private Room better(Room a, Room b, JobSpec s) {
     if (a == null || b == null) {
       return a == null ? b : a;
     }
     if (Math.abs(a.load() - b.load()) > Room.EPS) {
       return a.load() < b.load() ? a : b;
     }
-    return b.hasImage(s) && !a.hasImage(s) ? b : a;
+    if (a.hasImage(s) != b.hasImage(s)) {
+      return a.hasImage(s) ? a : b;
+    }
+    return isPreferred(b) && !isPreferred(a) ? b : a;
   }
 
   /** Outside the half: one with the image, then the fullest, so that empty machines stay empty. */
@@ -445,11 +461,14 @@
     return best;
   }
 
-  private static Room fuller(Room a, Room b) {
+  private Room fuller(Room a, Room b) {
     if (a == null || b == null) {
       return a == null ? b : a;
     }
-    return b.load() > a.load() + Room.EPS ? b : a;
+    if (Math.abs(b.load() - a.load()) > Room.EPS) {
+      return b.load() > a.load() ? b : a;
+    }
+    return isPreferred(b) && !isPreferred(a) ? b : a;
   }
 
   private Room fullest(ByLoad list, JobSpec s) {
--- a/src/main/java/wickdrift/coordination/Scribe.java
+++ b/src/main/java/wickdrift/coordination/Scribe.java
@@ -30,6 +30,9 @@
   private static final long REFUSED_MS = 150;
   private static final long GAP_MS = 10;
 
+  /** A page, and a record beside it. */
+  private static final int LEAST_CHANGES = 2;
+
   /** The pipeline's state. */
   private enum Phase {
     READY,
@@ -71,6 +74,11 @@
   private long leadSettledAtMs;
   private long lastCycleMs;
   private long transactions;
+  private long drafted;
+  private long unpaid;
+
+  /** Changes that the next transaction must be able to have: the last left something out. */
+  private int owed;
 
   public Scribe(
       Timers timers,
@@ -114,6 +122,16 @@
     return transactions;
   }
 
+  /** Drafts that were put together, those with nothing in them too. */
+  public long drafted() {
+    return drafted;
+  }
+
+  /** Times that nothing was drafted, as too little could be paid yet. */
+  public long unpaid() {
+    return unpaid;
+  }
+
   private void idleTick() {
     timers.after(IDLE_TICK_MS, this::idleTick);
     board.tick();
@@ -128,7 +146,7 @@
     armed = true;
     // A few milliseconds let what comes together be written together; more when writes are short.
     double ease = ledger.ease();
-    long gap = ease > 0.6 ? GAP_MS : ease > 0.3 ? 8 * GAP_MS : 25 * GAP_MS;
+    long gap = ease > 0.6 ? GAP_MS : ease > 0.3 || owed > 0 ? 8 * GAP_MS : 25 * GAP_MS;
     timers.after(
         Math.max(2, lastCycleMs + gap - timers.nowMs()),
         () -> {
@@ -240,7 +258,18 @@
     }
     lastCycleMs = timers.nowMs();
     board.update();
-    Draft draft = draft();
+    // What is drafted can be paid: a draft that our own budget refuses is drawn anew again and
+    // again, and all that it holds waits.
+    int most = settings.stateLimits().txnOps();
+    int payable = ledger.payable(most);
+    if (payable < Math.min(most, Math.max(LEAST_CHANGES, owed))) {
+      unpaid++;
+      wake();
+      return;
+    }
+    owed = 0;
+    drafted++;
+    Draft draft = new Draft(tables, node, payable, most, tuning.logPageBytes());
     draftExits(draft);
     draftEnds(draft);
     draftRecords(draft);
@@ -256,7 +285,11 @@
     if (draft.empty() && ledger.ease() > Conversion.EASE) {
       conversion.draft(draft);
     }
+    owed = draft.wanted();
     if (draft.empty()) {
+      if (owed > 0) {
+        wake();
+      }
       return;
     }
     phase = Phase.BUSY;
@@ -266,10 +299,6 @@
     ledger.commit(txn, Ledger.Rank.WORK, r -> committed(r, places));
   }
 
-  private Draft draft() {
-    return new Draft(tables, node, settings.stateLimits().txnOps(), tuning.logPageBytes());
-  }
-
   private void committed(Ledger.Result r, boolean places) {
     switch (r.outcome()) {
       case OK -> ledger.whenAt(r.rev(), this::ready);
--- a/src/main/java/wickdrift/daemon/Controller.java
+++ b/src/main/java/wickdrift/daemon/Controller.java
@@ -141,6 +141,11 @@
     metrics.watch("rooms.looked", () -> board.looked());
     metrics.watch("tasks.placed", scribe::placed);
     metrics.watch("transactions", scribe::transactions);
+    metrics.watch("transactions.drafted", scribe::drafted);
+    metrics.watch("transactions.unpaid", scribe::unpaid);
+    metrics.watch("transactions.refused.by.budget", ledger::refusedByBudget);
+    metrics.watch("transactions.refused.by.store", ledger::refusedByStore);
+    metrics.watch("transactions.failed.by.condition", ledger::failedByCondition);
     metrics.watch("jobs.unfinished", () -> tables.jobs().size());
     metrics.watch("machines.known", () -> tables.machines().size());
     metrics.watch("log.pages", () -> tables.log(settings.node()).size());
