The leader takes machines of several parts with one write (level 3, gate takes)

Change: since level 3 one record, w/x, is rewritten in place of two or more parts' records, at most four times a second; every owner's placement is conditional on it. The gate changes no form, so it asks for no conversion and may open in one step with level 2 (Rise.judge).

--- a/src/main/java/wickdrift/bookkeeping/Ledger.java
+++ b/src/main/java/wickdrift/bookkeeping/Ledger.java
@@ -89,7 +89,7 @@
    * by one when asked for.
    */
   private static final List<String> LOADED =
-      List.of("w/l/", "w/h/", "w/j/", "w/m/", "w/p/", "w/t/", "w/c/", "w/v");
+      List.of("w/l/", "w/h/", "w/j/", "w/m/", "w/p/", "w/t/", "w/c/", "w/x", "w/v");
 
   private final Timers timers;
   private final Caller caller;
--- a/src/main/java/wickdrift/bookkeeping/Tables.java
+++ b/src/main/java/wickdrift/bookkeeping/Tables.java
@@ -64,6 +64,7 @@
       };
   private View view;
   private long viewStamp;
+  private long takesStamp;
   private final Usage usage = new Usage();
   private final Runnable onApplied;
   private final List<Machine> changedMachines = new ArrayList<>();
@@ -251,6 +252,17 @@
     return viewStamp;
   }
 
+  /**
+   * The record that a leader rewrites when it takes machines of several parts, since {@link
+   * Gate#TAKES}: every owner's placement is conditional on it.
+   */
+  public static final String TAKES_KEY = "w/x";
+
+  /** Its stamp; 0 while no leader has taken any. */
+  public long takesStamp() {
+    return takesStamp;
+  }
+
   /** Chunk records whose job is over, left to be deleted. */
   public TreeSet<String> orphans() {
     return orphans;
@@ -286,6 +298,7 @@
     orphans.clear();
     view = null;
     viewStamp = 0;
+    takesStamp = 0;
   }
 
   // ---- the logs ----
@@ -630,6 +643,10 @@
       viewStamp = c.value() == null ? 0 : c.stamp();
       return;
     }
+    if (key.equals(TAKES_KEY)) {
+      takesStamp = c.value() == null ? 0 : c.stamp();
+      return;
+    }
     if (key.length() < 5 || key.charAt(3) != '/') {
       unknown(c);
       return;
--- a/src/main/java/wickdrift/bookkeeping/level/Gate.java
+++ b/src/main/java/wickdrift/bookkeeping/level/Gate.java
@@ -14,12 +14,38 @@
    * 2. Can go, and with it the reading of form 1, in a build whose least level is 2, when {@code
    * w/c/done} has said so for longer than any transaction may be under way.
    */
-  NUMBERS(2);
+  NUMBERS(2, true),
+
+  /**
+   * A leader that takes machines of several parts rewrites one record, {@code w/x}, in place of
+   * each part's, and every owner's placement is conditional on it too. No form changes. Can go, and
+   * with it the older way, in a build whose least level is 3.
+   */
+  TAKES(3, false);
 
   private final int level;
+  private final boolean afterConversion;
 
-  Gate(int level) {
+  Gate(int level, boolean afterConversion) {
     this.level = level;
+    this.afterConversion = afterConversion;
+  }
+
+  /**
+   * Whether it opens only when no record is left of a form older than the level before. One that
+   * changes no form may open in one step with that level.
+   */
+  boolean afterConversion() {
+    return afterConversion;
+  }
+
+  static boolean afterConversion(int level) {
+    for (Gate g : values()) {
+      if (g.level == level) {
+        return g.afterConversion;
+      }
+    }
+    return true;
   }
 
   /** The level with which it opens. */
--- a/src/main/java/wickdrift/bookkeeping/level/Rise.java
+++ b/src/main/java/wickdrift/bookkeeping/level/Rise.java
@@ -29,6 +29,20 @@
    */
   public static Rise judge(
       int now, Range build, Map<String, Range> live, Collection<String> named, Roster roster) {
+    Rise rise = step(now, build, live, named, roster);
+    // Levels that change no form need no conversion of what is there: one change of view for all.
+    while (rise.level() > now && !Gate.afterConversion(rise.level() + 1)) {
+      Rise further = step(rise.level(), build, live, named, roster);
+      if (further.level() == rise.level()) {
+        break;
+      }
+      rise = further;
+    }
+    return rise;
+  }
+
+  private static Rise step(
+      int now, Range build, Map<String, Range> live, Collection<String> named, Roster roster) {
     int next = now + 1;
     if (next > build.most()) {
       return new Rise(now, List.of(), Map.of());
@@ -41,7 +55,7 @@
     if (holding != null) {
       waits.add("gate " + holding + " is held back");
     }
-    if (now > 1 && roster.doneLevel() < now) {
+    if (now > 1 && Gate.afterConversion(next) && roster.doneLevel() < now) {
       waits.add("records of a form older than level " + now + " are left");
     }
     TreeSet<String> all = new TreeSet<>(named);
--- a/src/main/java/wickdrift/coordination/Draft.java
+++ b/src/main/java/wickdrift/coordination/Draft.java
@@ -89,6 +89,9 @@
 
   /** Room for so many more writes, besides that of the page. */
   boolean hasRoom(int n) {
+    if (n == 0) {
+      return true;
+    }
     if (1 + others + n <= maxChanges) {
       return true;
     }
@@ -257,6 +260,12 @@
     others++;
   }
 
+  /** Takes back a write, and its condition. */
+  void unwrite(String key) {
+    txn.drop(key);
+    others--;
+  }
+
   void when(String key, long stamp) {
     txn.when(key, stamp);
   }
--- a/src/main/java/wickdrift/coordination/Placing.java
+++ b/src/main/java/wickdrift/coordination/Placing.java
@@ -17,6 +17,7 @@
 import wickdrift.bookkeeping.Tables;
 import wickdrift.bookkeeping.TaskState;
 import wickdrift.bookkeeping.View;
+import wickdrift.bookkeeping.level.Gate;
 import wickdrift.daemon.Settings;
 import wickdrift.protocol.JobSpec;
 import wickdrift.transport.Timers;
@@ -32,6 +33,9 @@
   /** So many that find room, but no writes left for it, end a round. */
   private static final int NARROWED_A_ROUND = 8;
 
+  /** Machines of several parts are taken together no more often than this. */
+  private static final long TAKES_MS = 250;
+
   /** The part's record, and two that say that its log stands. */
   private static final int CONDITIONS_AN_OWNER = 3;
 
@@ -58,6 +62,12 @@
   /** Set when the job at hand was left out for lack of writes, not of room. */
   private boolean narrow;
 
+  /** When several parts' machines were last taken with one record. */
+  private long takenMs = Long.MIN_VALUE / 2;
+
+  /** Whether this round may do so. */
+  private boolean together;
+
   Placing(
       Timers timers,
       Tables tables,
@@ -97,6 +107,7 @@
     }
     boolean leader = node.equals(v.leader());
     long now = timers.nowMs();
+    together = tables.open(Gate.TAKES) && now - takenMs >= TAKES_MS;
     rooms.newRound(now);
     Quota quota = new Quota(settings, tables);
     boolean placedAny = false;
@@ -155,7 +166,9 @@
       }
       if (narrow) {
         // There is room: it is not blocked, and nothing is stopped for it.
-        draft.wantAll();
+        if (!tables.open(Gate.TAKES)) {
+          draft.wantAll();
+        }
         if (++narrowed >= NARROWED_A_ROUND) {
           break;
         }
@@ -172,9 +185,16 @@
     if (leader && leadSettled.getAsBoolean()) {
       marks.draft(draft, v, now);
     }
+    if (draft.touches(Tables.TAKES_KEY)) {
+      takenMs = now;
+    }
     if (placedAny && !draft.touches(Part.key(node))) {
       draft.when(Part.key(node), mine.stamp());
     }
+    if (placedAny && !leader && tables.open(Gate.TAKES)) {
+      // The leader may have taken machines of ours with those of others.
+      draft.when(Tables.TAKES_KEY, tables.takesStamp());
+    }
   }
 
   /**
@@ -320,11 +340,18 @@
     if (p == null) {
       return false;
     }
-    if (!draft.hasRoom() || !draft.hasConditions()) {
+    if (!draft.hasRoom(takes(1, foreign)) || !draft.hasConditions()) {
       narrow = true;
       return false;
     }
-    draft.write(Part.key(owner), p.toStore(), p.stamp());
+    if (!together || foreign.isEmpty()) {
+      draft.write(Part.key(owner), p.toStore(), p.stamp());
+    } else if (foreign.size() == 1) {
+      // One write for all of them. It fails whatever any owner has under way, so it is not used
+      // for one, nor more often than now and then.
+      draft.unwrite(Part.key(foreign.iterator().next()));
+      draft.write(Tables.TAKES_KEY, Map.of("epoch", v.epoch()), tables.takesStamp());
+    }
     // The owner's own placements leave its part's record alone. Those that we have not seen yet
     // are in its log: if it has written since, what we took for room may be gone.
     draft.whenLogStands(owner);
@@ -332,6 +359,11 @@
     return true;
   }
 
+  /** How many writes it takes to take machines of so many more owners. */
+  private int takes(int more, Set<String> foreign) {
+    return !together ? more : foreign.isEmpty() ? 1 : 0;
+  }
+
   /** A gang starts whole: every member has a machine, or none is placed. */
   private void placeGang(Draft draft, Job job, Quota quota, View v, Set<String> foreign) {
     JobSpec spec = job.spec();
@@ -357,8 +389,8 @@
       owners.remove(node);
       owners.removeAll(foreign);
       int more = owners.size();
-      if (!draft.takesWhole(job, waiting, more)
-          || more > 0 && !draft.hasRoom(more)
+      if (!draft.takesWhole(job, waiting, takes(more, foreign))
+          || more > 0 && !draft.hasRoom(takes(more, foreign))
           || !draft.hasConditions(CONDITIONS_AN_OWNER * more + 4)) {
         narrow = true;
         chosen = null;
