A gift of share whose outcome is unknown is fenced as a placement is

A controller that gave share away and got no answer went on placing; its placements leave its part's record alone, so the gift was applied late beside them.

Change: such a gift is fenced: our part's record is rewritten before anything else is placed.

--- a/src/main/java/wickdrift/coordination/Draft.java
+++ b/src/main/java/wickdrift/coordination/Draft.java
@@ -130,10 +130,19 @@
     return tasks.isEmpty() && machines.isEmpty() && others == 0;
   }
 
+  /** Whether our part's record must change before we place again, should the outcome be unknown. */
   boolean places() {
     return places;
   }
 
+  /**
+   * Gives away of our share of a limit. Should that be applied late, beside placements decided
+   * without it, more than the limit would be used.
+   */
+  void gives() {
+    places = true;
+  }
+
   TaskState state(Job job, int index) {
     Map<Integer, TaskState> m = tasks.get(job);
     TaskState s = m == null ? null : m.get(index);
--- a/src/main/java/wickdrift/coordination/Scribe.java
+++ b/src/main/java/wickdrift/coordination/Scribe.java
@@ -521,6 +521,7 @@
       LOG.info("giving quota of {} from {} to {}", g.team(), g.from(), g.to());
       draft.write(Part.key(g.from()), g.giver().toStore(), g.giver().stamp());
       draft.write(Part.key(g.to()), g.taker().toStore(), g.taker().stamp());
+      draft.gives();
     }
   }
 }
--- a/src/test/java/wickdrift/sim/ClusterTest.java
+++ b/src/test/java/wickdrift/sim/ClusterTest.java
@@ -186,9 +186,12 @@
     assertTrue(w.starts() > 100, "started " + w.starts());
   }
 
-  /** Single transactions arrive seconds late, when their node has given up on them. */
+  /**
+   * Single transactions arrive seconds late, when their node has given up on them. The last three
+   * days fail when a share of a limit that is given away late is not fenced.
+   */
   @ParameterizedTest
-  @ValueSource(longs = {201, 202, 203, 204, 205, 206})
+  @ValueSource(longs = {201, 202, 203, 204, 205, 206, 58, 75, 263})
   void aPlacementThatWasGivenUpIsNotAppliedLater(long seed) {
     SimWorld w = new SimWorld(seed, 12, 12, 3, 18);
     w.run(8000);
