Room that is promised to jobs that wait at a part is not free for the next

Change: what waits at a part, and what goes there in the same transaction, is taken off its free room and off its room beside an image (Promised, kept up to date by the changes of jobs).

--- a/src/main/java/wickdrift/coordination/Admission.java
+++ b/src/main/java/wickdrift/coordination/Admission.java
@@ -31,7 +31,7 @@
   private static final int MAX_QUEUE = 300;
   private static final long BARRIER_MS = 1500;
   private static final int TRIES = 6;
-  private static final int BESIDE_MOST = 64;
+  private static final int BESIDE_MOST = 24;
   private static final long RETRY_MS = 120;
   private static final long GIVE_UP_MS = 3000;
   private static final int LOOK_UPS_MOST = 64;
@@ -150,6 +150,7 @@
 
   private void accept() {
     Map<String, List<Submission>> batch = new LinkedHashMap<>();
+    Promised together = new Promised();
     Txn txn = new Txn();
     while (!queue.isEmpty() && batch.size() < settings.stateLimits().txnOps()) {
       Submission s = queue.poll();
@@ -164,7 +165,9 @@
       }
       if (!batch.containsKey(id)) {
         txn.when(Job.key(id), 0).when(Job.finalKey(id), 0);
-        txn.write(Job.key(id), Job.toStore(s.spec, timers.wallMs(), route(s.spec), 0));
+        String part = route(s.spec, together);
+        together.add(s.spec, part);
+        txn.write(Job.key(id), Job.toStore(s.spec, timers.wallMs(), part, 0));
       }
       batch.computeIfAbsent(id, k -> new ArrayList<>()).add(s);
     }
@@ -260,7 +263,7 @@
   /**
    * The part with most free room for it; gangs and what is large against a part go to the leader.
    */
-  private String route(JobSpec s) {
+  private String route(JobSpec s, Promised together) {
     View v = tables.view();
     // A part holds its own zone's machines first: what must be in several is for who sees all.
     boolean manyZones = s.spread() && s.tasks() > 1 && v.partsKeepToZones();
@@ -272,21 +275,28 @@
     // wait for a fetch, which may take longer than its class has to start.
     // The one with most of it, counted far enough that several jobs at once do not meet there.
     String best = v.owner(s.id());
+    Promised waiting = board.queue().promised();
     int enough = s.tasks() + BESIDE_MOST;
-    int beside = rooms.freeBesideImage(s, best, enough);
-    for (String part : v.members().keySet()) {
-      int n = rooms.freeBesideImage(s, part, enough);
+    int beside = Integer.MIN_VALUE;
+    double free = Double.NEGATIVE_INFINITY;
+    String freest = best;
+    for (String part : inOrder(v, best)) {
+      int promised = waiting.besideImage(s, part) + together.besideImage(s, part);
+      // Counted no further than that: with more promised the image is no reason to go there.
+      int most = enough + Math.min(promised, BESIDE_MOST);
+      int n = Math.min(enough, rooms.freeBesideImage(s, part, most) - promised);
       if (n > beside) {
         best = part;
         beside = n;
       }
+      double f = rooms.free(s, part) - waiting.tasks(s, part) - together.tasks(s, part);
+      if (f > free + Room.EPS) {
+        freest = part;
+        free = f;
+      }
     }
     if (beside < s.tasks()) {
-      for (String part : v.members().keySet()) {
-        if (rooms.free(s, part) > rooms.free(s, best) + Room.EPS) {
-          best = part;
-        }
-      }
+      best = freest;
     }
     double total = rooms.machines(s);
     double partMachines = total / v.members().size();
@@ -294,6 +304,14 @@
     return total > 0 && wanted > tuning.largeShare() * partMachines ? Job.LEADER : best;
   }
 
+  /** The members, the one that the hash names first: it is taken among equals. */
+  private static List<String> inOrder(View v, String first) {
+    List<String> all = new ArrayList<>(v.members().keySet());
+    all.remove(first);
+    all.add(0, first);
+    return all;
+  }
+
   private double largestShare(JobSpec s) {
     double share = 0;
     for (TypeInfo t : types.all()) {
--- a/src/main/java/wickdrift/coordination/Queue.java
+++ b/src/main/java/wickdrift/coordination/Queue.java
@@ -58,6 +58,7 @@
   private final Map<String, Team> teams = new HashMap<>();
   private final Map<Job, Place> places = new HashMap<>();
   private final TreeMap<Place, Job> waiting = new TreeMap<>(ORDER);
+  private final Promised promised = new Promised();
 
   Queue(Settings settings) {
     settings.teams().forEach(t -> teams.put(t.name(), new Team(t)));
@@ -94,6 +95,12 @@
       t.stale = true;
     }
     place(j, counts && j.waiting() > 0);
+    promised.changed(j, counts ? j.waiting() : 0);
+  }
+
+  /** What waits at each part. */
+  Promised promised() {
+    return promised;
   }
 
   private void place(Job j, boolean waits) {
