The leader looks for a place only when it can take it

A gang was looked a place for though the page was full, eight of them each cycle.

Change: a full page ends a round; what is taken together is looked for when the next taking may be; a full page is no lack of room (nothing was blocked for half a second, or stopped, for it).

--- a/src/main/java/wickdrift/coordination/Placing.java
+++ b/src/main/java/wickdrift/coordination/Placing.java
@@ -68,6 +68,9 @@
   /** Whether this round may do so. */
   private boolean together;
 
+  /** After how long the leader's jobs that this round passed over may be placed; 0: none was. */
+  private long postponedMs;
+
   Placing(
       Timers timers,
       Tables tables,
@@ -94,6 +97,11 @@
     marks.clear();
   }
 
+  /** Milliseconds until what was passed over may be placed, or 0. */
+  long postponedMs() {
+    return postponedMs;
+  }
+
   /** Tasks placed so far, those of transactions that failed too. */
   long placed() {
     return placed;
@@ -107,7 +115,8 @@
     }
     boolean leader = node.equals(v.leader());
     long now = timers.nowMs();
-    together = tables.open(Gate.TAKES) && now - takenMs >= TAKES_MS;
+    together = tables.open(Gate.TAKES);
+    postponedMs = 0;
     rooms.newRound(now);
     Quota quota = new Quota(settings, tables);
     boolean placedAny = false;
@@ -119,7 +128,7 @@
     rooms.prefer(owner -> owner.equals(node) || foreign.contains(owner));
     int narrowed = 0;
     for (Job job : board.queue().waiting()) {
-      if (!draft.hasConditions() || tries >= TRIES_A_ROUND) {
+      if (!draft.hasConditions() || !draft.takes(job, 1) || tries >= TRIES_A_ROUND) {
         break;
       }
       if (!node.equals(v.placer(job.part(), job.id()))
@@ -134,6 +143,11 @@
         continue;
       }
       boolean asLeader = leader && job.part().equals(Job.LEADER);
+      if (asLeader && together && now - takenMs < TAKES_MS) {
+        // Looked for a place only when it can be taken: each look costs, and would be for nothing.
+        postponedMs = takenMs + TAKES_MS - now;
+        continue;
+      }
       if (!asLeader && !foreign.isEmpty()) {
         // Others may have written meanwhile: what is in our own part is not to fail with that.
         continue;
@@ -348,7 +362,7 @@
       draft.write(Part.key(owner), p.toStore(), p.stamp());
     } else if (foreign.size() == 1) {
       // One write for all of them. It fails whatever any owner has under way, so it is not used
-      // for one, nor more often than now and then.
+      // for one, nor more often than now and then; the leader's jobs wait for that.
       draft.unwrite(Part.key(foreign.iterator().next()));
       draft.write(Tables.TAKES_KEY, Map.of("epoch", v.epoch()), tables.takesStamp());
     }
@@ -380,6 +394,11 @@
     if (!quota.allows(spec, waiting)) {
       return;
     }
+    if (!draft.takesWhole(job, waiting, 0)) {
+      // The page is full: known before machines are looked for.
+      narrow = true;
+      return;
+    }
     marks.lend(job);
     List<Room> chosen = gangRooms(job, waiting);
     if (chosen != null) {
--- a/src/main/java/wickdrift/coordination/Scribe.java
+++ b/src/main/java/wickdrift/coordination/Scribe.java
@@ -276,6 +276,9 @@
     draftStops(draft);
     if (settled() && types.known() && ledger.reachable()) {
       placing.draft(draft);
+      if (placing.postponedMs() > 0) {
+        timers.after(placing.postponedMs(), this::wake);
+      }
     }
     draftOrphans(draft);
     if (draft.empty() && settled()) {
