While submissions wait, work keeps to what is kept for it; users may take 0.85

Change: for 250 ms after a submission found no write left, work takes only what is kept for it, 0.15 of all.

--- a/src/main/java/wickdrift/bookkeeping/Ledger.java
+++ b/src/main/java/wickdrift/bookkeeping/Ledger.java
@@ -33,8 +33,11 @@
 
   private static final long WINDOW_MS = 500;
 
+  /** A submission that found no write left comes again within this time. */
+  private static final long USERS_WAIT_MS = 250;
+
   /** Of our writes, what submissions may take: hundreds at once are not to stop all placements. */
-  private static final double USERS = 0.75;
+  private static final double USERS = 0.85;
 
   /** Left for authority and users. */
   private static final double RESERVE = 3;
@@ -107,6 +110,7 @@
   private boolean leading;
   private double fairWrites;
   private double fairUserWrites;
+  private long usersWaitedMs = Long.MIN_VALUE / 2;
   private long refusedByBudget;
   private long refusedByStore;
   private long failedByCondition;
@@ -221,9 +225,13 @@
     return n;
   }
 
-  /** From what all may use, if enough stays there, or from what is kept for work. */
+  /**
+   * From what all may use, if enough stays there and no submission waits for it, or from what is
+   * kept for work.
+   */
   private boolean mayWork(int n, long now) {
-    return writes.has(n, RESERVE, now) || workWrites.has(n, 0, now);
+    boolean usersWait = now - usersWaitedMs < USERS_WAIT_MS;
+    return !usersWait && writes.has(n, RESERVE, now) || workWrites.has(n, 0, now);
   }
 
   private boolean takeForWork(int n, long now) {
@@ -583,6 +591,7 @@
         };
     if (n > 0 && !allowed) {
       refusedByBudget += rank == Rank.WORK ? 1 : 0;
+      usersWaitedMs = rank == Rank.USER ? now : usersWaitedMs;
       timers.after(1, () -> done.accept(new Result(Outcome.REFUSED, 0, Set.of(), false)));
       return;
     }
