A door that is fair among teams and classes by what they have had

Change: start-time fair queuing over team, class and rank (weights 4 to 1, so none waits for ever); when the door is full the last of the team and class with most there makes way. Tests of turns, weights, swarms and returns.

--- a/src/main/java/wickdrift/coordination/Admission.java
+++ b/src/main/java/wickdrift/coordination/Admission.java
@@ -1,6 +1,5 @@
 package wickdrift.coordination;
 
-import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Collections;
 import java.util.HashMap;
@@ -46,7 +45,7 @@
   private final Settings settings;
   private final Tuning tuning;
   private final Pulse pulse;
-  private final ArrayDeque<Submission> queue = new ArrayDeque<>();
+  private final Door<Submission> queue = new Door<>(MAX_QUEUE);
 
   /** By job, who waits for the read after the one that is out. */
   private final Map<String, List<Exchange>> lookUps = new HashMap<>();
@@ -114,11 +113,10 @@
       later(x);
       return;
     }
-    if (queue.size() >= MAX_QUEUE) {
-      x.reply(429, Map.of("error", "too many submissions"), 2);
-      return;
+    Submission gone = queue.add(spec, new Submission(x, spec, timers.nowMs()));
+    if (gone != null) {
+      gone.exchange.reply(429, Map.of("error", "too many submissions"), 2);
     }
-    queue.add(new Submission(x, spec, timers.nowMs()));
     pump();
   }
 
@@ -233,7 +231,7 @@
                   if (known) {
                     status(s.exchange, id);
                   } else {
-                    queue.addFirst(s);
+                    queue.back(s.spec, s);
                   }
                 }
               });
@@ -243,7 +241,7 @@
           List<Submission> again = new ArrayList<>();
           batch.values().forEach(again::addAll);
           Collections.reverse(again);
-          again.forEach(queue::addFirst);
+          again.forEach(s -> queue.back(s.spec, s));
           busy = true;
           timers.after(
               RETRY_MS,
--- /dev/null
+++ b/src/test/java/wickdrift/coordination/DoorTest.java
@@ -0,0 +1,117 @@
+package wickdrift.coordination;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import wickdrift.protocol.Doc;
+import wickdrift.protocol.JobSpec;
+import wickdrift.protocol.Pack;
+import wickdrift.sim.SimWorld;
+
+/** Who is let in next, and who makes way when the door is full. */
+class DoorTest {
+  /** Written as {@code team/class/rank}. */
+  private static JobSpec spec(String who) {
+    String[] w = who.split("/");
+    Map<String, Object> job = SimWorld.job(1, "batch", 1, 1, 5);
+    job.put("owner", w[0]);
+    job.put("jobclass", w[1]);
+    job.put("rank", w[2]);
+    try {
+      return JobSpec.parse(Doc.parse(Pack.encode(job)));
+    } catch (wickdrift.protocol.BadMessage e) {
+      throw new AssertionError(e);
+    }
+  }
+
+  private static Door<String> door(int most, String... waiting) {
+    Door<String> d = new Door<>(most);
+    for (String w : waiting) {
+      d.add(spec(w), w);
+    }
+    return d;
+  }
+
+  private static String order(Door<String> d, int n) {
+    StringBuilder b = new StringBuilder();
+    for (int i = 0; i < n; i++) {
+      String s = d.poll();
+      b.append(s == null ? "-" : s.substring(0, 1));
+    }
+    return b.toString();
+  }
+
+  /** Who waits, in the order in which they came, by team; and in which order they leave. */
+  @ParameterizedTest
+  @CsvSource({
+    // Alone: as they came. Two of one rank: in turns, however many more the first has sent.
+    "aaa, aaa-",
+    "aaaab, abaaa",
+    "aaaabbb, abababa",
+    "aabbcc, abcabc"
+  })
+  void teamsOfOneRankTakeTurns(String came, String leave) {
+    Door<String> d = new Door<>(99);
+    for (char c : came.toCharArray()) {
+      d.add(spec(c + "/x/standard"), c + "/x/standard");
+    }
+    assertEquals(leave, order(d, leave.length()));
+  }
+
+  /** Higher ranks leave more often, and none waits for ever. */
+  @Test
+  void ranksLeaveByWeight() {
+    Door<String> d = new Door<>(1000);
+    for (String rank : List.of("production", "urgent", "standard", "idle")) {
+      for (int i = 0; i < 100; i++) {
+        d.add(spec("t/" + rank + "/" + rank), rank);
+      }
+    }
+    Map<String, Integer> left = new HashMap<>();
+    for (int i = 0; i < 100; i++) {
+      left.merge(d.poll(), 1, Integer::sum);
+    }
+    assertEquals(Map.of("production", 40, "urgent", 30, "standard", 20, "idle", 10), left);
+  }
+
+  @Test
+  void whoComesAnewHasSavedUpNothing() {
+    Door<String> d = door(99, "a/x/standard", "a/x/standard", "a/x/standard", "a/x/standard");
+    assertEquals("aaa", order(d, 3));
+    d.add(spec("a/x/standard"), "a");
+    for (int i = 0; i < 3; i++) {
+      d.add(spec("b/x/standard"), "b");
+    }
+    // Not three of b first, for the three that a has had while b was away.
+    assertEquals("babab", order(d, 5));
+  }
+
+  @Test
+  void aSwarmMakesWayForAnother() {
+    Door<String> d = new Door<>(3);
+    for (String s : List.of("1", "2", "3")) {
+      assertNull(d.add(spec("swarm/x/idle"), s));
+    }
+    assertEquals("4", d.add(spec("swarm/x/idle"), "4"), "its own are no longer than itself");
+    assertEquals("3", d.add(spec("other/y/idle"), "o"), "the last that the swarm sent");
+    assertEquals(3, d.size());
+    assertEquals("o12-", order(d, 4));
+  }
+
+  @Test
+  void whatCouldNotBeWrittenIsNextAgain() {
+    Door<String> d = door(99, "a/x/standard", "b/x/standard");
+    d.add(spec("a/x/standard"), "second");
+    String first = d.poll();
+    d.back(spec("a/x/standard"), first);
+    assertEquals("abs", order(d, 3));
+    assertTrue(d.isEmpty());
+  }
+}
