--- a/src/main/java/wickdrift/daemon/Serve.java
+++ b/src/main/java/wickdrift/daemon/Serve.java
@@ -1,5 +1,6 @@
 package wickdrift.daemon;
 
+import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.nio.file.Path;
 import java.security.SecureRandom;
@@ -73,9 +74,14 @@
         new Controller(
             settings, Tuning.defaults(settings), loop, client, peers, incarnation, new Metrics());
     box[0] = controller;
-    link.listen(HttpClient.parse(settings.back()));
-    new HttpServer(loop.group(), settings.sockets() / 2, controller::handle)
-        .listen(HttpClient.parse(settings.serveOn()));
+    try {
+      link.listen(HttpClient.parse(settings.back()));
+      new HttpServer(loop.group(), settings.sockets() / 2, controller::handle)
+          .listen(HttpClient.parse(settings.serveOn()));
+    } catch (IOException e) {
+      System.err.println("wickdrift: " + e.getMessage());
+      return BAD_SETTINGS;
+    }
     loop.run(controller::start);
     Runtime.getRuntime().addShutdownHook(new Thread(() -> leave(loop, controller), "leave"));
     log.info("{} serves on {}", settings.node(), settings.serveOn());
--- a/src/main/java/wickdrift/transport/HttpServer.java
+++ b/src/main/java/wickdrift/transport/HttpServer.java
@@ -25,6 +25,7 @@
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.timeout.IdleStateEvent;
 import io.netty.handler.timeout.IdleStateHandler;
+import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.util.LinkedHashSet;
 import java.util.Map;
@@ -66,7 +67,16 @@
     this.handler = handler;
   }
 
-  public Channel listen(InetSocketAddress address) throws InterruptedException {
+  /**
+   * Serves at an address.
+   *
+   * @throws IOException it can't be had, see {@link Ports}
+   */
+  public Channel listen(InetSocketAddress address) throws IOException, InterruptedException {
+    return Ports.listen(server(), address);
+  }
+
+  private ServerBootstrap server() {
     return new ServerBootstrap()
         .group(group)
         .channel(NioServerSocketChannel.class)
@@ -80,10 +90,7 @@
               protected void initChannel(SocketChannel ch) {
                 accept(ch);
               }
-            })
-        .bind(address)
-        .sync()
-        .channel();
+            });
   }
 
   private void accept(SocketChannel ch) {
--- a/src/main/java/wickdrift/transport/PeerLink.java
+++ b/src/main/java/wickdrift/transport/PeerLink.java
@@ -18,6 +18,7 @@
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.LengthFieldBasedFrameDecoder;
 import io.netty.handler.timeout.IdleStateHandler;
+import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.ByteBuffer;
 import java.util.function.Consumer;
@@ -38,7 +39,16 @@
     this.handler = handler;
   }
 
-  public Channel listen(InetSocketAddress address) throws InterruptedException {
+  /**
+   * Serves at an address.
+   *
+   * @throws IOException it can't be had, see {@link Ports}
+   */
+  public Channel listen(InetSocketAddress address) throws IOException, InterruptedException {
+    return Ports.listen(server(), address);
+  }
+
+  private ServerBootstrap server() {
     return new ServerBootstrap()
         .group(group)
         .channel(NioServerSocketChannel.class)
@@ -60,10 +70,7 @@
                     .addLast(new LengthFieldBasedFrameDecoder(MAX_FRAME, 0, 4, 0, 4))
                     .addLast(new Frames());
               }
-            })
-        .bind(address)
-        .sync()
-        .channel();
+            });
   }
 
   /** A lossy outgoing link: frames are dropped while there is no connection or it is clogged. */
--- a/src/test/java/wickdrift/sim/Loopback.java
+++ b/src/test/java/wickdrift/sim/Loopback.java
@@ -127,7 +127,7 @@
                   bound.complete(
                       new HttpServer(loop.group(), 400, x -> serve(address, x))
                           .listen(new InetSocketAddress(InetAddress.getLoopbackAddress(), port)));
-                } catch (InterruptedException e) {
+                } catch (IOException | InterruptedException e) {
                   bound.completeExceptionally(e);
                 }
               });
--- a/src/test/java/wickdrift/transport/SocketsTest.java
+++ b/src/test/java/wickdrift/transport/SocketsTest.java
@@ -1,12 +1,18 @@
 package wickdrift.transport;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
 import java.io.IOException;
 import java.io.InputStream;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
+import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
@@ -35,7 +41,7 @@
     loop.group().shutdownGracefully(0, 1, TimeUnit.SECONDS).sync();
   }
 
-  private InetSocketAddress serve(int most) throws InterruptedException {
+  private InetSocketAddress serve(int most) throws IOException, InterruptedException {
     HttpServer server = new HttpServer(loop.group(), most, x -> x.reply(200, BODY));
     return (InetSocketAddress)
         server.listen(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0)).localAddress();
@@ -134,4 +140,35 @@
     c.call(address, "GET", "/up", null, 5000, a -> f.complete(a.status()));
     return f;
   }
+
+  /** The process that ended a moment ago listens still; then no longer, or for good. */
+  @Test
+  void aPortThatIsTakenIsTriedAgain() throws Exception {
+    ServerSocket former = new ServerSocket(0, 1, InetAddress.getLoopbackAddress());
+    InetSocketAddress address = (InetSocketAddress) former.getLocalSocketAddress();
+    ServerBootstrap server =
+        new ServerBootstrap()
+            .group(loop.group())
+            .channel(NioServerSocketChannel.class)
+            .childHandler(new ChannelInboundHandlerAdapter());
+    int[] pauses = {0};
+    IOException e =
+        assertThrows(IOException.class, () -> Ports.listen(server, address, 3, () -> pauses[0]++));
+    assertEquals(2, pauses[0]);
+    assertTrue(e.getMessage().contains(String.valueOf(address.getPort())), e.getMessage());
+    Channel c =
+        Ports.listen(
+            server,
+            address,
+            9,
+            () -> {
+              try {
+                former.close();
+              } catch (IOException x) {
+                throw new AssertionError(x);
+              }
+            });
+    assertEquals(address, c.localAddress());
+    c.close().sync();
+  }
 }
