--- a/src/main/java/wickdrift/coordination/Door.java
+++ b/src/main/java/wickdrift/coordination/Door.java
@@ -2,7 +2,6 @@
 
 import java.util.ArrayDeque;
 import java.util.HashMap;
-import java.util.Iterator;
 import java.util.Map;
 import wickdrift.protocol.JobSpec;
 
@@ -107,9 +106,7 @@
   /** The next to leave, or null. */
   T poll() {
     Map.Entry<Key, Line<T>> next = null;
-    Iterator<Map.Entry<Key, Line<T>>> it = lines.entrySet().iterator();
-    while (it.hasNext()) {
-      Map.Entry<Key, Line<T>> e = it.next();
+    for (Map.Entry<Key, Line<T>> e : lines.entrySet()) {
       if (!e.getValue().waiting.isEmpty() && (next == null || before(e, next))) {
         next = e;
       }
