--- /dev/null
+++ b/src/main/java/wickdrift/bookkeeping/Chains.java
@@ -0,0 +1,241 @@
+package wickdrift.bookkeeping;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeSet;
+import java.util.function.Function;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import wickdrift.protocol.JobSpec;
+
+/**
+ * Which unfinished jobs await which, and what follows from that alone: who may start, who is
+ * withdrawn with another, and what rank and haste the last jobs of a chain lend to the first. Kept
+ * up to date by the changes of the tables, at a cost that grows with the chain at hand.
+ *
+ * <p>Nothing of it is stored. An end is final, and so is a withdrawal; all readers have the same of
+ * them in the same order. So what is drawn from them is the same for all, can't be taken back, and
+ * a table that lags may draw it late, never wrongly. A withdrawal takes with it, at the revision at
+ * which it becomes durable, all that need the job, at every depth, with no further write.
+ *
+ * <p>A job can name only jobs that were accepted before it, so there is no cycle; the ends of what
+ * propagates here rely on that.
+ */
+public final class Chains {
+  private static final Logger LOG = LoggerFactory.getLogger(Chains.class);
+
+  /** Far above any chain: who comes here has found a cycle, which can't be. */
+  private static final int MOST_STEPS = 1_000_000;
+
+  private final Function<String, Job> unfinished;
+  private final Function<String, Ended> remembered;
+
+  /** By an awaited job, those that await it. */
+  private final Map<String, Set<Job>> after = new HashMap<>();
+
+  /** How those ended that an unfinished job awaits. */
+  private final Map<String, Ended> ends = new HashMap<>();
+
+  /** Awaited jobs that are over, of which it is not known here how they ended. */
+  private final TreeSet<String> unknown = new TreeSet<>();
+
+  /**
+   * @param unfinished a job of the tables, or null
+   * @param remembered how a job ended, if that is known here, or null
+   */
+  Chains(Function<String, Job> unfinished, Function<String, Ended> remembered) {
+    this.unfinished = unfinished;
+    this.remembered = remembered;
+  }
+
+  void reset() {
+    after.clear();
+    ends.clear();
+    unknown.clear();
+  }
+
+  /** The jobs of which it must be read how they ended. */
+  public TreeSet<String> unknown() {
+    return unknown;
+  }
+
+  /** The jobs that await one. */
+  public Set<Job> after(String id) {
+    return after.getOrDefault(id, Set.of());
+  }
+
+  // ---- changes ----
+
+  /** A job appeared in the tables; its names may be there in part. */
+  void joined(Job j) {
+    j.awaits().forEach(a -> after.computeIfAbsent(a, k -> new LinkedHashSet<>()).add(j));
+    unknown.remove(j.id());
+    // A load brings jobs in the order of their ids: those that await it may have come before.
+    j.pull(pulled(j));
+    lend(j);
+    settle(j);
+    after(j.id()).forEach(this::settle);
+  }
+
+  /** A job was withdrawn by its user, or its names are all there. */
+  void changed(Job j) {
+    settle(j);
+    after(j.id()).forEach(this::settle);
+  }
+
+  /** It is known how a job ended. */
+  void ended(String id, Ended how) {
+    unknown.remove(id);
+    if (after.containsKey(id) && ends.put(id, how) == null) {
+      List.copyOf(after(id)).forEach(this::settle);
+    }
+  }
+
+  /** A job is out of the tables. */
+  void left(Job j) {
+    for (String a : j.awaits()) {
+      Set<Job> others = after.get(a);
+      if (others != null && others.remove(j) && others.isEmpty()) {
+        after.remove(a);
+        ends.remove(a);
+        unknown.remove(a);
+      }
+    }
+    List.copyOf(after(j.id())).forEach(this::settle);
+    takeBack(j);
+  }
+
+  // ---- who may start, and who is withdrawn ----
+
+  private void settle(Job first) {
+    ArrayDeque<Job> open = new ArrayDeque<>(List.of(first));
+    while (!open.isEmpty()) {
+      Job j = open.poll();
+      Job.Stage was = j.stage();
+      boolean wasOff = j.withdrawn();
+      if (was == Job.Stage.READY || was == Job.Stage.WITHDRAWN) {
+        continue;
+      }
+      long ready = 0;
+      Job.Stage now = complete(j) ? Job.Stage.READY : Job.Stage.UNCLEAR;
+      for (String a : j.awaits()) {
+        Ended e = end(a);
+        Job x = e == null ? unfinished.apply(a) : null;
+        if (e != null ? !e.done() : x != null && x.withdrawn()) {
+          now = Job.Stage.WITHDRAWN;
+          break;
+        } else if (e != null) {
+          ready = Math.max(ready, e.atWallMs());
+        } else if (x == null) {
+          unknown.add(a);
+          now = Job.Stage.UNCLEAR;
+        } else if (x.stage() == Job.Stage.UNCLEAR) {
+          now = Job.Stage.UNCLEAR;
+        } else if (now == Job.Stage.READY) {
+          now = Job.Stage.WAITS;
+        }
+      }
+      if (now != was) {
+        j.to(now, ready);
+      }
+      // Those after it draw from whether it is clear, and whether it is withdrawn.
+      boolean clear = (was == Job.Stage.UNCLEAR) != (now == Job.Stage.UNCLEAR);
+      if (clear || wasOff != j.withdrawn()) {
+        open.addAll(after(j.id()));
+      }
+    }
+  }
+
+  /** Whether all its names are there. */
+  private static boolean complete(Job j) {
+    return j.overflow() == null || !j.awaits().isEmpty();
+  }
+
+  private Ended end(String id) {
+    Ended e = ends.get(id);
+    if (e == null && (e = remembered.apply(id)) != null) {
+      ends.put(id, e);
+      unknown.remove(id);
+    }
+    return e;
+  }
+
+  // ---- what the last of a chain lends to the first ----
+
+  /** What those that await a job lend to it. */
+  private Job.Pull pulled(Job j) {
+    Job.Pull p = Job.Pull.NONE;
+    for (Job d : after(j.id())) {
+      p = p.and(lent(d, j));
+    }
+    return p;
+  }
+
+  /** What a job lends to one that it awaits. */
+  private static Job.Pull lent(Job by, Job to) {
+    boolean same = by.spec().team().equals(to.spec().team());
+    JobSpec s = by.spec();
+    long mustEnd =
+        s.deadlineS() == null
+            ? Long.MAX_VALUE
+            : by.acceptedWallMs() + (long) (s.deadlineS() * 1000);
+    long mustStart = Math.min(less(mustEnd, s.estimateS()), by.startByWallMs());
+    return new Job.Pull(
+        by.rank(),
+        same ? by.teamRank() : JobSpec.Priority.LOW,
+        less(mustStart, to.spec().estimateS()));
+  }
+
+  private static long less(long wallMs, double seconds) {
+    return wallMs == Long.MAX_VALUE ? wallMs : wallMs - (long) (seconds * 1000);
+  }
+
+  /** A job lends to those that it awaits, and they to those before them. */
+  private void lend(Job first) {
+    ArrayDeque<Job> open = new ArrayDeque<>(List.of(first));
+    for (int steps = 0; !open.isEmpty(); steps++) {
+      Job j = open.poll();
+      for (Job x : awaited(j)) {
+        Job.Pull now = x.pull().and(lent(j, x));
+        if (!now.equals(x.pull())) {
+          x.pull(now);
+          open.add(x);
+        }
+      }
+      if (steps > MOST_STEPS) {
+        LOG.error("what {} awaits leads back to it", first.id());
+        return;
+      }
+    }
+  }
+
+  /** A job is over: those that it awaited and that are not, as when it was withdrawn, lose that. */
+  private void takeBack(Job gone) {
+    ArrayDeque<Job> open = new ArrayDeque<>(awaited(gone));
+    for (int steps = 0; !open.isEmpty() && steps <= MOST_STEPS; steps++) {
+      Job x = open.poll();
+      Job.Pull now = pulled(x);
+      if (!now.equals(x.pull())) {
+        x.pull(now);
+        open.addAll(awaited(x));
+      }
+    }
+  }
+
+  /** Those that a job awaits and that are not over. */
+  private List<Job> awaited(Job j) {
+    List<Job> out = new ArrayList<>();
+    for (String a : j.awaits()) {
+      Job x = unfinished.apply(a);
+      if (x != null) {
+        out.add(x);
+      }
+    }
+    return out;
+  }
+}
--- /dev/null
+++ b/src/main/java/wickdrift/bookkeeping/Ended.java
@@ -0,0 +1,39 @@
+package wickdrift.bookkeeping;
+
+import java.util.LinkedHashMap;
+import java.util.Map;
+import wickdrift.protocol.BadMessage;
+import wickdrift.protocol.Doc;
+
+/**
+ * How a job ended, for ever: the value of {@code w/d/ID}.
+ *
+ * @param phase {@link #DONE} or {@link #WITHDRAWN}
+ * @param tasks how many it had
+ * @param atWallMs when, by the time of day of who wrote it; 0 where an older build did
+ */
+public record Ended(String phase, long tasks, long atWallMs) {
+  public static final String DONE = "done";
+  public static final String WITHDRAWN = "withdrawn";
+
+  public boolean done() {
+    return phase.equals(DONE);
+  }
+
+  /**
+   * @param withTime whether the level in force has the time in it
+   */
+  public Map<String, Object> toStore(boolean withTime) {
+    Map<String, Object> m = new LinkedHashMap<>();
+    m.put("phase", phase);
+    m.put("tasks", tasks);
+    if (withTime) {
+      m.put("at", atWallMs);
+    }
+    return m;
+  }
+
+  public static Ended parse(Doc d) throws BadMessage {
+    return new Ended(d.text("phase"), d.count("tasks", 0), d.count("at", 0));
+  }
+}
--- a/src/main/java/wickdrift/bookkeeping/Job.java
+++ b/src/main/java/wickdrift/bookkeeping/Job.java
@@ -11,9 +11,11 @@
 import java.util.Set;
 import java.util.function.Consumer;
 import java.util.function.IntFunction;
+import wickdrift.bookkeeping.level.Form;
 import wickdrift.protocol.BadMessage;
 import wickdrift.protocol.Doc;
 import wickdrift.protocol.JobSpec;
+import wickdrift.protocol.Pack;
 import wickdrift.protocol.Report;
 
 /** One unfinished job: what was submitted, and its tasks, in chunks that are stored together. */
@@ -21,6 +23,21 @@
   /** Tasks a chunk: all live, a chunk takes about 2 KB, below the smallest value limit known. */
   public static final int CHUNK = 64;
 
+  /**
+   * How a job stands to those that it awaits, as {@link Chains} draws it. It goes from the top
+   * down, and the last two are final.
+   */
+  public enum Stage {
+    /** What became of one that it awaits is not known here yet. */
+    UNCLEAR,
+    /** One that it awaits is not done. */
+    WAITS,
+    /** All are done: it may start. */
+    READY,
+    /** One was withdrawn, so this one is. */
+    WITHDRAWN
+  }
+
   /** The owner of a job that only the leader places. */
   public static final String LEADER = "*";
 
@@ -66,6 +83,13 @@
   private boolean worked;
   private final Set<Machine> failedOn = new LinkedHashSet<>();
   private long waitingSinceMs;
+
+  // Drawn by the chains.
+  private List<String> awaits = List.of();
+  private Overflow overflow;
+  private Stage stage = Stage.UNCLEAR;
+  private long readyWallMs;
+  private Pull pull = Pull.NONE;
   private long blockedVersion = -1;
   private long blockedUntilMs;
   private long preemptAtMs;
@@ -80,6 +104,30 @@
     this.onChange = onChange;
   }
 
+  /**
+   * What those that await a job lend to it.
+   *
+   * @param rank the highest of any that needs it, directly or through others
+   * @param teamRank the same of those that need it through its own team's jobs only: as that it may
+   *     stop others' work, for no team is to do so by way of another's job
+   * @param startByWallMs when it must start so that the last of them is done in time;
+   *     Long.MAX_VALUE: no matter when
+   */
+  public record Pull(JobSpec.Priority rank, JobSpec.Priority teamRank, long startByWallMs) {
+    static final Pull NONE = new Pull(JobSpec.Priority.LOW, JobSpec.Priority.LOW, Long.MAX_VALUE);
+
+    Pull and(Pull o) {
+      return new Pull(
+          higher(rank, o.rank),
+          higher(teamRank, o.teamRank),
+          Math.min(startByWallMs, o.startByWallMs));
+    }
+  }
+
+  static JobSpec.Priority higher(JobSpec.Priority a, JobSpec.Priority b) {
+    return a.ordinal() <= b.ordinal() ? a : b;
+  }
+
   private void note() {
     if (!noted) {
       noted = true;
@@ -117,9 +165,12 @@
    * @param withdrawnWallMs 0 if it is not withdrawn
    */
   public static Map<String, Object> toStore(
-      JobSpec spec, long acceptedWallMs, String part, long withdrawnWallMs) {
+      JobSpec spec, Overflow more, long acceptedWallMs, String part, long withdrawnWallMs) {
     Map<String, Object> m = new LinkedHashMap<>();
-    m.put("spec", spec.toStore());
+    m.put("spec", (more == null ? spec : spec.awaiting(List.of())).toStore());
+    if (more != null) {
+      m.put("more", more.toStore());
+    }
     m.put("at", acceptedWallMs);
     m.put("part", part);
     m.put("off", withdrawnWallMs > 0);
@@ -133,10 +184,10 @@
    * @param offWallMs 0 if it is not withdrawn
    */
   public Map<String, Object> toStore(String newPart, long offWallMs) {
-    Map<String, Object> m = toStore(spec, acceptedWallMs, newPart, offWallMs);
+    Map<String, Object> m = toStore(spec, overflow, acceptedWallMs, newPart, offWallMs);
     m.putAll(extra);
     if (!specExtra.isEmpty()) {
-      Map<String, Object> s = spec.toStore();
+      Map<String, Object> s = (overflow == null ? spec : spec.awaiting(List.of())).toStore();
       s.putAll(specExtra);
       m.put("spec", s);
     }
@@ -155,10 +206,12 @@
       waiting = tasks.length;
       waitingTasks = new BitSet(tasks.length);
       waitingTasks.set(0, tasks.length);
+      awaits = spec.awaits();
+      overflow = d.raw("more") == null ? null : Overflow.parse(id, d.raw("more"));
     }
     acceptedWallMs = d.count("at");
     part = d.text("part");
-    extra = d.without("spec", "at", "part", "off", "offAt");
+    extra = d.without("spec", "more", "at", "part", "off", "offAt");
     boolean off = d.flag("off");
     if (off && !withdrawn) {
       for (TaskState t : tasks) {
@@ -226,6 +279,81 @@
     return m;
   }
 
+  /**
+   * The chunk as it is to be stored. Where it would be larger than a value may be, each machine is
+   * named once, and of the tasks the numbers alone are told, as one text.
+   */
+  public Object storeChunk(
+      int chunk, long rev, IntFunction<TaskState> states, int form, int valueBytes) {
+    Map<String, Object> m = encodeChunk(chunk, rev, states);
+    Object value = Form.wrap(form, m);
+    if (form < Form.NUMBERED || Pack.jsonSize(value) <= valueBytes) {
+      return value;
+    }
+    List<Object> machines = new ArrayList<>();
+    StringBuilder text = new StringBuilder();
+    for (Object o : (List<?>) m.get("live")) {
+      List<?> l = (List<?>) o;
+      int k = machines.indexOf(l.get(2));
+      if (k < 0) {
+        k = machines.size();
+        machines.add(l.get(2));
+      }
+      text.append(l.get(0)).append(',').append(l.get(1)).append(',').append(k).append(',');
+      text.append(l.get(3)).append(',').append(l.get(4)).append(',');
+    }
+    m.put("live", List.of(machines, text.toString()));
+    StringBuilder tried = new StringBuilder();
+    for (Object o : (List<?>) m.get("tried")) {
+      List<?> l = (List<?>) o;
+      tried.append(l.get(0)).append(',').append(l.get(1)).append(',');
+    }
+    m.put("tried", List.of(tried.toString()));
+    return Form.wrap(Form.DENSE, m);
+  }
+
+  /** Lists of so many numbers, from a text of all of them. */
+  private static List<List<Object>> lists(String text, int width) throws BadMessage {
+    List<List<Object>> out = new ArrayList<>();
+    String[] numbers = text.isEmpty() ? new String[0] : text.split(",");
+    if (numbers.length % width != 0) {
+      throw new BadMessage("a chunk ends early");
+    }
+    try {
+      for (int i = 0; i < numbers.length; i += width) {
+        List<Object> l = new ArrayList<>();
+        for (int k = 0; k < width; k++) {
+          l.add(Long.parseLong(numbers[i + k]));
+        }
+        out.add(l);
+      }
+    } catch (NumberFormatException e) {
+      throw new BadMessage("a chunk holds something that is not a number");
+    }
+    return out;
+  }
+
+  private static List<?> liveOf(Doc d) throws BadMessage {
+    List<?> l = d.list("live");
+    if (l.size() == 2 && l.get(0) instanceof List<?> machines && l.get(1) instanceof String text) {
+      List<List<Object>> out = lists(text, 5);
+      for (List<Object> e : out) {
+        int k = number(e.get(2));
+        if (k < 0 || k >= machines.size()) {
+          throw new BadMessage("a chunk names no such machine");
+        }
+        e.set(2, machines.get(k));
+      }
+      return out;
+    }
+    return l;
+  }
+
+  private static List<?> triedOf(Doc d) throws BadMessage {
+    List<?> l = d.list("tried");
+    return l.size() == 1 && l.get(0) instanceof String text ? lists(text, 2) : l;
+  }
+
   /** A chunk was stored, or deleted: those who follow the logs know its content already. */
   void chunkStored(int chunk, Doc d, long newStamp) throws BadMessage {
     if (chunk < 0 || chunk >= chunkStamps.length) {
@@ -258,7 +386,7 @@
           fresh[k - from] = TaskState.FINISHED;
         }
       }
-      for (Object o : d.list("live")) {
+      for (Object o : liveOf(d)) {
         List<?> l = (List<?>) o;
         fresh[number(l.get(0)) - from] =
             new TaskState(
@@ -268,7 +396,7 @@
                 number(l.get(3)),
                 TaskState.Stop.values()[number(l.get(4))]);
       }
-      for (Object o : d.list("tried")) {
+      for (Object o : triedOf(d)) {
         List<?> l = (List<?>) o;
         fresh[number(l.get(0)) - from] = TaskState.waiting(number(l.get(1)));
       }
@@ -429,10 +557,77 @@
     return withdrawnWallMs;
   }
 
+  /** Withdrawn by its user, or with one that it awaits. Final. */
   public boolean withdrawn() {
+    return withdrawn || stage == Stage.WITHDRAWN;
+  }
+
+  /** Whether its user has withdrawn it itself: what its record says. */
+  public boolean withdrawnItself() {
     return withdrawn;
   }
 
+  // ---- what it awaits, and who awaits it: drawn by the chains ----
+
+  /** The jobs that must be done before it starts. */
+  public List<String> awaits() {
+    return awaits;
+  }
+
+  /** Where the names are that its own record has no room for, or null. */
+  public Overflow overflow() {
+    return overflow;
+  }
+
+  void awaits(List<String> all) {
+    awaits = all;
+  }
+
+  public Stage stage() {
+    return stage;
+  }
+
+  /** The one function by which its stage changes. */
+  void to(Stage next, long nowReadyWallMs) {
+    if (stage == Stage.READY || stage == Stage.WITHDRAWN) {
+      throw new IllegalStateException(id + " is " + stage + " and can't become " + next);
+    }
+    stage = next;
+    readyWallMs = nowReadyWallMs;
+    note();
+  }
+
+  /** By the time of day, when it was accepted, or the last of those that it awaits was done. */
+  public long readyWallMs() {
+    return Math.max(acceptedWallMs, readyWallMs);
+  }
+
+  void pull(Pull now) {
+    if (!now.equals(pull)) {
+      pull = now;
+      note();
+    }
+  }
+
+  Pull pull() {
+    return pull;
+  }
+
+  /** As what it is served and, while it runs, spared. */
+  public JobSpec.Priority rank() {
+    return higher(spec.priority(), pull.rank);
+  }
+
+  /** As what it may stop the work of others. */
+  public JobSpec.Priority teamRank() {
+    return higher(spec.priority(), pull.teamRank);
+  }
+
+  /** When it must start for the sake of those that await it, by the time of day. */
+  public long startByWallMs() {
+    return pull.startByWallMs;
+  }
+
   public TaskState task(int index) {
     return tasks[index];
   }
--- a/src/main/java/wickdrift/bookkeeping/Ledger.java
+++ b/src/main/java/wickdrift/bookkeeping/Ledger.java
@@ -92,7 +92,7 @@
    * by one when asked for.
    */
   private static final List<String> LOADED =
-      List.of("w/l/", "w/h/", "w/j/", "w/m/", "w/p/", "w/t/", "w/c/", "w/x", "w/v");
+      List.of("w/l/", "w/h/", "w/a/", "w/j/", "w/m/", "w/p/", "w/t/", "w/c/", "w/x", "w/v");
 
   private final Timers timers;
   private final Caller caller;
@@ -102,11 +102,11 @@
   private final Bucket writes;
   private final Bucket userWrites;
   private final Bucket workWrites;
-  private final double rps;
   private final int nodes;
-  private final double writeRps;
+  private final Limits limits;
   private double requestReserve;
   private int sharing;
+  private boolean sharingFallen;
   private boolean leading;
   private double fairWrites;
   private double fairUserWrites;
@@ -114,6 +114,8 @@
   private long refusedByBudget;
   private long refusedByStore;
   private long failedByCondition;
+  private long tooLarge;
+  private final Set<String> tooLargeTold = new HashSet<>();
   private long windowMs;
   private int window;
   private int lastWindow;
@@ -140,21 +142,14 @@
   private record RevWaiter(long rev, Runnable done) {}
 
   public Ledger(
-      Timers timers,
-      Caller caller,
-      String address,
-      double rps,
-      double writeRps,
-      int nodes,
-      Applier applier) {
+      Timers timers, Caller caller, String address, Limits limits, int nodes, Applier applier) {
     this.timers = timers;
     this.caller = caller;
     this.address = address;
     this.applier = applier;
     long now = timers.nowMs();
-    this.rps = rps;
+    this.limits = limits;
     this.nodes = nodes;
-    this.writeRps = writeRps;
     this.requests = new Bucket(1, now);
     this.writes = new Bucket(1, now);
     this.userWrites = new Bucket(1, now);
@@ -173,17 +168,18 @@
    * would have the leader place less.
    */
   public final void sharedBy(int members, boolean leads) {
-    if (members == sharing && leads == leading) {
+    if (members == sharing && leads == leading && limits.fallen() == sharingFallen) {
       return;
     }
     sharing = members;
+    sharingFallen = limits.fallen();
     leading = leads;
-    double share = rps / Math.min(nodes, members + 1) * 0.95;
+    double share = limits.rps() / Math.min(nodes, members + 1) * 0.95;
     requests.rate(share);
     requestReserve = share * 0.25;
     syncGapMs = Math.max(5, (long) (1000 / (share * 0.45)));
     int n = Math.max(1, members);
-    double all = writeRps * USED;
+    double all = limits.writeRps() * USED;
     double work = all * (1 - USERS);
     fairUserWrites = all * USERS / n;
     fairWrites =
@@ -197,7 +193,7 @@
    * to the limit.
    */
   public void othersWrite(double perSecond, double most) {
-    double ours = Math.min(most, Math.max(fairWrites, writeRps * USED - perSecond));
+    double ours = Math.min(most, Math.max(fairWrites, limits.writeRps() * USED - perSecond));
     writes.rate(ours, fairWrites);
     double users = fairUserWrites / fairWrites;
     userWrites.rate(ours * users, fairUserWrites);
@@ -212,7 +208,7 @@
 
   /** What another member may write at least, the leader apart. */
   public double evenWrites() {
-    return writeRps * USED / Math.max(1, sharing);
+    return limits.writeRps() * USED / Math.max(1, sharing);
   }
 
   /** How many changes a transaction of our work may have now, {@code most} at most. */
@@ -253,6 +249,16 @@
     return refusedByStore;
   }
 
+  /** Transactions that were larger than may be, found here or by the state service. */
+  public long tooLarge() {
+    return tooLarge;
+  }
+
+  /** What the state service takes. */
+  public Limits limits() {
+    return limits;
+  }
+
   /** Transactions whose conditions did not hold. */
   public long failedByCondition() {
     return failedByCondition;
@@ -328,13 +334,10 @@
           try {
             Doc d = Doc.parse(a.body());
             long r = Math.min(minRev, d.count("ledgerRev"));
-            String last = null;
-            for (Doc e : d.docs("entries")) {
-              last = e.text("key");
-              got.add(new Change(last, e.raw("v"), e.count("stamp")));
-            }
-            if (d.flag("truncated", false) && last != null) {
-              load(prefix, last, got, r);
+            Listed l = listed(d);
+            got.addAll(l.entries);
+            if (l.truncated && !l.entries.isEmpty()) {
+              load(prefix, got.get(got.size() - 1).key(), got, r);
             } else {
               load(prefix + 1, null, got, r);
             }
@@ -565,6 +568,38 @@
         });
   }
 
+  /** A page of records, by key; null when there was no answer. */
+  public record Listed(List<Change> entries, boolean truncated) {}
+
+  /**
+   * Reads the records of a prefix whose keys come after another, so many at most.
+   *
+   * @param done gets null when the state service does not answer
+   */
+  public void list(String prefix, String after, int most, Consumer<Listed> done) {
+    call(
+        "GET",
+        "/store?prefix=" + prefix + "&from=" + after + "&most=" + most,
+        null,
+        CALL_MS,
+        a -> {
+          try {
+            done.accept(a.status() == 200 ? listed(Doc.parse(a.body())) : null);
+          } catch (BadMessage e) {
+            malformed("list", e);
+            done.accept(null);
+          }
+        });
+  }
+
+  private static Listed listed(Doc d) throws BadMessage {
+    List<Change> got = new ArrayList<>();
+    for (Doc e : d.docs("entries")) {
+      got.add(new Change(e.text("key"), e.raw("v"), e.count("stamp")));
+    }
+    return new Listed(got, d.flag("truncated", false));
+  }
+
   // ---- writing ----
 
   /** Whose writes come first. */
@@ -595,12 +630,28 @@
       timers.after(1, () -> done.accept(new Result(Outcome.REFUSED, 0, Set.of(), false)));
       return;
     }
+    String over = txn.tooLarge(limits);
+    if (over != null) {
+      // Never sent: it would be refused each time. Whoever drafts keeps to the limits; what does
+      // not, by a mistake, is told once and is not to use up the rate.
+      tooLarge(over);
+      timers.after(1, () -> done.accept(new Result(Outcome.REFUSED, 0, Set.of(), false)));
+      return;
+    }
     nextWindow();
     window += n;
-    call("POST", "/commit", Pack.encode(txn.toWire()), CALL_MS, a -> done.accept(result(a)));
+    call("POST", "/commit", Pack.encode(txn.toWire()), CALL_MS, a -> done.accept(result(txn, a)));
   }
 
-  private Result result(Caller.Answer a) {
+  /** Counted each time, and told once a cause. */
+  private void tooLarge(String cause) {
+    tooLarge++;
+    if (tooLargeTold.size() < 100 && tooLargeTold.add(cause)) {
+      LOG.error("larger than the state service takes: {}", cause);
+    }
+  }
+
+  private Result result(Txn txn, Caller.Answer a) {
     try {
       switch (a.status()) {
         case 200:
@@ -614,11 +665,17 @@
           refusedByStore++;
           writes.drain();
           workWrites.drain();
+          limits.refusedForRate();
           return new Result(Outcome.REFUSED, 0, Set.of(), false);
         case 400:
           String why = String.valueOf(Doc.parse(a.body()).raw("error"));
-          LOG.warn("state service refused a transaction: {}", why);
-          return new Result(Outcome.REFUSED, 0, Set.of(), why.contains("lease"));
+          boolean lease = why.contains("lease");
+          if (!lease) {
+            // The next draft is smaller, if the limits have fallen; if not, it is told once.
+            limits.refusedForSize();
+            tooLarge(txn.largest() + ": " + why);
+          }
+          return new Result(Outcome.REFUSED, 0, Set.of(), lease);
         case 503:
           refusedByStore++;
           return new Result(Outcome.REFUSED, 0, Set.of(), false);
--- /dev/null
+++ b/src/main/java/wickdrift/bookkeeping/Limits.java
@@ -0,0 +1,107 @@
+package wickdrift.bookkeeping;
+
+import java.util.function.BooleanSupplier;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * What the state service takes: now, and from some moment on that nobody is told of. From the level
+ * of {@link wickdrift.bookkeeping.level.Gate#LIMITS} on whatever is written keeps to the smaller
+ * sizes of both, for a value that is too large is found out by a refusal only, and what is stored
+ * by then may have to be rewritten after the fall. The larger rate is used until the state service
+ * refuses for it: what is given up before the fall would be given up for nothing, and a refusal
+ * costs one try.
+ */
+public final class Limits {
+  private static final Logger LOG = LoggerFactory.getLogger(Limits.class);
+  private static final double KB = 1024;
+
+  /** Of a value, the part that is used: sizes are counted as JSON, which others may write wider. */
+  private static final double USED = 0.9;
+
+  /** The protocol allows so many conditions for each change. */
+  private static final int CONDITIONS_AN_OP = 4;
+
+  /**
+   * Source: {@code cluster.state} of the settings.
+   *
+   * @param rps requests a second
+   * @param writeRps changes a second
+   * @param valueKb KiB a value may have
+   * @param txnOps changes a transaction may have
+   */
+  public record Bounds(double rps, double writeRps, double valueKb, int txnOps) {}
+
+  private final Bounds now;
+  private final Bounds next;
+  private final BooleanSupplier open;
+  private boolean fallen;
+
+  /**
+   * @param next null if the limits stay as they are
+   * @param open whether the level in force asks for the smaller sizes
+   */
+  public Limits(Bounds now, Bounds next, BooleanSupplier open) {
+    this.now = now;
+    this.next = next == null ? now : next;
+    this.open = open;
+  }
+
+  /** The state service has refused a value or a transaction for its size. */
+  void refusedForSize() {
+    fell("it refuses a size");
+  }
+
+  /** It has refused changes for their rate: below the level, that may be the rate of today. */
+  void refusedForRate() {
+    if (open.getAsBoolean()) {
+      fell("it refuses a rate");
+    }
+  }
+
+  private void fell(String why) {
+    if (!fallen && !next.equals(now)) {
+      fallen = true;
+      LOG.warn("the state service's limits have fallen to {}: {}", next, why);
+    }
+  }
+
+  /** Whether the next limits are known to be in force. */
+  public boolean fallen() {
+    return fallen;
+  }
+
+  private boolean smaller() {
+    return fallen || open.getAsBoolean();
+  }
+
+  /** Changes that a transaction may have. */
+  public int txnOps() {
+    return smaller() ? Math.min(now.txnOps, next.txnOps) : now.txnOps;
+  }
+
+  /** Conditions that a transaction may have. */
+  public int conditions() {
+    return CONDITIONS_AN_OP * txnOps();
+  }
+
+  /** Bytes that a value may have, counted as JSON. */
+  public int valueBytes() {
+    return (int) ((smaller() ? Math.min(now.valueKb, next.valueKb) : now.valueKb) * KB);
+  }
+
+  /** Bytes that are used of a value that could be larger: a part is left for a margin. */
+  public int usedBytes() {
+    return (int) (valueBytes() * USED);
+  }
+
+  /** Changes a second. */
+  public double writeRps() {
+    return fallen ? Math.min(now.writeRps, next.writeRps) : now.writeRps;
+  }
+
+  /** Requests a second. */
+  public double rps() {
+    return fallen ? Math.min(now.rps, next.rps) : now.rps;
+  }
+}
--- a/src/main/java/wickdrift/bookkeeping/Tables.java
+++ b/src/main/java/wickdrift/bookkeeping/Tables.java
@@ -62,13 +62,18 @@
   private final Map<String, Shelf> shelves = new HashMap<>();
   private long appliedRev;
   private final TreeSet<String> orphans = new TreeSet<>();
-  private final Map<String, String> finished =
+  private final Map<String, Ended> finished =
       new LinkedHashMap<>(256, 0.75f, true) {
         @Override
-        protected boolean removeEldestEntry(Map.Entry<String, String> eldest) {
+        protected boolean removeEldestEntry(Map.Entry<String, Ended> eldest) {
           return size() > FINISHED_KEPT;
         }
       };
+  private final Chains chains = new Chains(jobs::get, finished::get);
+
+  /** Names of awaited jobs, by record, until their job has them all. */
+  private final TreeMap<String, List<String>> names = new TreeMap<>();
+
   private View view;
   private long viewStamp;
   private long takesStamp;
@@ -193,7 +198,11 @@
 
   private void remark() {
     Set<String> now = new HashSet<>();
-    parts.values().forEach(p -> now.addAll(p.taken()));
+    // Where a change of view leaves the parts alone, marks are of the epoch that they tell.
+    boolean ofView = open(Gate.VIEWS);
+    parts.values().stream()
+        .filter(p -> !ofView || p.epoch() == view.epoch())
+        .forEach(p -> now.addAll(p.taken()));
     if (!now.equals(marked)) {
       Set<String> differ = new HashSet<>(now);
       differ.addAll(marked);
@@ -238,6 +247,37 @@
     return parts;
   }
 
+  /**
+   * A node's part as it is to be decided from, and written anew: since {@link Gate#VIEWS} one that
+   * was not written under this view marks nothing, and one that was never written is empty. Null
+   * before that level, if it is not there.
+   */
+  public Part partNow(String node) {
+    Part p = parts.get(node);
+    if (!open(Gate.VIEWS)) {
+      return p;
+    }
+    Part is = p == null ? Part.fresh(view.epoch(), form()) : p;
+    return is.epoch() == view.epoch() ? is : is.inEpoch(view.epoch());
+  }
+
+  /**
+   * The parts that were last written before placements were conditional on the view: something that
+   * was prepared by then is conditional on those records alone, and may come yet.
+   */
+  public List<String> unfencedParts() {
+    List<String> out = new ArrayList<>();
+    if (open(Gate.VIEWS)) {
+      parts.forEach(
+          (n, p) -> {
+            if (p.epoch() < view.since()) {
+              out.add(n);
+            }
+          });
+    }
+    return out;
+  }
+
   public Map<String, String> members() {
     return members;
   }
@@ -269,19 +309,27 @@
     return orphans;
   }
 
-  /** A finished job's phase, if it is remembered here. Final, so never out of date. */
-  public String finished(String id) {
+  /** How a job ended, if it is remembered here. Final, so never out of date. */
+  public Ended finished(String id) {
     return finished.get(id);
   }
 
-  public void rememberFinished(String id, String phase) {
-    finished.put(id, phase);
+  public void rememberFinished(String id, Ended how) {
+    finished.put(id, how);
+    chains.ended(id, how);
+  }
+
+  /** Which jobs await which. */
+  public Chains chains() {
+    return chains;
   }
 
   @Override
   public void reset() {
     jobs.values().forEach(Job::drop);
     jobs.clear();
+    chains.reset();
+    names.clear();
     machines.values().forEach(m -> m.restore(null));
     shelves.clear();
     logs.clear();
@@ -625,9 +673,28 @@
 
   /** The newest form that this build reads of what a key holds. */
   public static int formOf(String key) {
-    boolean numbered =
-        key.equals(View.KEY) || key.startsWith("w/p/") || Job.isChunk(key) || Page.isPage(key);
-    return numbered ? Form.NUMBERED : Form.FIRST;
+    boolean numbered = key.equals(View.KEY) || key.startsWith("w/p/") || Page.isPage(key);
+    return Job.isChunk(key) ? Form.DENSE : numbered ? Form.NUMBERED : Form.FIRST;
+  }
+
+  /** Gives a job the names that its own record has no room for, once all are there. */
+  private boolean gather(Job j) {
+    Overflow o = j.overflow();
+    List<String> all = new ArrayList<>();
+    for (int k = 0; o != null && k < o.records(); k++) {
+      List<String> some = names.get(o.key(k));
+      if (some == null) {
+        return false;
+      }
+      all.addAll(some);
+    }
+    if (o != null) {
+      j.awaits(List.copyOf(all));
+      for (int k = 0; k < o.records(); k++) {
+        names.remove(o.key(k));
+      }
+    }
+    return o != null;
   }
 
   private static void unknown(Ledger.Change c) throws BadMessage {
@@ -642,6 +709,7 @@
       View read = c.value() == null ? null : View.parse(c.value());
       view = read;
       viewStamp = c.value() == null ? 0 : c.stamp();
+      remark();
       return;
     }
     if (key.equals(TAKES_KEY)) {
@@ -665,7 +733,11 @@
                 orphans.add(j.chunkKey(k));
               }
             }
+            for (int k = 0; j.overflow() != null && k < j.overflow().records(); k++) {
+              orphans.add(j.overflow().key(k));
+            }
             j.drop();
+            chains.left(j);
           }
         } else {
           Job j = jobs.get(name);
@@ -673,11 +745,29 @@
             j = new Job(name, usage, changedJobs::add);
             j.record(d, c.stamp());
             jobs.put(name, j);
+            gather(j);
+            chains.joined(j);
           } else {
+            boolean was = j.withdrawnItself();
             j.record(d, c.stamp());
+            if (was != j.withdrawnItself()) {
+              chains.changed(j);
+            }
           }
         }
       }
+      case 'a' -> {
+        if (d == null) {
+          names.remove(key);
+          orphans.remove(key);
+          return;
+        }
+        names.put(key, Overflow.names(d));
+        Job j = jobs.get(Overflow.job(key));
+        if (j != null && j.overflow() != null && j.awaits().isEmpty() && gather(j)) {
+          chains.joined(j);
+        }
+      }
       case 't' -> {
         int slash = name.lastIndexOf('/');
         Job j = jobs.get(name.substring(0, slash));
@@ -707,7 +797,7 @@
       case 'm' -> member(name, c.value(), c.stamp());
       case 'd' -> {
         if (d != null) {
-          rememberFinished(name, d.text("phase"));
+          rememberFinished(name, Ended.parse(d));
         }
       }
       default -> unknown(c);
--- a/src/main/java/wickdrift/bookkeeping/Txn.java
+++ b/src/main/java/wickdrift/bookkeeping/Txn.java
@@ -4,6 +4,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import wickdrift.protocol.Pack;
 
 /** A transaction being put together: conditions on stamps, then writes and deletions. */
 public final class Txn {
@@ -58,6 +59,42 @@
     return when;
   }
 
+  /** Why the state service would refuse it for its size, or null. */
+  String tooLarge(Limits limits) {
+    if (then.size() > limits.txnOps()) {
+      return then.size() + " changes, as of " + largest();
+    }
+    if (when.size() > limits.conditions()) {
+      return when.size() + " conditions, as of " + largest();
+    }
+    for (Map.Entry<String, Map<String, Object>> e : then.entrySet()) {
+      Object v = e.getValue().get("v");
+      if (v != null && Pack.jsonSize(v) > limits.valueBytes()) {
+        return kind(e.getKey());
+      }
+    }
+    return null;
+  }
+
+  /** What kind of record its largest value is, for a log: kinds are few, keys are not. */
+  String largest() {
+    String best = "";
+    int most = -1;
+    for (Map.Entry<String, Map<String, Object>> e : then.entrySet()) {
+      Object v = e.getValue().get("v");
+      int n = v == null ? 0 : Pack.jsonSize(v);
+      if (n > most) {
+        most = n;
+        best = e.getKey();
+      }
+    }
+    return kind(best);
+  }
+
+  private static String kind(String key) {
+    return "a record " + key.substring(0, Math.min(4, key.length()));
+  }
+
   public Map<String, Object> toWire() {
     List<Object> w = new ArrayList<>();
     when.forEach((k, s) -> w.add(Map.of("key", k, "stamp", s)));
--- a/src/main/java/wickdrift/bookkeeping/View.java
+++ b/src/main/java/wickdrift/bookkeeping/View.java
@@ -19,6 +19,8 @@
  * epoch, and makes every placement that was prepared before fail.
  *
  * @param zones where the members are; those without a zone are left out
+ * @param since the epoch with which {@link Gate#VIEWS} opened, 0 before: parts that were last
+ *     written under an earlier one may still let something through that was prepared by then
  * @param extra fields that this build does not know; they survive a rewriting
  */
 public record View(
@@ -27,15 +29,17 @@
     String leader,
     Map<String, String> zones,
     int level,
+    long since,
     Map<String, Object> extra) {
   public static final String KEY = "w/v";
   private static final String LEVEL = "level";
+  private static final String SINCE = "since";
 
   /** The controllers of a zone hold at most so many times an even share of the machines. */
   private static final int MOST_SHARE = 4;
 
   public View(long epoch, Map<String, String> members, String leader, Map<String, String> zones) {
-    this(epoch, members, leader, zones, 1, Map.of());
+    this(epoch, members, leader, zones, 1, 0, Map.of());
   }
 
   public View(long epoch, Map<String, String> members, String leader) {
@@ -49,12 +53,18 @@
 
   /** The same members under a higher epoch. */
   public View raised() {
-    return new View(epoch + 1, members, leader, zones, level, extra);
+    return new View(epoch + 1, members, leader, zones, level, since, extra);
   }
 
   /** The same under another level. */
   public View at(int newLevel) {
-    return new View(epoch, members, leader, zones, newLevel, extra);
+    boolean opens = !open(Gate.VIEWS) && newLevel >= Gate.VIEWS.level();
+    return new View(epoch, members, leader, zones, newLevel, opens ? epoch : since, extra);
+  }
+
+  /** The same with other members. */
+  public View with(Map<String, String> others, String newLeader, Map<String, String> where) {
+    return new View(epoch, others, newLeader, where, level, since, extra);
   }
 
   public Object toStore() {
@@ -62,6 +72,9 @@
     if (level > 1) {
       m.put(LEVEL, level);
     }
+    if (since > 0) {
+      m.put(SINCE, since);
+    }
     m.put("epoch", epoch);
     m.put("members", members);
     m.put("leader", leader);
@@ -85,7 +98,8 @@
         d.text("leader"),
         zones,
         (int) level,
-        d.without(LEVEL, "epoch", "members", "leader", "zones"));
+        d.count(SINCE, 0),
+        d.without(LEVEL, SINCE, "epoch", "members", "leader", "zones"));
   }
 
   private static Map<String, String> texts(Object map) throws BadMessage {
@@ -196,6 +210,7 @@
         leader,
         where,
         now == null ? 1 : now.level,
+        now == null ? 0 : now.since,
         now == null ? Map.of() : now.extra);
   }
 }
--- a/src/main/java/wickdrift/bookkeeping/level/Form.java
+++ b/src/main/java/wickdrift/bookkeeping/level/Form.java
@@ -17,6 +17,9 @@
   /** View, part, page and chunk since {@link Gate#NUMBERS}. */
   public static final int NUMBERED = 2;
 
+  /** A chunk that would be larger than a value may be, since {@link Gate#LIMITS}. */
+  public static final int DENSE = 3;
+
   private Form() {}
 
   /** The value to store for a map in a form. */
--- a/src/main/java/wickdrift/bookkeeping/level/Gate.java
+++ b/src/main/java/wickdrift/bookkeeping/level/Gate.java
@@ -21,7 +21,24 @@
    * each part's, and every owner's placement is conditional on it too. No form changes. Can go, and
    * with it the older way, in a build whose least level is 3.
    */
-  TAKES(3, false);
+  TAKES(3, false),
+
+  /**
+   * A job may name others that must be done before it starts ({@code awaits} in its record, and
+   * {@code w/a/}); what ends a job tells when. Its record is one that an older build would read and
+   * run too early; the level keeps such a build out.
+   */
+  AWAITS(4, false),
+
+  /**
+   * What a member decides is conditional on the view itself, so a change of view rewrites no part
+   * and is one write, however many members there are. Can go, and with it the older way, in a build
+   * whose least level is 4.
+   */
+  VIEWS(4, false),
+
+  /** What is written fits the smaller of the state service's limits of now and next. */
+  LIMITS(4, false);
 
   private final int level;
   private final boolean afterConversion;
--- a/src/main/java/wickdrift/coordination/Admission.java
+++ b/src/main/java/wickdrift/coordination/Admission.java
@@ -10,23 +10,26 @@
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import wickdrift.bookkeeping.Bucket;
+import wickdrift.bookkeeping.Ended;
+import wickdrift.bookkeeping.Finals;
 import wickdrift.bookkeeping.Job;
 import wickdrift.bookkeeping.Ledger;
+import wickdrift.bookkeeping.Overflow;
 import wickdrift.bookkeeping.Tables;
 import wickdrift.bookkeeping.Txn;
 import wickdrift.bookkeeping.View;
+import wickdrift.bookkeeping.level.Gate;
 import wickdrift.daemon.Settings;
 import wickdrift.protocol.BadMessage;
 import wickdrift.protocol.Doc;
 import wickdrift.protocol.JobSpec;
+import wickdrift.protocol.Pack;
 import wickdrift.transport.Exchange;
 import wickdrift.transport.Timers;
 
 /** The users' interface: submissions, status and withdrawals. */
 public final class Admission {
   private static final Logger LOG = LoggerFactory.getLogger(Admission.class);
-  private static final String DONE = "done";
-  private static final String WITHDRAWN = "withdrawn";
   private static final int MAX_QUEUE = 300;
   private static final long BARRIER_MS = 1500;
   private static final int TRIES = 6;
@@ -35,11 +38,15 @@
   private static final long GIVE_UP_MS = 3000;
   private static final int LOOK_UPS_MOST = 64;
 
+  /** Of a job's record, besides what was submitted. */
+  private static final int RECORD_BYTES = 160;
+
   private record Submission(Exchange exchange, JobSpec spec, long sinceMs) {}
 
   private final Timers timers;
   private final Ledger ledger;
   private final Tables tables;
+  private final Finals finals;
   private final Board board;
   private final Types types;
   private final Settings settings;
@@ -59,6 +66,7 @@
       Timers timers,
       Ledger ledger,
       Tables tables,
+      Finals finals,
       Board board,
       Types types,
       Settings settings,
@@ -67,6 +75,7 @@
     this.timers = timers;
     this.ledger = ledger;
     this.tables = tables;
+    this.finals = finals;
     this.board = board;
     this.types = types;
     this.settings = settings;
@@ -113,13 +122,159 @@
       later(x);
       return;
     }
-    Submission gone = queue.add(spec, new Submission(x, spec, timers.nowMs()));
+    Submission s = new Submission(x, spec, timers.nowMs());
+    if (spec.awaits().isEmpty()) {
+      enqueue(s);
+    } else if (!tables.open(Gate.AWAITS)) {
+      // An older build would read the record, and run the job too early.
+      later(x);
+    } else {
+      namesKnown(s);
+    }
+  }
+
+  private void enqueue(Submission s) {
+    Submission gone = queue.add(s.spec, s);
     if (gone != null) {
       gone.exchange.reply(429, Map.of("error", "too many submissions"), 2);
     }
     pump();
   }
 
+  // ---- jobs that await others ----
+
+  /**
+   * Takes a submission on once all that it names are known to have been accepted. That one was not
+   * is said only when the state service has said so since the question came: the tables lag.
+   */
+  private void namesKnown(Submission s) {
+    if (unknownNames(s.spec).isEmpty()) {
+      named(s);
+      return;
+    }
+    ledger.barrier(
+        BARRIER_MS,
+        ok -> {
+          List<String> unknown = unknownNames(s.spec);
+          if (unknown.isEmpty()) {
+            named(s);
+          } else if (!ok) {
+            later(s.exchange);
+          } else {
+            readNames(s, unknown);
+          }
+        });
+  }
+
+  private List<String> unknownNames(JobSpec spec) {
+    return spec.awaits().stream()
+        .filter(a -> tables.job(a) == null && tables.finished(a) == null)
+        .toList();
+  }
+
+  private void readNames(Submission s, List<String> unknown) {
+    int[] left = {unknown.size()};
+    String[] never = new String[1];
+    boolean[] unsaid = new boolean[1];
+    for (String id : unknown) {
+      finals.ask(
+          id,
+          a -> {
+            if (a == Finals.Answer.NONE) {
+              unsaid[0] = true;
+            } else if (a == Finals.Answer.NOT_OVER && tables.job(id) == null) {
+              never[0] = id;
+            }
+            if (--left[0] > 0) {
+              return;
+            }
+            if (unsaid[0]) {
+              later(s.exchange);
+            } else if (never[0] != null) {
+              refuse(s, "awaits " + never[0] + ", which was never accepted");
+            } else {
+              named(s);
+            }
+          });
+    }
+  }
+
+  /** All names are of accepted jobs. One that is never done can't be awaited. */
+  private void named(Submission s) {
+    for (String id : s.spec.awaits()) {
+      Job j = tables.job(id);
+      if (j != null && j.spec().shape() == JobSpec.Shape.SERVICE && !j.withdrawn()) {
+        refuse(s, "awaits " + id + ", a service, which is never done");
+        return;
+      }
+    }
+    enqueue(s);
+  }
+
+  /** Whether a job's record has no room for all names that it awaits. */
+  private boolean overflows(JobSpec spec) {
+    int most = ledger.limits().usedBytes() - RECORD_BYTES;
+    return !spec.awaits().isEmpty() && Pack.jsonSize(spec.toStore()) > most;
+  }
+
+  /**
+   * Writes the names that a job's record has no room for, in records of their own, before the job
+   * is accepted: each transaction is conditional on the job's absence, and who tries again writes
+   * the same.
+   */
+  private void writeNames(Submission s, Overflow more) {
+    List<Map.Entry<String, Object>> open =
+        new ArrayList<>(more.values(s.spec.awaits(), ledger.limits().usedBytes()).entrySet());
+    writeNames(s, more, open);
+  }
+
+  private void writeNames(Submission s, Overflow more, List<Map.Entry<String, Object>> open) {
+    if (open.isEmpty()) {
+      batchOf(s, more);
+      return;
+    }
+    String id = s.spec.id();
+    Txn txn = new Txn().when(Job.key(id), 0).when(Job.finalKey(id), 0);
+    int n = Math.min(open.size(), ledger.limits().txnOps() / 2);
+    open.subList(0, n).forEach(e -> txn.write(e.getKey(), e.getValue()));
+    ledger.commit(
+        txn,
+        Ledger.Rank.USER,
+        r -> {
+          if (r.outcome() == Ledger.Outcome.OK) {
+            writeNames(s, more, open.subList(n, open.size()));
+          } else if (r.outcome() == Ledger.Outcome.REFUSED
+              && ledger.reachable()
+              && timers.nowMs() - s.sinceMs < GIVE_UP_MS) {
+            timers.after(RETRY_MS, () -> writeNames(s, more, open));
+          } else if (r.outcome() == Ledger.Outcome.FAILED) {
+            busy = false;
+            status(s.exchange, id);
+            pump();
+          } else {
+            busy = false;
+            later(s.exchange);
+            pump();
+          }
+        });
+  }
+
+  /** A transaction for one job alone, whose names are written. */
+  private void batchOf(Submission s, Overflow more) {
+    Txn txn = new Txn();
+    put(txn, s.spec, more, new Promised());
+    ledger.commit(
+        txn, Ledger.Rank.USER, r -> accepted(r, Map.of(s.spec.id(), new ArrayList<>(List.of(s)))));
+  }
+
+  private void put(Txn txn, JobSpec spec, Overflow more, Promised together) {
+    String id = spec.id();
+    txn.when(Job.key(id), 0).when(Job.finalKey(id), 0);
+    String part = route(spec, together);
+    together.add(spec, part);
+    txn.write(Job.key(id), Job.toStore(spec, more, timers.wallMs(), part, 0));
+  }
+
   /** Why the job can never run, or null. */
   String impossible(JobSpec s) {
     Settings.Team team = Queue.team(settings, s.team());
@@ -150,7 +305,7 @@
     Map<String, List<Submission>> batch = new LinkedHashMap<>();
     Promised together = new Promised();
     Txn txn = new Txn();
-    while (!queue.isEmpty() && batch.size() < settings.stateLimits().txnOps()) {
+    while (!queue.isEmpty() && batch.size() < ledger.limits().txnOps()) {
       Submission s = queue.poll();
       String id = s.spec.id();
       if (timers.nowMs() - s.sinceMs > GIVE_UP_MS) {
@@ -161,11 +316,17 @@
         status(s.exchange, id);
         continue;
       }
+      if (overflows(s.spec) && impossible(s.spec) == null) {
+        if (!batch.isEmpty()) {
+          queue.back(s.spec, s);
+          break;
+        }
+        // By itself, in several steps: the next ones wait for it.
+        writeNames(s, Overflow.of(id, s.spec.awaits(), ledger.limits().usedBytes()));
+        return;
+      }
       if (!batch.containsKey(id)) {
-        txn.when(Job.key(id), 0).when(Job.finalKey(id), 0);
-        String part = route(s.spec, together);
-        together.add(s.spec, part);
-        txn.write(Job.key(id), Job.toStore(s.spec, timers.wallMs(), part, 0));
+        put(txn, s.spec, null, together);
       }
       batch.computeIfAbsent(id, k -> new ArrayList<>()).add(s);
     }
@@ -347,10 +508,10 @@
 
   /** Answers from tables that are no older than this request. */
   public void status(Exchange x, String id) {
-    String fin = tables.finished(id);
+    Ended fin = tables.finished(id);
     if (fin != null) {
       // Final: no node can have told anyone anything newer.
-      x.reply(200, Map.of("ref", id, "phase", fin, "done", 0, "running", 0));
+      answerFinal(x, id, fin);
       return;
     }
     if (ledger.phase() != Ledger.Phase.FOLLOWING) {
@@ -374,7 +535,12 @@
       lookUp(x, id);
       return;
     }
-    String phase = job.withdrawn() ? WITHDRAWN : job.live() > 0 ? "running" : "pending";
+    if (job.stage() == Job.Stage.UNCLEAR && !job.withdrawn()) {
+      // It may have been withdrawn with one that it awaits, and someone may have been told so.
+      later(x);
+      return;
+    }
+    String phase = job.withdrawn() ? Ended.WITHDRAWN : job.live() > 0 ? "running" : "pending";
     x.reply(200, Map.of("ref", id, "phase", phase, "done", job.done(), "running", job.live()));
   }
 
@@ -416,12 +582,16 @@
         });
   }
 
+  private static void answerFinal(Exchange x, String id, Ended how) {
+    long done = how.done() ? how.tasks() : 0;
+    x.reply(200, Map.of("ref", id, "phase", how.phase(), "done", done, "running", 0));
+  }
+
   private void answerFinal(Exchange x, String id, Doc value) {
     try {
-      String phase = value.text("phase");
-      tables.rememberFinished(id, phase);
-      long done = phase.equals(DONE) ? value.count("tasks", 0) : 0;
-      x.reply(200, Map.of("ref", id, "phase", phase, "done", done, "running", 0));
+      Ended how = Ended.parse(value);
+      tables.rememberFinished(id, how);
+      answerFinal(x, id, how);
     } catch (BadMessage e) {
       LOG.error("unreadable final record of {}: {}", id, e.getMessage());
       later(x);
@@ -440,7 +610,7 @@
 
   private void withdraw(Exchange x, String id, int tries) {
     if (tables.finished(id) != null) {
-      x.reply(200, Map.of("ref", id, "phase", tables.finished(id)));
+      x.reply(200, Map.of("ref", id, "phase", tables.finished(id).phase()));
       return;
     }
     ledger.barrier(
@@ -452,7 +622,7 @@
           } else if (job == null) {
             answerStatus(x, id);
           } else if (job.withdrawn()) {
-            x.reply(200, Map.of("ref", id, "phase", WITHDRAWN));
+            x.reply(200, Map.of("ref", id, "phase", Ended.WITHDRAWN));
           } else {
             commitWithdrawal(x, job, tries);
           }
@@ -469,7 +639,7 @@
         Ledger.Rank.USER,
         r -> {
           switch (r.outcome()) {
-            case OK -> x.reply(200, Map.of("ref", job.id(), "phase", WITHDRAWN));
+            case OK -> x.reply(200, Map.of("ref", job.id(), "phase", Ended.WITHDRAWN));
             case FAILED -> withdraw(x, job.id(), tries - 1);
             case REFUSED -> {
               if (ledger.reachable()) {
--- a/src/main/java/wickdrift/coordination/Conversion.java
+++ b/src/main/java/wickdrift/coordination/Conversion.java
@@ -103,9 +103,10 @@
       return false;
     }
     int chunk = Integer.parseInt(name.substring(slash + 1));
-    Map<String, Object> value = job.encodeChunk(chunk, ledger.rev(), job::task);
+    int most = ledger.limits().usedBytes();
+    Object value = job.storeChunk(chunk, ledger.rev(), job::task, tables.form(), most);
     draft.when(job.key(), job.stamp());
-    draft.write(key, Form.wrap(tables.form(), value), job.chunkStamp(chunk));
+    draft.write(key, value, job.chunkStamp(chunk));
     return true;
   }
 }
--- a/src/main/java/wickdrift/coordination/Draft.java
+++ b/src/main/java/wickdrift/coordination/Draft.java
@@ -9,6 +9,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.function.UnaryOperator;
+import wickdrift.bookkeeping.Ended;
 import wickdrift.bookkeeping.Entry;
 import wickdrift.bookkeeping.Job;
 import wickdrift.bookkeeping.Machine;
@@ -16,6 +17,9 @@
 import wickdrift.bookkeeping.Tables;
 import wickdrift.bookkeeping.TaskState;
 import wickdrift.bookkeeping.Txn;
+import wickdrift.bookkeeping.View;
+import wickdrift.bookkeeping.level.Gate;
+import wickdrift.protocol.JobSpec;
 import wickdrift.protocol.Pack;
 import wickdrift.protocol.Report;
 
@@ -56,6 +60,9 @@
   /** What a transaction may have at the most: {@link #maxChanges} may be less for now. */
   private final int mostChanges;
 
+  /** What this places, by machine. */
+  private final Map<Machine, List<JobSpec>> placed = new HashMap<>();
+
   private boolean places;
   private int others;
   private int wanted;
@@ -123,6 +130,11 @@
     return tasks.isEmpty() && machines.isEmpty() && others == 0;
   }
 
+  /** What is placed here on a machine, besides what the tables tell. */
+  List<JobSpec> placedOn(Machine m) {
+    return placed.getOrDefault(m, List.of());
+  }
+
   /** Whether our part's record must change before we place again, should the outcome be unknown. */
   boolean places() {
     return places;
@@ -174,6 +186,7 @@
     if (next.live() && !old.live()) {
       places = true;
       bytes += next.machine().name().length();
+      placed.computeIfAbsent(next.machine(), k -> new ArrayList<>()).add(job.spec());
     }
     liveDelta.merge(job, (next.live() ? 1 : 0) - (old.live() ? 1 : 0), Integer::sum);
     Map<Integer, TaskState> m = tasks.get(job);
@@ -217,7 +230,7 @@
    * that the job's record has not changed. So a job is either done or withdrawn, decided by one
    * key; and no placement of it can follow, for that is conditional on the same key.
    */
-  void end(Job job, String phase) {
+  void end(Job job, String phase, long wallMs) {
     ended.add(job);
     txn.when(job.key(), job.stamp());
     others += OPS_FOR_END;
@@ -227,7 +240,8 @@
         delete(job.chunkKey(c));
       }
     }
-    txn.write(Job.finalKey(job.id()), Map.of("phase", phase, "tasks", job.size()));
+    Ended how = new Ended(phase, job.size(), wallMs);
+    txn.write(Job.finalKey(job.id()), how.toStore(tables.open(Gate.AWAITS)));
     txn.delete(job.key());
   }
 
@@ -272,6 +286,13 @@
     txn.when(key, stamp);
   }
 
+  /** On condition that the view is the one of the tables, since that is what a change rewrites. */
+  void underView() {
+    if (tables.open(Gate.VIEWS)) {
+      txn.when(View.KEY, tables.viewStamp());
+    }
+  }
+
   /** On condition that a node has written nothing to its log that we have not seen. */
   void whenLogStands(String of) {
     var last = tables.log(of).lastEntry();
--- a/src/main/java/wickdrift/coordination/Folding.java
+++ b/src/main/java/wickdrift/coordination/Folding.java
@@ -1,18 +1,23 @@
 package wickdrift.coordination;
 
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 import wickdrift.bookkeeping.Job;
 import wickdrift.bookkeeping.Ledger;
+import wickdrift.bookkeeping.Limits;
 import wickdrift.bookkeeping.Page;
 import wickdrift.bookkeeping.Tables;
-import wickdrift.bookkeeping.level.Form;
+import wickdrift.protocol.Pack;
 import wickdrift.transport.Timers;
 
 /** Decides what of the logs is stored elsewhere, so that their pages can go. */
 final class Folding {
+  private static final Logger LOG = LoggerFactory.getLogger(Folding.class);
   private static final long SHELVES_MS = 5000;
 
   private final Timers timers;
@@ -21,6 +26,8 @@
   private final Membership membership;
   private final Tuning tuning;
   private final String node;
+  private final Limits limits;
+  private final Set<String> told = new HashSet<>();
   private long nextShelvesMs;
 
   Folding(
@@ -36,6 +43,7 @@
     this.membership = membership;
     this.tuning = tuning;
     this.node = node;
+    this.limits = ledger.limits();
   }
 
   /**
@@ -73,7 +81,10 @@
           return;
         }
         draft.when(job.key(), job.stamp());
-        Object value = Form.wrap(tables.form(), job.encodeChunk(c, rev, job::task));
+        Object value = job.storeChunk(c, rev, job::task, tables.form(), limits.usedBytes());
+        if (tooLarge(value, job.chunkKey(c))) {
+          return;
+        }
         draft.write(job.chunkKey(c), value, job.chunkStamp(c));
       }
     }
@@ -81,8 +92,11 @@
       if (!draft.hasRoom() || !draft.hasConditions()) {
         return;
       }
-      draft.write(
-          Tables.shelfKey(shelf), tables.encodeShelf(shelf, rev), tables.shelf(shelf).stamp());
+      Map<String, Object> value = tables.encodeShelf(shelf, rev);
+      if (tooLarge(value, Tables.shelfKey(shelf))) {
+        return;
+      }
+      draft.write(Tables.shelfKey(shelf), value, tables.shelf(shelf).stamp());
     }
     // In the same transaction: if a chunk can't be stored, the page stays.
     if (draft.hasRoom() && draft.hasConditions()) {
@@ -91,6 +105,15 @@
     }
   }
 
+  /** Then its page stays: what it says is nowhere else. Told once a record. */
+  private boolean tooLarge(Object value, String key) {
+    boolean over = Pack.jsonSize(value) > limits.valueBytes();
+    if (over && told.add(key)) {
+      LOG.error("{} would be larger than a value may be: the page that needs it stays", key);
+    }
+    return over;
+  }
+
   /** A shelf whose machines are all forgotten goes when no page is left that names them. */
   private void forgetShelves(Draft draft) {
     long now = timers.nowMs();
--- a/src/main/java/wickdrift/coordination/GivingWay.java
+++ b/src/main/java/wickdrift/coordination/GivingWay.java
@@ -52,7 +52,7 @@
   void draft(Draft draft, Job job, boolean asLeader, Quota quota, long now) {
     JobSpec spec = job.spec();
     long waited = now - job.waitingSinceMs(now);
-    if (spec.priority() == JobSpec.Priority.LOW
+    if (job.teamRank() == JobSpec.Priority.LOW
         || job.suspect()
         || preemptScans >= PREEMPT_SCANS
         || now < job.preemptAtMs()) {
@@ -80,11 +80,12 @@
     if (gang) {
       keepToMarkedZone(job, may);
       if (spec.oneZone()) {
-        keepToCheapestZone(may, spec, strongest, lack, now);
+        keepToCheapestZone(may, job, strongest, lack, now);
       }
     }
     for (Preemption.Choice c :
-        Preemption.cheapest(may, spec, strongest, now, Math.min(lack, PREEMPT_MOST))) {
+        Preemption.cheapest(
+            may, spec, job.teamRank(), strongest, now, Math.min(lack, PREEMPT_MOST))) {
       if (gang && asLeader) {
         // Else what is stopped for it makes room for others.
         marks.markFor(job, c.machine(), now);
@@ -110,7 +111,9 @@
     for (Machine m : marks.of(job)) {
       TypeInfo t = m.info() == null ? null : types.find(m.info().type());
       Preemption.Choice c =
-          t == null ? null : Preemption.on(new Room(m, t), job.spec(), strongest, now);
+          t == null
+              ? null
+              : Preemption.on(new Room(m, t), job.spec(), job.teamRank(), strongest, now);
       if (c != null) {
         stop(draft, job, c);
       }
@@ -129,7 +132,7 @@
 
   /** Of the zones where enough machines can be emptied, the one where that costs least. */
   private static void keepToCheapestZone(
-      List<Room> may, JobSpec spec, JobSpec.Priority strongest, int lack, long now) {
+      List<Room> may, Job job, JobSpec.Priority strongest, int lack, long now) {
     Map<String, List<Room>> byZone = new HashMap<>();
     for (Room r : may) {
       byZone.computeIfAbsent(r.machine().info().zone(), k -> new ArrayList<>()).add(r);
@@ -137,7 +140,8 @@
     List<Room> best = List.of();
     double least = Double.MAX_VALUE;
     for (List<Room> rooms : byZone.values()) {
-      List<Preemption.Choice> all = Preemption.cheapest(rooms, spec, strongest, now, lack);
+      List<Preemption.Choice> all =
+          Preemption.cheapest(rooms, job.spec(), job.teamRank(), strongest, now, lack);
       double lost = all.stream().mapToDouble(Preemption.Choice::lost).sum();
       if (all.size() == lack && lost < least) {
         least = lost;
--- a/src/main/java/wickdrift/coordination/Marks.java
+++ b/src/main/java/wickdrift/coordination/Marks.java
@@ -8,11 +8,11 @@
 import java.util.Map;
 import java.util.Set;
 import wickdrift.bookkeeping.Job;
+import wickdrift.bookkeeping.Limits;
 import wickdrift.bookkeeping.Machine;
 import wickdrift.bookkeeping.Part;
 import wickdrift.bookkeeping.Tables;
 import wickdrift.bookkeeping.View;
-import wickdrift.daemon.Settings;
 import wickdrift.protocol.JobSpec;
 
 /** Decides, as the leader, which machines take no new tasks for the sake of gangs that wait. */
@@ -24,19 +24,19 @@
   private final Board board;
   private final Rooms rooms;
   private final Tuning tuning;
-  private final Settings settings;
+  private final Limits limits;
 
   /** By gang, the machines that take no new tasks until it starts or gives them up. */
   private final Map<String, List<Machine>> marks = new LinkedHashMap<>();
 
   private long nextMarksMs;
 
-  Marks(Tables tables, Board board, Tuning tuning, Settings settings) {
+  Marks(Tables tables, Board board, Tuning tuning, Limits limits) {
     this.tables = tables;
     this.board = board;
     this.rooms = board.rooms();
     this.tuning = tuning;
-    this.settings = settings;
+    this.limits = limits;
   }
 
   /** Marks are of one view: the part records were written anew. */
@@ -84,7 +84,7 @@
       wanted.computeIfAbsent(m.owner(v), k -> new ArrayList<>()).add(m.name());
     }
     for (String member : v.members().keySet()) {
-      Part p = tables.part(member);
+      Part p = tables.partNow(member);
       List<String> names = wanted.getOrDefault(member, List.of());
       names = names.stream().sorted().limit(maxMarks()).toList();
       if (p != null
@@ -98,7 +98,7 @@
 
   /** So many names leave room in a part's record for its shares, whatever the limit of a value. */
   private int maxMarks() {
-    return (int) (settings.stateLimits().valueKb() * 1024 / 2 / MARK_BYTES);
+    return limits.valueBytes() / 2 / MARK_BYTES;
   }
 
   private void mark(Job job, Set<Machine> marked, long now) {
--- a/src/main/java/wickdrift/coordination/Membership.java
+++ b/src/main/java/wickdrift/coordination/Membership.java
@@ -4,6 +4,7 @@
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -35,8 +36,8 @@
   private static final double BUSIER = 1.25;
   private static final double RAMP = 2;
 
-  /** The protocol allows four conditions for each write. */
-  private static final int CONDITIONS_AN_OP = 4;
+  /** Conditions of a change of view besides the members': the view, and a few of a rise. */
+  private static final int BESIDE_MEMBERS = 4;
 
   private static final long BARRIER_MS = 1500;
 
@@ -202,6 +203,7 @@
         && stage == Stage.SERVING) {
       keepMember();
       keepRoster();
+      fenceParts();
       considerView();
     }
     tellPeers();
@@ -366,6 +368,30 @@
     }
   }
 
+  /**
+   * The parts that did not fit into the switch to a view that is a condition itself. Until they are
+   * rewritten nobody places anything: what was prepared before is conditional on them alone.
+   */
+  private void fenceParts() {
+    if (writing || !leads()) {
+      return;
+    }
+    Txn txn = new Txn().when(View.KEY, tables.viewStamp());
+    for (String n : tables.unfencedParts()) {
+      Part p = tables.part(n);
+      if (txn.changes() < ledger.limits().txnOps()) {
+        Part told = p.form() == Form.FIRST ? Quota.numbered(p, n, tables.roster(), settings) : p;
+        txn.when(Part.key(n), p.stamp())
+            .write(Part.key(n), told.inEpoch(tables.view().epoch()).toStore());
+      }
+    }
+    if (txn.changes() > 0) {
+      LOG.info("writing {} parts anew for the view to count", txn.changes());
+      writing = true;
+      ledger.commit(txn, Ledger.Rank.AUTHORITY, r -> ledger.barrier(2000, ok -> writing = false));
+    }
+  }
+
   // ---- ending ----
 
   /** Told to end: from now on nothing new is taken. */
@@ -466,7 +492,10 @@
    */
   private View fitting(View next) {
     View now = tables.view();
-    int most = settings.stateLimits().txnOps() - 1;
+    if (next.open(Gate.VIEWS)) {
+      return named(next);
+    }
+    int most = ledger.limits().txnOps() - 1;
     TreeSet<String> all = new TreeSet<>(next.members().keySet());
     all.addAll(now == null ? Set.of() : now.members().keySet());
     if (all.size() <= most) {
@@ -490,7 +519,40 @@
     zones.keySet().retainAll(fewer.keySet());
     String leader =
         fewer.containsKey(next.leader()) ? next.leader() : fewer.keySet().iterator().next();
-    return new View(next.epoch(), fewer, leader, zones, next.level(), next.extra());
+    return next.with(fewer, leader, zones);
+  }
+
+  /**
+   * Where a change of view rewrites no parts, a view has as many members as the conditions of one
+   * transaction allow, which must all be there: of those that come, as many as fit beside those
+   * that stay.
+   */
+  private View named(View next) {
+    // The switch itself rewrites parts still, on condition of each.
+    int parts = tables.open(Gate.VIEWS) ? 0 : ledger.limits().txnOps() - 1;
+    int most = ledger.limits().conditions() - BESIDE_MEMBERS - parts;
+    if (next.members().size() <= most) {
+      return next;
+    }
+    Map<String, String> fewer = new TreeMap<>(next.members());
+    if (tables.view() != null) {
+      fewer.keySet().retainAll(tables.view().members().keySet());
+    }
+    while (fewer.size() > most) {
+      String last = ((TreeMap<String, String>) fewer).lastKey();
+      String other =
+          fewer.keySet().stream().filter(m -> !m.equals(next.leader())).findFirst().get();
+      fewer.remove(last.equals(next.leader()) ? other : last);
+    }
+    while (fewer.size() < most) {
+      String comes = nextIn(next, fewer.keySet());
+      fewer.put(comes, next.members().get(comes));
+    }
+    Map<String, String> zones = new TreeMap<>(next.zones());
+    zones.keySet().retainAll(fewer.keySet());
+    String leader =
+        fewer.containsKey(next.leader()) ? next.leader() : fewer.keySet().iterator().next();
+    return next.with(fewer, leader, zones);
   }
 
   /** Who comes next: of the zone that has the fewest members, or it would stand alone in a cut. */
@@ -523,10 +585,20 @@
     Txn txn = new Txn().when(View.KEY, tables.viewStamp()).write(View.KEY, next.toStore());
     next.members().keySet().forEach(m -> txn.when("w/m/" + m, tables.memberStamp(m)));
     // Rewriting the parts makes whatever was prepared under the old view fail. Those of nodes in
-    // neither view were rewritten when they left: nothing of theirs can come any more.
-    Set<String> all = new TreeSet<>(next.members().keySet());
-    all.addAll(tables.view() == null ? tables.parts().keySet() : tables.view().members().keySet());
+    // neither view were rewritten when they left: nothing of theirs can come any more. Since what
+    // is prepared is conditional on the view itself, they are rewritten no more; at the switch, as
+    // many as the transaction holds, and the rest before anything is placed.
+    Set<String> all = new LinkedHashSet<>();
+    if (!tables.open(Gate.VIEWS)) {
+      all.addAll(
+          tables.view() == null ? tables.parts().keySet() : tables.view().members().keySet());
+      all.addAll(next.members().keySet());
+    }
+    int parts = next.open(Gate.VIEWS) ? ledger.limits().txnOps() - 1 : all.size();
     for (String m : all) {
+      if (parts-- <= 0) {
+        break;
+      }
       Part p = tables.part(m);
       Part told = p == null ? Part.fresh(0, Form.at(next.level())) : p;
       if (next.open(Gate.NUMBERS) && told.form() == Form.FIRST) {
@@ -536,7 +608,7 @@
       txn.write(Part.key(m), told.inEpoch(next.epoch()).toStore());
     }
     // Nobody outside the view acts, so what is known of them is asked for as far as it fits.
-    int most = CONDITIONS_AN_OP * settings.stateLimits().txnOps();
+    int most = ledger.limits().conditions();
     conditions.forEach(
         (key, stamp) -> {
           if (txn.conditions().size() < most) {
--- a/src/main/java/wickdrift/coordination/Placing.java
+++ b/src/main/java/wickdrift/coordination/Placing.java
@@ -9,9 +9,11 @@
 import java.util.Set;
 import java.util.function.BooleanSupplier;
 import java.util.function.Predicate;
+import org.HdrHistogram.Histogram;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import wickdrift.bookkeeping.Job;
+import wickdrift.bookkeeping.Limits;
 import wickdrift.bookkeeping.Machine;
 import wickdrift.bookkeeping.Part;
 import wickdrift.bookkeeping.Tables;
@@ -45,6 +47,7 @@
   static final long BLOCKED_MS = 500;
 
   private static final int ZONE_COUNT = 4;
+  private static final long DELAY_MOST_MS = 3_600_000;
 
   private final Timers timers;
   private final Tables tables;
@@ -59,6 +62,9 @@
   private final BooleanSupplier leadSettled;
   private long placed;
 
+  /** From the end of the last job that one awaited to the first placement of its own. */
+  private final Histogram stageDelays = new Histogram(DELAY_MOST_MS, 2);
+
   /** Set when the job at hand was left out for lack of writes, not of room. */
   private boolean narrow;
 
@@ -78,12 +84,13 @@
       Types types,
       Tuning tuning,
       Settings settings,
+      Limits limits,
       BooleanSupplier leadSettled) {
     this.timers = timers;
     this.tables = tables;
     this.board = board;
     this.rooms = board.rooms();
-    this.marks = new Marks(tables, board, tuning, settings);
+    this.marks = new Marks(tables, board, tuning, limits);
     this.givingWay = new GivingWay(rooms, types, marks, tuning, settings);
     this.tuning = tuning;
     this.settings = settings;
@@ -102,6 +109,14 @@
     return postponedMs;
   }
 
+  /**
+   * Milliseconds from a stage's last end to the next one's first placement, by percentile; 0 if
+   * there was none. By the time of day of two controllers, which differ a little.
+   */
+  double stageDelayMs(double percentile) {
+    return stageDelays.getValueAtPercentile(percentile);
+  }
+
   /** Tasks placed so far, those of transactions that failed too. */
   long placed() {
     return placed;
@@ -109,8 +124,8 @@
 
   void draft(Draft draft) {
     View v = tables.view();
-    Part mine = tables.part(node);
-    if (mine == null || mine.epoch() != v.epoch()) {
+    Part mine = tables.partNow(node);
+    if (mine == null || mine.epoch() != v.epoch() || !tables.unfencedParts().isEmpty()) {
       return;
     }
     boolean leader = node.equals(v.leader());
@@ -171,6 +186,10 @@
       }
       if (draft.live(job) > before) {
         placedAny = true;
+        if (before == 0 && job.done() == 0 && !job.awaits().isEmpty()) {
+          stageDelays.recordValue(
+              Math.max(0, Math.min(DELAY_MOST_MS, timers.wallMs() - job.readyWallMs())));
+        }
         draft.when(job.key(), job.stamp());
         job.notWaiting();
         if (job.suspect()) {
@@ -202,8 +221,11 @@
     if (draft.touches(Tables.TAKES_KEY)) {
       takenMs = now;
     }
-    if (placedAny && !draft.touches(Part.key(node))) {
-      draft.when(Part.key(node), mine.stamp());
+    if (placedAny) {
+      draft.underView();
+      if (!draft.touches(Part.key(node))) {
+        draft.when(Part.key(node), mine.stamp());
+      }
     }
     if (placedAny && !leader && tables.open(Gate.TAKES)) {
       // The leader may have taken machines of ours with those of others.
@@ -350,7 +372,7 @@
     if (owner.equals(node) || foreign.contains(owner)) {
       return true;
     }
-    Part p = tables.part(owner);
+    Part p = tables.partNow(owner);
     if (p == null) {
       return false;
     }
@@ -400,6 +422,14 @@
       return;
     }
     marks.lend(job);
+    // Two gangs may have marked a machine: lent anew, its room knows only what is durable, and
+    // would be given to the second as well.
+    for (Machine m : marks.of(job)) {
+      Room r = rooms.of(m);
+      if (r != null && tables.marked(m)) {
+        draft.placedOn(m).forEach(s -> rooms.book(r, s));
+      }
+    }
     List<Room> chosen = gangRooms(job, waiting);
     if (chosen != null) {
       // All of it or nothing: counted before anything of it is in the transaction.
--- a/src/main/java/wickdrift/coordination/Preemption.java
+++ b/src/main/java/wickdrift/coordination/Preemption.java
@@ -18,12 +18,19 @@
    * The machines on which stopping tasks of priority {@code strongest} or lower makes room for one
    * task, one each, the cheapest first; of equals, one that has the task's image. A machine where
    * stops already under way will do counts as found with no victims.
+   *
+   * @param as the priority for whose sake they are stopped: only lower ones are
    */
   static List<Choice> cheapest(
-      List<Room> rooms, JobSpec spec, JobSpec.Priority strongest, long nowMs, int most) {
+      List<Room> rooms,
+      JobSpec spec,
+      JobSpec.Priority as,
+      JobSpec.Priority strongest,
+      long nowMs,
+      int most) {
     List<Choice> all = new ArrayList<>();
     for (Room r : rooms) {
-      Choice c = on(r, spec, strongest, nowMs);
+      Choice c = on(r, spec, as, strongest, nowMs);
       if (c != null) {
         all.add(c);
       }
@@ -32,7 +39,8 @@
     return all.subList(0, Math.min(most, all.size()));
   }
 
-  static Choice on(Room r, JobSpec spec, JobSpec.Priority strongest, long nowMs) {
+  static Choice on(
+      Room r, JobSpec spec, JobSpec.Priority as, JobSpec.Priority strongest, long nowMs) {
     if (!r.type().canHold(spec)) {
       return null;
     }
@@ -46,8 +54,8 @@
         cpus += o.cpus();
         gpus += o.gpus();
         memory += o.memoryGb();
-      } else if (o.priority().ordinal() > spec.priority().ordinal()
-          && o.priority().ordinal() >= strongest.ordinal()) {
+      } else if (s.job().rank().ordinal() > as.ordinal()
+          && s.job().rank().ordinal() >= strongest.ordinal()) {
         candidates.add(s);
       }
     }
--- a/src/main/java/wickdrift/coordination/Queue.java
+++ b/src/main/java/wickdrift/coordination/Queue.java
@@ -64,14 +64,16 @@
     settings.teams().forEach(t -> teams.put(t.name(), new Team(t)));
   }
 
+  /** Since when it could have been served: what waits for others has no age. */
   private static Age age(Job j) {
-    return new Age(j.acceptedWallMs(), j.id());
+    return new Age(j.readyWallMs(), j.id());
   }
 
   private static Age startBy(Job j) {
     Double due = j.spec().deadlineS();
     double slackS = due == null ? 0 : Math.max(0, due - j.spec().estimateS());
-    return new Age(j.acceptedWallMs() + (long) (slackS * 1000), j.id());
+    long own = due == null ? j.readyWallMs() : j.acceptedWallMs() + (long) (slackS * 1000);
+    return new Age(Math.min(own, j.startByWallMs()), j.id());
   }
 
   /** A job has changed; {@code there}: it is still unfinished. */
@@ -79,7 +81,8 @@
     if (j.spec() == null) {
       return;
     }
-    boolean counts = there && !j.withdrawn();
+    // What waits for others holds nothing, asks for nothing, and is in nobody's way.
+    boolean counts = there && !j.withdrawn() && j.stage() == Job.Stage.READY;
     Team t = teams.get(j.spec().team());
     if (t != null && t.guarantees()) {
       int n = counts ? j.size() - j.done() : 0;
@@ -110,7 +113,7 @@
       Team t = teams.get(j.spec().team());
       boolean in =
           t != null && t.guarantees() && (t.beyond == null || BY_AGE.compare(age(j), t.beyond) < 0);
-      now = new Place(j.spec().priority().ordinal(), in ? 0 : 1, startBy(j));
+      now = new Place(j.rank().ordinal(), in ? 0 : 1, startBy(j));
     }
     if (now == null ? old == null : now.equals(old)) {
       return;
--- a/src/main/java/wickdrift/coordination/Quota.java
+++ b/src/main/java/wickdrift/coordination/Quota.java
@@ -138,7 +138,7 @@
         Share spare =
             positive(
                 left(team, giver).minus(needed.getOrDefault(new Key(team, giver), Share.NONE)));
-        for (String taker : tables.parts().keySet()) {
+        for (String taker : takers()) {
           // One outside the view needs what it is short of: a limit that was lowered left it less
           // than it had given away, and until it has that back the others may use too much.
           Share need = needed.getOrDefault(new Key(team, taker), Share.NONE);
@@ -170,8 +170,15 @@
     return out;
   }
 
+  /** Those that have a part, and the members, whose parts are not written with the view. */
+  private Set<String> takers() {
+    Set<String> out = new LinkedHashSet<>(tables.parts().keySet());
+    out.addAll(tables.view().members().keySet());
+    return out;
+  }
+
   private Part part(String of) {
-    Part p = tables.part(of);
+    Part p = tables.partNow(of);
     return p == null ? Part.fresh(0, tables.form()) : p;
   }
 
--- a/src/main/java/wickdrift/coordination/Scribe.java
+++ b/src/main/java/wickdrift/coordination/Scribe.java
@@ -7,6 +7,7 @@
 import java.util.Set;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
+import wickdrift.bookkeeping.Ended;
 import wickdrift.bookkeeping.Job;
 import wickdrift.bookkeeping.Ledger;
 import wickdrift.bookkeeping.Machine;
@@ -14,6 +15,7 @@
 import wickdrift.bookkeeping.Tables;
 import wickdrift.bookkeeping.TaskState;
 import wickdrift.bookkeeping.Txn;
+import wickdrift.bookkeeping.level.Gate;
 import wickdrift.daemon.Settings;
 import wickdrift.protocol.JobSpec;
 import wickdrift.protocol.Report;
@@ -102,7 +104,9 @@
     this.tuning = tuning;
     this.settings = settings;
     this.node = settings.node();
-    this.placing = new Placing(timers, tables, board, types, tuning, settings, this::leadSettled);
+    this.placing =
+        new Placing(
+            timers, tables, board, types, tuning, settings, ledger.limits(), this::leadSettled);
     this.folding = new Folding(timers, ledger, tables, membership, tuning, node);
     this.conversion = new Conversion(timers, ledger, tables, membership, settings);
   }
@@ -116,6 +120,11 @@
     return placing.placed();
   }
 
+  /** From a stage's last end to the next one's first placement, in milliseconds. */
+  public double stageDelayMs(double percentile) {
+    return placing.stageDelayMs(percentile);
+  }
+
   /** Whether no transaction is out: what was begun is durable, or its failure is known. */
   public boolean idle() {
     return phase == Phase.READY;
@@ -263,7 +272,8 @@
     board.update();
     // What is drafted can be paid: a draft that our own budget refuses is drawn anew again and
     // again, and all that it holds waits.
-    int most = settings.stateLimits().txnOps();
+    int most = ledger.limits().txnOps();
+    int pageBytes = Math.min(tuning.logPageBytes(), ledger.limits().usedBytes());
     int payable = ledger.payable(most);
     if (payable < Math.min(most, Math.max(LEAST_CHANGES, owed))) {
       unpaid++;
@@ -271,7 +281,7 @@
       return;
     }
     drafted++;
-    Draft draft = new Draft(tables, node, payable, most, tuning.logPageBytes());
+    Draft draft = new Draft(tables, node, payable, most, pageBytes);
     draftExits(draft);
     draftEnds(draft);
     draftRecords(draft);
@@ -346,7 +356,7 @@
   private void fence() {
     afterBarrier(
         () -> {
-          Part p = tables.part(node);
+          Part p = tables.partNow(node);
           if (p == null || membership.standing() != Membership.Standing.MEMBER) {
             // Outside the view nothing is placed, and joining again rewrites the record.
             timers.after(REFUSED_MS, this::fence);
@@ -422,6 +432,10 @@
    * that the transaction arrives; the part's record, which every change of view rewrites, has not.
    */
   private boolean underView(Draft draft) {
+    if (tables.open(Gate.VIEWS)) {
+      draft.underView();
+      return true;
+    }
     Part mine = tables.part(node);
     if (mine == null || mine.epoch() != tables.view().epoch()) {
       return false;
@@ -472,10 +486,10 @@
       if (draft.touched().contains(job) || mine) {
         if (job.withdrawn()) {
           if (draft.live(job) == 0) {
-            draft.end(job, "withdrawn");
+            draft.end(job, Ended.WITHDRAWN, timers.wallMs());
           }
         } else if (draft.done(job) == job.size()) {
-          draft.end(job, "done");
+          draft.end(job, Ended.DONE, timers.wallMs());
         }
       }
     }
@@ -533,6 +547,7 @@
       draft.write(Part.key(g.from()), g.giver().toStore(), g.giver().stamp());
       draft.write(Part.key(g.to()), g.taker().toStore(), g.taker().stamp());
       draft.gives();
+      draft.underView();
     }
   }
 }
--- a/src/main/java/wickdrift/daemon/Controller.java
+++ b/src/main/java/wickdrift/daemon/Controller.java
@@ -5,8 +5,11 @@
 import java.util.function.Consumer;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
+import wickdrift.bookkeeping.Finals;
 import wickdrift.bookkeeping.Ledger;
+import wickdrift.bookkeeping.Limits;
 import wickdrift.bookkeeping.Tables;
+import wickdrift.bookkeeping.level.Gate;
 import wickdrift.bookkeeping.level.Range;
 import wickdrift.coordination.Admission;
 import wickdrift.coordination.Board;
@@ -40,6 +43,7 @@
   private final Ledger ledger;
   private final Tables tables;
   private final Board board;
+  private final Finals finals;
   private final Membership membership;
   private final Scribe scribe;
   private final Relay relay;
@@ -91,15 +95,10 @@
     Types types = new Types();
     tables = new Tables(settings.nodeNames(), levels, this::tablesChanged);
     board = new Board(timers, tables, types, settings);
+    Limits limits =
+        new Limits(settings.stateLimits(), settings.nextLimits(), () -> tables.open(Gate.LIMITS));
     ledger =
-        new Ledger(
-            timers,
-            caller,
-            settings.state(),
-            settings.stateLimits().rps(),
-            settings.stateLimits().writeRps(),
-            settings.peers().size() + 1,
-            tables);
+        new Ledger(timers, caller, settings.state(), limits, settings.peers().size() + 1, tables);
     membership =
         new Membership(timers, ledger, tables, tuning, settings, levels, incarnation, peers);
     relay = new Relay(timers, settings.node(), tables.roster(), peers);
@@ -118,7 +117,9 @@
             pulse,
             zones,
             settings.node());
-    admission = new Admission(timers, ledger, tables, board, types, settings, tuning, pulse);
+    finals = new Finals(timers, ledger, tables);
+    admission =
+        new Admission(timers, ledger, tables, finals, board, types, settings, tuning, pulse);
     admission.leaving(membership::leaving);
     fleet =
         new Fleet(
@@ -148,6 +149,11 @@
     metrics.watch("transactions.failed.by.condition", ledger::failedByCondition);
     metrics.watch("jobs.unfinished", () -> tables.jobs().size());
     metrics.watch("machines.known", () -> tables.machines().size());
+    metrics.watch("transactions.too.large", ledger::tooLarge);
+    metrics.watch("state.limits.fallen", () -> limits.fallen() ? 1 : 0);
+    metrics.watch("finals.read", finals::reads);
+    metrics.watch("stages.delay.ms", () -> scribe.stageDelayMs(90));
+    metrics.watch("jobs.unclear", () -> tables.chains().unknown().size());
     metrics.watch("log.pages", () -> tables.log(settings.node()).size());
     metrics.watch("polls.shed", admission::shed);
     metrics.watch("loop.late.ms", pulse::lateMs);
@@ -205,6 +211,7 @@
   }
 
   private void tablesChanged() {
+    finals.chase();
     board.update();
     reporting.tablesChanged(board.takeChanged());
     scribe.wake();
--- a/src/main/java/wickdrift/daemon/Settings.java
+++ b/src/main/java/wickdrift/daemon/Settings.java
@@ -12,6 +12,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
+import wickdrift.bookkeeping.Limits;
 
 /** The settings the platform hands over. Unknown fields are ignored, missing ones are named. */
 public record Settings(
@@ -26,7 +27,8 @@
     List<Team> teams,
     List<Objective> objectives,
     Workers workers,
-    StateLimits stateLimits,
+    Limits.Bounds stateLimits,
+    Limits.Bounds nextLimits,
     CloudLimits cloudLimits,
     int sockets) {
 
@@ -41,13 +43,14 @@
   public record Workers(
       double reportS, double leaseS, double gangWaitS, double gangPeerS, double cancelS) {}
 
-  public record StateLimits(double rps, double writeRps, double valueKb, int txnOps) {}
-
   public record CloudLimits(double rps, double listLagS) {}
 
   /** A view, the part of one that comes, its lasting record, and the first list. */
   private static final int LEAST_OPS = 4;
 
+  /** A job with names of the longest kind that a user may give. */
+  private static final double LEAST_VALUE_KB = 1;
+
   /** A setting that keeps the service from starting. */
   public static final class Invalid extends Exception {
     public Invalid(String message) {
@@ -138,14 +141,12 @@
     if (workers.leaseS <= workers.reportS) {
       throw new Invalid("cluster.workers.lease_s is not longer than report_s");
     }
-    StateLimits state =
-        new StateLimits(
-            positive(c, "cluster.state.rps"),
-            positive(c, "cluster.state.write_rps"),
-            positive(c, "cluster.state.value_kb"),
-            (int) positive(c, "cluster.state.txn_ops"));
-    if (state.txnOps < LEAST_OPS) {
-      throw new Invalid("cluster.state.txn_ops is too small to change a view: " + state.txnOps);
+    Limits.Bounds state = bounds(c, "cluster.state", null);
+    Limits.Bounds next = null;
+    if (c.get("cluster.state.next") instanceof UnmodifiableConfig) {
+      next = bounds(c, "cluster.state.next", state);
+    } else if (c.get("cluster.state.next") != null) {
+      throw new Invalid("cluster.state.next is not a table");
     }
     return new Settings(
         node,
@@ -160,10 +161,36 @@
         List.copyOf(objectives),
         workers,
         state,
+        next,
         new CloudLimits(positive(c, "cluster.cloud.rps"), positive(c, "cluster.cloud.list_lag_s")),
         (int) positive(c, "cluster.quota.fd_limit"));
   }
 
+  /**
+   * @param otherwise where a field is missing; null: all must be there
+   */
+  private static Limits.Bounds bounds(UnmodifiableConfig c, String key, Limits.Bounds otherwise)
+      throws Invalid {
+    boolean all = otherwise == null;
+    Limits.Bounds b =
+        new Limits.Bounds(
+            bound(c, key + ".rps", all ? null : otherwise.rps()),
+            bound(c, key + ".write_rps", all ? null : otherwise.writeRps()),
+            bound(c, key + ".value_kb", all ? null : otherwise.valueKb()),
+            (int) bound(c, key + ".txn_ops", all ? null : (double) otherwise.txnOps()));
+    if (b.txnOps() < LEAST_OPS) {
+      throw new Invalid(key + ".txn_ops is too small to end a job or change a view: " + b.txnOps());
+    }
+    if (b.valueKb() < LEAST_VALUE_KB) {
+      throw new Invalid(key + ".value_kb is too small to hold a job: " + b.valueKb());
+    }
+    return b;
+  }
+
+  private static double bound(UnmodifiableConfig c, String key, Double otherwise) throws Invalid {
+    return otherwise != null && c.get(key) == null ? otherwise : positive(c, key);
+  }
+
   private static String text(UnmodifiableConfig c, String key) throws Invalid {
     Object v = c.get(key);
     if (v instanceof String s && !s.isEmpty()) {
--- a/src/main/java/wickdrift/operator/Restore.java
+++ b/src/main/java/wickdrift/operator/Restore.java
@@ -5,12 +5,12 @@
 import java.util.Map;
 import java.util.TreeSet;
 import wickdrift.bookkeeping.Job;
+import wickdrift.bookkeeping.Limits;
 import wickdrift.bookkeeping.Machine;
 import wickdrift.bookkeeping.Tables;
 import wickdrift.bookkeeping.TaskState;
 import wickdrift.bookkeeping.Txn;
 import wickdrift.bookkeeping.View;
-import wickdrift.bookkeeping.level.Form;
 import wickdrift.bookkeeping.level.Range;
 import wickdrift.protocol.BadMessage;
 import wickdrift.protocol.Pack;
@@ -42,14 +42,14 @@
   private static final int MOST_BYTES = 24 * 1024;
 
   private final Store store;
-  private final int txnOps;
+  private final Limits limits;
 
   /**
-   * @param txnOps how many changes a transaction may hold
+   * @param limits of the state service, the smaller of now and next
    */
-  public Restore(Store store, int txnOps) {
+  public Restore(Store store, Limits limits) {
     this.store = store;
-    this.txnOps = txnOps;
+    this.limits = limits;
   }
 
   /**
@@ -57,7 +57,7 @@
    * @throws Refused if the store is not empty, or the snapshot holds what this build can't read
    */
   public int run(Records snapshot) throws Refused, Store.Away {
-    Map<String, Object> plan = plan(snapshot);
+    Map<String, Object> plan = plan(snapshot, limits.usedBytes());
     String mark = "restoring " + snapshot.rev() + "/" + snapshot.all().hashCode();
     Records there = Records.read(store);
     Records.Item view = there.all().get(View.KEY);
@@ -79,7 +79,7 @@
         continue;
       }
       txn.when(e.getKey(), is == null ? 0 : is.stamp()).write(e.getKey(), e.getValue());
-      if (txn.changes() == txnOps || Pack.encode(txn.toWire()).length > MOST_BYTES) {
+      if (txn.changes() == limits.txnOps() || Pack.encode(txn.toWire()).length > MOST_BYTES) {
         write(txn);
         txn = new Txn();
       }
@@ -108,7 +108,7 @@
   }
 
   /** What is to be written, by key, the view too. */
-  static Map<String, Object> plan(Records snapshot) throws Refused {
+  static Map<String, Object> plan(Records snapshot, int valueBytes) throws Refused {
     Tables t = new Tables(List.of(), Range.BUILD, () -> {});
     t.load(snapshot.changes(), snapshot.rev());
     if (t.barred() != null) {
@@ -126,7 +126,7 @@
       for (int c = 0; c < j.chunks(); c++) {
         Map<String, Object> chunk = j.encodeChunk(c, 0, i -> stopped(j.task(i)));
         if (!((List<?>) chunk.get("done")).isEmpty() || !((List<?>) chunk.get("tried")).isEmpty()) {
-          out.put(j.chunkKey(c), Form.wrap(t.form(), chunk));
+          out.put(j.chunkKey(c), j.storeChunk(c, 0, i -> stopped(j.task(i)), t.form(), valueBytes));
         }
       }
     }
@@ -141,7 +141,14 @@
       View v = t.view();
       out.put(
           View.KEY,
-          new View(v.epoch() + EPOCHS, v.members(), v.leader(), v.zones(), v.level(), v.extra())
+          new View(
+                  v.epoch() + EPOCHS,
+                  v.members(),
+                  v.leader(),
+                  v.zones(),
+                  v.level(),
+                  v.since(),
+                  v.extra())
               .toStore());
     }
     return out;
--- a/src/main/java/wickdrift/operator/StateCheck.java
+++ b/src/main/java/wickdrift/operator/StateCheck.java
@@ -82,7 +82,8 @@
       error(View.KEY, "its leader " + v.leader() + " is no member");
     }
     for (String m : v.members().keySet()) {
-      if (t.part(m) == null) {
+      // Since parts are not rewritten with the view, one that was never written is an empty one.
+      if (t.part(m) == null && !v.open(Gate.VIEWS)) {
         error(Part.key(m), "is missing, and " + m + " is a member");
       }
       if (v.open(Gate.NUMBERS) && t.roster().number(m) < 0) {
@@ -100,7 +101,11 @@
       if (p.epoch() > v.epoch()) {
         error(key, "is of epoch " + p.epoch() + ", the view of epoch " + v.epoch());
       }
-      if (v.members().containsKey(e.getKey()) && p.epoch() != v.epoch()) {
+      if (v.open(Gate.VIEWS)) {
+        if (p.epoch() < v.since()) {
+          note(key, "was last written before level " + Gate.VIEWS.level() + "; it is written anew");
+        }
+      } else if (v.members().containsKey(e.getKey()) && p.epoch() != v.epoch()) {
         error(key, "is of epoch " + p.epoch() + ", and its member's view of " + v.epoch());
       }
       if (p.form() > Form.at(v.level())) {
@@ -128,7 +133,8 @@
     }
     for (Map.Entry<String, Records.Item> e : records.all().entrySet()) {
       try {
-        if (Form.of(e.getValue().value()) > Form.at(v.level())) {
+        boolean dense = v.open(Gate.LIMITS) && Job.isChunk(e.getKey());
+        if (Form.of(e.getValue().value()) > (dense ? Form.DENSE : Form.at(v.level()))) {
           error(e.getKey(), "is of a form that level " + v.level() + " does not have");
         }
       } catch (BadMessage x) {
--- a/src/main/java/wickdrift/operator/StateCommand.java
+++ b/src/main/java/wickdrift/operator/StateCommand.java
@@ -13,6 +13,7 @@
 import java.util.List;
 import java.util.Map;
 import picocli.CommandLine;
+import wickdrift.bookkeeping.Limits;
 import wickdrift.bookkeeping.level.Range;
 import wickdrift.daemon.Settings;
 
@@ -142,7 +143,8 @@
         return fail(BAD_FILE, file + ": " + e.getMessage());
       }
       try {
-        int written = new Restore(store, settings.stateLimits().txnOps()).run(records);
+        Limits limits = new Limits(settings.stateLimits(), settings.nextLimits(), () -> true);
+        int written = new Restore(store, limits).run(records);
         if (json) {
           print(Map.of("revision", records.rev(), "written", written));
         } else {
--- a/src/main/java/wickdrift/protocol/JobSpec.java
+++ b/src/main/java/wickdrift/protocol/JobSpec.java
@@ -1,13 +1,17 @@
 package wickdrift.protocol;
 
 import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.regex.Pattern;
 
 /**
  * What a user submitted. The wire's names live here only; {@link #toStore} keeps them, so that one
  * parser checks both a submission and a stored record.
+ *
+ * @param awaits the jobs that must be done before a task of this one starts, each once
  */
 public record JobSpec(
     String id,
@@ -29,7 +33,8 @@
     double estimateS,
     double checkpointS,
     double saveS,
-    Double deadlineS) {
+    Double deadlineS,
+    List<String> awaits) {
 
   /** How a job's tasks hang together. */
   public enum Shape {
@@ -107,7 +112,44 @@
         d.amount("expectS", 0),
         d.amount("checkpointEveryS", 0),
         d.amount("flushS", 0),
-        d.amountOrNull("dueS"));
+        d.amountOrNull("dueS"),
+        awaits(d));
+  }
+
+  private static List<String> awaits(Doc d) throws BadMessage {
+    Set<String> names = new LinkedHashSet<>(d.texts("awaits"));
+    for (String n : names) {
+      if (!validId(n)) {
+        throw new BadMessage("awaits holds something that is not a job id");
+      }
+    }
+    return List.copyOf(names);
+  }
+
+  /** The same, awaiting others. */
+  public JobSpec awaiting(List<String> others) {
+    return new JobSpec(
+        id,
+        jobClass,
+        team,
+        shape,
+        priority,
+        tasks,
+        cpus,
+        gpus,
+        memoryGb,
+        image,
+        imageGb,
+        types,
+        zone,
+        oneZone,
+        spread,
+        spot,
+        estimateS,
+        checkpointS,
+        saveS,
+        deadlineS,
+        others);
   }
 
   private static String name(Doc d, String key) throws BadMessage {
@@ -158,7 +200,8 @@
         "expectS",
         "checkpointEveryS",
         "flushS",
-        "dueS");
+        "dueS",
+        "awaits");
   }
 
   public Map<String, Object> toStore() {
@@ -189,6 +232,9 @@
     if (deadlineS != null) {
       m.put("dueS", deadlineS);
     }
+    if (!awaits.isEmpty()) {
+      m.put("awaits", awaits);
+    }
     return m;
   }
 
