--- a/src/main/java/wickdrift/lab/Served.java
+++ b/src/main/java/wickdrift/lab/Served.java
@@ -1,21 +1,26 @@
 package wickdrift.lab;
 
+import com.google.gson.JsonArray;
 import com.google.gson.JsonElement;
 import com.google.gson.JsonObject;
 import com.google.gson.JsonParseException;
 import com.google.gson.JsonParser;
+import com.google.gson.JsonPrimitive;
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
+import java.util.TreeMap;
 
 /**
  * What a day's report says of how each class of jobs and each team was served, the least first.
  *
  * <p>Served is the share of the jobs asked for of which at least one task was started (of a gang:
  * all), as the users' bench counts {@code started}. The shares of jobs accepted and done stand
- * beside it; replicas are never done, and what came late in the day had no time to be.
+ * beside it; replicas are never done, and what came late in the day had no time to be. Of a class
+ * of largest jobs ({@link Variant#LARGEST}) the share of tasks that began within {@link
+ * Variant#LARGEST_S} is told too; a day fails if that is less than half.
  */
 public final class Served {
   /** A day on which less than this is served of any class or team counts as failed. */
@@ -49,7 +54,11 @@
   private final List<Row> rows;
   private final long brokenRules;
 
-  private Served(String day, List<Row> rows, long brokenRules) {
+  /** By class of largest jobs, the share that began in time. */
+  private final Map<String, Double> inTime;
+
+  private Served(String day, List<Row> rows, long brokenRules, Map<String, Double> inTime) {
+    this.inTime = inTime;
     this.day = day;
     this.rows = rows;
     this.brokenRules = brokenRules;
@@ -99,7 +108,25 @@
       throw new BadInput("scenario is missing");
     }
     long broken = count(object(report, "rules_broken", "rules_broken"), "total", "rules_broken");
-    return new Served(scenario.getAsString(), rows, broken);
+    return new Served(scenario.getAsString(), rows, broken, inTime(report));
+  }
+
+  /** From the aims that a variant gives to its classes of largest jobs. */
+  private static Map<String, Double> inTime(JsonObject report) throws BadInput {
+    Map<String, Double> out = new TreeMap<>();
+    if (!(report.get("targets") instanceof JsonArray targets)) {
+      return out;
+    }
+    for (JsonElement e : targets) {
+      JsonObject t = object(e, "targets");
+      if (t.get("class") instanceof JsonPrimitive c
+          && c.getAsString().endsWith(Variant.LARGEST)
+          && t.get("value") instanceof JsonPrimitive v
+          && v.isNumber()) {
+        out.put(c.getAsString(), v.getAsDouble());
+      }
+    }
+    return out;
   }
 
   private static JsonObject object(JsonObject of, String field, String at) throws BadInput {
@@ -146,7 +173,9 @@
 
   /** Whether the day fails by what was served, or by a rule. */
   public boolean failed() {
-    return brokenRules > 0 || rows.get(0).share() < FAILED_BELOW;
+    return brokenRules > 0
+        || rows.get(0).share() < FAILED_BELOW
+        || inTime.values().stream().anyMatch(s -> s < FAILED_BELOW);
   }
 
   /** The one line that a round's commit carries. */
@@ -154,19 +183,31 @@
     Row least = rows.get(0);
     return String.format(
         Locale.ROOT,
-        "%s: least served %s %s %.3f%s%s",
+        "%s: least served %s %s %.3f%s%s%s",
         day,
         least.team() ? "team" : "class",
         least.name(),
         least.share(),
+        inTime.isEmpty() ? "" : ", largest in time " + least(inTime),
         brokenRules > 0 ? ", " + brokenRules + " times a rule was broken" : "",
         failed() ? ", FAILED" : "");
   }
 
+  private static String least(Map<String, Double> shares) {
+    Map.Entry<String, Double> e =
+        shares.entrySet().stream().min(Map.Entry.comparingByValue()).orElseThrow();
+    return String.format(Locale.ROOT, "%.3f %s", e.getValue(), e.getKey());
+  }
+
   /** The line, then a row for each class and team. */
   public String text() {
     StringBuilder b = new StringBuilder(line());
     rows.forEach(r -> b.append('\n').append("  ").append(r.text()));
+    inTime.forEach(
+        (c, s) ->
+            b.append(
+                String.format(
+                    Locale.ROOT, "\n  %s: %.3f began within %.0f s", c, s, Variant.LARGEST_S)));
     return b.toString();
   }
 }
--- a/src/main/java/wickdrift/lab/Variant.java
+++ b/src/main/java/wickdrift/lab/Variant.java
@@ -17,6 +17,9 @@
  * <ul>
  *   <li>{@code machines}: factor on the machines that are up and that can be had
  *   <li>{@code load}: factor on the jobs at the start and on the rates of arrival
+ *   <li>{@code largest}: from 0 to 1, the share of each class's arrivals that are jobs of its
+ *       largest size, as a class of their own, called as {@link #LARGEST} says; a report tells of
+ *       classes only. How many of them begin within {@link #LARGEST_S} is a target of the site's
  *   <li>{@code limits}: factor on the teams' guarantees and limits
  *   <li>{@code faults}: factor on how many machines a fault of the site's days strikes (default: as
  *       {@code machines})
@@ -30,12 +33,19 @@
  * </ul>
  */
 final class Variant {
+  /** What a class of the largest jobs is called beside its class. */
+  static final String LARGEST = "-largest";
+
+  /** Seconds within which the users want the largest to begin. */
+  static final double LARGEST_S = 240;
+
   private static final Set<String> FIELDS =
       Set.of(
           "name",
           "machines",
           "load",
           "limits",
+          "largest",
           "faults",
           "controllers",
           "restart_delay_s",
@@ -78,6 +88,12 @@
         a.set("rate", r.doubleValue() * load);
       }
     }
+    for (Config p : Toml.tables(site, "pipelines")) {
+      if (p.get("arrivals") instanceof Config a && a.get("rate") instanceof Number r) {
+        a.set("rate", r.doubleValue() * load);
+      }
+    }
+    largest(site, factor("largest", 0));
     for (Config t : Toml.tables(site, "teams")) {
       for (String f : List.of("cpus", "cpus_max", "gpus", "gpus_max")) {
         if (t.get(f) instanceof Number n) {
@@ -116,6 +132,53 @@
     }
   }
 
+  private void largest(Config site, double share) throws BadInput {
+    if (share > 1) {
+      throw new BadInput("variant " + name + ": largest is above 1");
+    }
+    if (share == 0) {
+      return;
+    }
+    List<Config> jobs = new ArrayList<>(Toml.tables(site, "jobs"));
+    List<Config> targets = new ArrayList<>(Toml.tables(site, "targets"));
+    for (Config j : List.copyOf(jobs)) {
+      if (!(j.get("arrivals") instanceof Config a) || !(j.get("tasks") instanceof Config tasks)) {
+        continue;
+      }
+      Config big = Toml.copy(j);
+      String bigName = j.<String>get("name") + LARGEST;
+      big.set("name", bigName);
+      big.remove("initial");
+      big.set("arrivals.rate", Toml.number(a, "rate", 0, "arrivals") * share);
+      a.set("rate", Toml.number(a, "rate", 0, "arrivals") * (1 - share));
+      Config size = Toml.fresh();
+      if (tasks.get("sizes") instanceof List<?> sizes) {
+        size.set("sizes", List.of(sizes.get(sizes.size() - 1)));
+        size.set("weights", List.of(1.0));
+      } else {
+        double most = Toml.number(tasks, "max", 1, "tasks");
+        for (String f : List.of("median", "p95", "max")) {
+          size.set(f, most);
+        }
+      }
+      big.set("tasks", size);
+      jobs.add(big);
+      Config t = Toml.fresh();
+      t.set("kind", "wait");
+      t.set("class", bigName);
+      t.set("within_s", LARGEST_S);
+      t.set("share", Served.FAILED_BELOW);
+      t.set("weight", 1.0);
+      t.set("best", 0.01);
+      t.set("worst", 1.0);
+      targets.add(t);
+    }
+    site.set("jobs", jobs);
+    site.set("targets", targets);
+    // A day's own aims go by the site's targets, of which there are more now.
+    Toml.tables(site, "day").forEach(d -> d.remove("aims"));
+  }
+
   /** What struck all controllers of the site strikes all of these. */
   private static void crashes(Config day, double all, long n) {
     for (Config f : Toml.tables(day, "faults")) {
--- a/src/test/java/wickdrift/lab/ServedTest.java
+++ b/src/test/java/wickdrift/lab/ServedTest.java
@@ -37,6 +37,16 @@
             "{'scenario':'d','rules_broken':{'total':0},"
                 + "'classes':{'a':{'jobs':0,'accepted':0,'started':0,'done':0}},'teams':{}}",
             "d: least served class a 1.000"),
+        // Of a class's largest jobs less than half began in time.
+        Arguments.of(
+            TWO_CLASSES
+                .replace("'started':1", "'started':4")
+                .replace(
+                    "'teams'",
+                    "'targets':[{'kind':'up','class':'a','value':0.1},"
+                        + "{'kind':'wait','class':'a-largest','value':0.49},"
+                        + "{'kind':'wait','class':'b-largest','value':0.9}],'teams'"),
+            "d: least served team t 0.643, largest in time 0.490 a-largest, FAILED"),
         Arguments.of(
             "{'scenario':'d','rules_broken':{'total':3},'classes':{},"
                 + "'teams':{'a':{'jobs':3,'started':2}}}",
--- a/src/test/java/wickdrift/lab/VariantTest.java
+++ b/src/test/java/wickdrift/lab/VariantTest.java
@@ -42,7 +42,11 @@
       kind = "gang"
       initial = 7
       teams = ["t"]
+      tasks = { sizes = [1, 2, 6], weights = [3.0, 2.0, 1.0] }
       arrivals = { rate = 0.5 }
+      [[pipelines]]
+      name = "p"
+      arrivals = { rate = 0.2, start_s = 20.0 }
       [[day]]
       name = "d"
       faults = [
@@ -80,6 +84,13 @@
         Arguments.of("machines = 1.5", "jobs/0/initial", "7"),
         Arguments.of("load = 2.0", "jobs/0/initial", "14"),
         Arguments.of("load = 2.0", "jobs/0/arrivals/rate", "1.0"),
+        Arguments.of("load = 2.0", "pipelines/0/arrivals/rate", "0.4"),
+        Arguments.of("largest = 0.1", "jobs/0/arrivals/rate", "0.45"),
+        Arguments.of("largest = 0.1", "jobs/1/arrivals/rate", "0.05"),
+        Arguments.of("largest = 0.1", "jobs/1/name", "c-largest"),
+        Arguments.of("largest = 0.1", "jobs/1/tasks/sizes/0", "6"),
+        Arguments.of("largest = 0.1", "targets/0/class", "c-largest"),
+        Arguments.of("largest = 0.1", "targets/0/within_s", "240.0"),
         Arguments.of("limits = 2.0", "teams/0/gpus", "20.0"),
         Arguments.of("controllers = 7", "nodes/count", "7"),
         // What struck all three strikes all seven; what struck one strikes one.
@@ -106,6 +117,7 @@
     return Stream.of(
         Arguments.of("machine = 2.0", "variant v: machine is not known"),
         Arguments.of("load = \"2\"", "variant v: load is no number of at least 0"),
+        Arguments.of("largest = 2.0", "variant v: largest is above 1"),
         Arguments.of("controllers = 0", "variant v: controllers is less than 1"),
         Arguments.of("teams = [{weight = 1.0}]", "variant v, team: name is missing or no text"));
   }
--- a/src/test/java/wickdrift/sim/OperatorTest.java
+++ b/src/test/java/wickdrift/sim/OperatorTest.java
@@ -22,14 +22,18 @@
 import java.util.Arrays;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.TreeMap;
+import java.util.TreeSet;
 import java.util.stream.Stream;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
 import picocli.CommandLine;
 import wickdrift.bookkeeping.Job;
+import wickdrift.bookkeeping.Ledger;
 import wickdrift.bookkeeping.Tables;
 import wickdrift.bookkeeping.level.Form;
 import wickdrift.bookkeeping.level.Range;
@@ -78,12 +82,13 @@
     return out.toByteArray();
   }
 
-  // ---- what the build before levels wrote ----
+  // ---- what builds before wrote: the one before levels, and the one before jobs that await ----
 
   private record Golden(long rev, TreeMap<String, Records.Item> all, String digest) {
-    static Golden read() throws IOException, BadMessage {
-      try (InputStream in = OperatorTest.class.getResourceAsStream("/golden/dc24b21.msgpack");
-          InputStream text = OperatorTest.class.getResourceAsStream("/golden/dc24b21.txt")) {
+    static Golden read(String build) throws IOException, BadMessage {
+      try (InputStream in =
+              OperatorTest.class.getResourceAsStream("/golden/" + build + ".msgpack");
+          InputStream text = OperatorTest.class.getResourceAsStream("/golden/" + build + ".txt")) {
         Doc d = Doc.parse(in.readAllBytes());
         TreeMap<String, Records.Item> all = new TreeMap<>();
         for (Object o : d.list("records")) {
@@ -96,10 +101,11 @@
     }
   }
 
-  /** Records that dc24b21 wrote mean to this build what they meant to that one. */
-  @Test
-  void recordsOfTheBuildBeforeAreReadAsItReadThem() throws Exception {
-    Golden g = Golden.read();
+  /** Records that a build before wrote mean to this one what they meant to that one. */
+  @ParameterizedTest
+  @ValueSource(strings = {"dc24b21", "4175cec"})
+  void recordsOfTheBuildBeforeAreReadAsItReadThem(String build) throws Exception {
+    Golden g = Golden.read(build);
     Tables t = new Tables(List.of("n0", "n1", "n2"), Range.BUILD, () -> {});
     t.load(new Records(g.rev, g.all).changes(), g.rev);
     assertNull(t.barred());
@@ -116,9 +122,10 @@
   }
 
   /** And this build goes on from them: jobs that were accepted then end once. */
-  @Test
-  void aStoreOfTheBuildBeforeIsGoneOnWith() throws Exception {
-    Golden g = Golden.read();
+  @ParameterizedTest
+  @ValueSource(strings = {"dc24b21", "4175cec"})
+  void aStoreOfTheBuildBeforeIsGoneOnWith(String build) throws Exception {
+    Golden g = Golden.read(build);
     SimWorld w = new SimWorld(501, 4, 30, "aab", 40);
     w.nodes.forEach(w::kill);
     w.machineNumber = 1000;
@@ -150,6 +157,60 @@
     assertTrue(w.state().keys().contains(Roster.DONE));
   }
 
+  /**
+   * Below its level this build writes what 4175cec wrote: of each kind of record no form, field or
+   * entry that the stored example lacks.
+   */
+  @Test
+  void belowTheLevelItWritesWhatTheBuildBeforeWrote() throws Exception {
+    Map<String, Set<String>> before = new TreeMap<>();
+    for (Map.Entry<String, Records.Item> e : Golden.read("4175cec").all.entrySet()) {
+      shape(e.getKey(), e.getValue().value(), before);
+    }
+    SimWorld w = new SimWorld(502, 8, 30, "aab", 40);
+    w.restartAll(new Range(1, 3), "");
+    for (int i = 0; i < 40; i++) {
+      int n = i;
+      String shape = i % 8 == 0 ? "daemon" : i % 5 < 2 ? "ensemble" : "batch";
+      w.clock.after(
+          i * 700, () -> w.submit(SimWorld.job(n, shape, 1 + n % 4, 1 + n % 2, 5 + n % 25), 0));
+    }
+    w.run(25_000);
+    Map<String, Set<String>> now = new TreeMap<>();
+    for (Ledger.Change c : w.state().all()) {
+      shape(c.key(), c.value(), now);
+    }
+    assertTrue(now.size() > 6, "kinds " + now.keySet());
+    now.forEach(
+        (kind, shapes) -> {
+          for (String s : shapes) {
+            assertTrue(before.getOrDefault(kind, Set.of()).contains(s), kind + " " + s);
+          }
+        });
+  }
+
+  /** The form and the fields of a record, those of what is in it too, by kind. */
+  private static void shape(String key, Object value, Map<String, Set<String>> into)
+      throws BadMessage {
+    Set<String> all = into.computeIfAbsent(key.substring(0, 3), k -> new TreeSet<>());
+    all.add("form " + Form.of(value));
+    Doc d = Form.read(value, 9);
+    for (Map.Entry<String, Object> e : d.without().entrySet()) {
+      all.add(e.getKey());
+      if (e.getKey().equals("spec")) {
+        Doc.of(e.getValue()).without().keySet().forEach(f -> all.add("spec." + f));
+      }
+      for (Object run : e.getKey().equals("g") ? (List<?>) e.getValue() : List.of()) {
+        for (Object entry : (List<?>) ((List<?>) run).get(1)) {
+          // All that 4175cec reads; a stored example of small logs need not hold each.
+          if (!Set.of("p", "x", "s", "h", "f").contains(((List<?>) entry).get(0))) {
+            all.add("entry " + ((List<?>) entry).get(0));
+          }
+        }
+      }
+    }
+  }
+
   // ---- snapshots ----
 
   @Test
