--- a/src/test/java/wickdrift/bookkeeping/RecordsTest.java
+++ b/src/test/java/wickdrift/bookkeeping/RecordsTest.java
@@ -16,6 +16,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import wickdrift.bookkeeping.level.Form;
 import wickdrift.bookkeeping.level.Range;
 import wickdrift.protocol.BadMessage;
 import wickdrift.protocol.Doc;
@@ -395,4 +396,36 @@
     }
     assertEquals(owners, String.join(" ", seen));
   }
+
+  /**
+   * A chunk of 64 tasks that all run, with names and attempts so long that it would not fit: each
+   * machine is named once, and it is read as what it was.
+   */
+  @ParameterizedTest
+  @CsvSource({"1800, 8, 9, 2", "1800, 30, 9, 3", "1400, 8, 99999, 3", "1000, 8, 9, 3"})
+  void aChunkFitsItsValue(int most, int nameLength, int attempt, int form) throws BadMessage {
+    Tables t = withJob(64);
+    Job j = t.job(JOB);
+    List<Object> placed = Entry.placed(JOB, 3);
+    for (int i = 0; i < 64; i++) {
+      String name = "i-" + "0".repeat(nameLength - 4) + (10 + i / 4);
+      placed.addAll(List.of(i, i % 5 == 0 ? attempt : 1, name));
+    }
+    t.apply(
+        List.of(
+            new Ledger.Change(
+                Page.key("n0", 1), raw(Page.value(null, 2, List.of(placed), (r, e) -> false)), 20)),
+        20);
+    assertEquals(64, j.live());
+    Object stored = j.storeChunk(0, 21, j::task, 2, most);
+    assertEquals(form, Form.of(raw(stored)));
+    assertTrue(Pack.jsonSize(stored) <= most, "size " + Pack.jsonSize(stored));
+    Tables again = withJob(64);
+    again.load(List.of(job("batch", 64), new Ledger.Change(j.chunkKey(0), raw(stored), 21)), 21);
+    for (int i = 0; i < 64; i++) {
+      assertEquals(j.task(i).attempt(), again.job(JOB).task(i).attempt());
+      assertEquals(j.task(i).machine().name(), again.job(JOB).task(i).machine().name());
+      assertEquals(3, again.job(JOB).task(i).placer());
+    }
+  }
 }
--- a/src/test/java/wickdrift/sim/AnswersTest.java
+++ b/src/test/java/wickdrift/sim/AnswersTest.java
@@ -17,6 +17,29 @@
     return w;
   }
 
+  /**
+   * Who has lost the state service and its peers has only its workers: users go elsewhere. In an
+   * outage, in which all hear each other, nobody else could serve them, and all stay healthy.
+   */
+  @ParameterizedTest
+  @CsvSource({"true, 503", "false, 200"})
+  void whoHasOnlyItsWorkersIsNotHealthy(boolean alone, int status) {
+    SimWorld w = settled();
+    if (alone) {
+      w.cutFromState("n1", false);
+      w.cutFromPeers("n1", true);
+    } else {
+      w.state().outage(true);
+    }
+    w.run(6000);
+    assertEquals(status, w.ask("n1", "GET", "/up", null).status());
+    w.healFromState("n1");
+    w.cutFromPeers("n1", false);
+    w.state().outage(false);
+    w.run(6000);
+    assertEquals(200, w.ask("n1", "GET", "/up", null).status());
+  }
+
   @ParameterizedTest(name = "{0} {1}: {2}")
   @CsvSource({
     "GET, /up, 200",
