The end of a job is one write where others wait for it (level 4)

Change: the job's record says how it ended; that is moved to its lasting place when there are writes to spare.

--- a/src/main/java/wickdrift/bookkeeping/Job.java
+++ b/src/main/java/wickdrift/bookkeeping/Job.java
@@ -194,6 +194,14 @@
     return m;
   }
 
+  /**
+   * What stands in a job's place when it is over, since {@link
+   * wickdrift.bookkeeping.level.Gate#AWAITS}, until its end is moved to its lasting place.
+   */
+  public static Map<String, Object> overToStore(Ended how) {
+    return new LinkedHashMap<>(Map.of("over", how.toStore(true)));
+  }
+
   void record(Doc d, long newStamp) throws BadMessage {
     Doc s = Doc.of(d.raw("spec"));
     specExtra = JobSpec.unknownFields(s);
--- a/src/main/java/wickdrift/bookkeeping/Tables.java
+++ b/src/main/java/wickdrift/bookkeeping/Tables.java
@@ -69,7 +69,13 @@
           return size() > FINISHED_KEPT;
         }
       };
-  private final Chains chains = new Chains(jobs::get, finished::get);
+  private final Chains chains = new Chains(jobs::get, this::finished);
+
+  /** Jobs that are over and whose end stands in their own record still, with its stamp. */
+  private final Map<String, Over> over = new LinkedHashMap<>();
+
+  /** How a job ended, and the stamp of the record that says so. */
+  public record Over(Ended how, long stamp) {}
 
   /** Names of awaited jobs, by record, until their job has them all. */
   private final TreeMap<String, List<String>> names = new TreeMap<>();
@@ -311,7 +317,13 @@
 
   /** How a job ended, if it is remembered here. Final, so never out of date. */
   public Ended finished(String id) {
-    return finished.get(id);
+    Over o = over.get(id);
+    return o != null ? o.how : finished.get(id);
+  }
+
+  /** The ends that are to be moved to their lasting place, oldest first. */
+  public Map<String, Over> over() {
+    return over;
   }
 
   public void rememberFinished(String id, Ended how) {
@@ -330,6 +342,7 @@
     jobs.clear();
     chains.reset();
     names.clear();
+    over.clear();
     machines.values().forEach(m -> m.restore(null));
     shelves.clear();
     logs.clear();
@@ -677,6 +690,23 @@
     return Job.isChunk(key) ? Form.DENSE : numbered ? Form.NUMBERED : Form.FIRST;
   }
 
+  /** A job is over: what is left of it is to be deleted in time. */
+  private void drop(Job j) {
+    if (j == null) {
+      return;
+    }
+    for (int k = 0; k < j.chunks(); k++) {
+      if (j.chunkStamp(k) > 0) {
+        orphans.add(j.chunkKey(k));
+      }
+    }
+    for (int k = 0; j.overflow() != null && k < j.overflow().records(); k++) {
+      orphans.add(j.overflow().key(k));
+    }
+    j.drop();
+    chains.left(j);
+  }
+
   /** Gives a job the names that its own record has no room for, once all are there. */
   private boolean gather(Job j) {
     Overflow o = j.overflow();
@@ -725,20 +755,14 @@
     switch (key.charAt(2)) {
       case 'c' -> roster.apply(name, d, c.stamp());
       case 'j' -> {
-        if (c.value() == null) {
-          Job j = jobs.remove(name);
-          if (j != null) {
-            for (int k = 0; k < j.chunks(); k++) {
-              if (j.chunkStamp(k) > 0) {
-                orphans.add(j.chunkKey(k));
-              }
-            }
-            for (int k = 0; j.overflow() != null && k < j.overflow().records(); k++) {
-              orphans.add(j.overflow().key(k));
-            }
-            j.drop();
-            chains.left(j);
-          }
+        over.remove(name);
+        if (d != null && d.raw("over") != null) {
+          Ended how = Ended.parse(Doc.of(d.raw("over")));
+          over.put(name, new Over(how, c.stamp()));
+          rememberFinished(name, how);
+          drop(jobs.remove(name));
+        } else if (c.value() == null) {
+          drop(jobs.remove(name));
         } else {
           Job j = jobs.get(name);
           if (j == null) {
--- a/src/main/java/wickdrift/coordination/Admission.java
+++ b/src/main/java/wickdrift/coordination/Admission.java
@@ -182,7 +182,9 @@
           a -> {
             if (a == Finals.Answer.NONE) {
               unsaid[0] = true;
-            } else if (a == Finals.Answer.NOT_OVER && tables.job(id) == null) {
+            } else if (a == Finals.Answer.NOT_OVER
+                && tables.job(id) == null
+                && tables.finished(id) == null) {
               never[0] = id;
             }
             if (--left[0] > 0) {
@@ -358,7 +360,7 @@
         ok -> {
           if (!ok) {
             later(s.exchange);
-          } else if (tables.job(s.spec.id()) != null) {
+          } else if (tables.job(s.spec.id()) != null || tables.finished(s.spec.id()) != null) {
             answerStatus(s.exchange, s.spec.id());
           } else {
             ledger.read(
@@ -531,6 +533,11 @@
 
   private void answerStatus(Exchange x, String id) {
     Job job = tables.job(id);
+    if (job == null && tables.finished(id) != null) {
+      // It has ended since it was asked for; where that is kept for good it may not stand yet.
+      answerFinal(x, id, tables.finished(id));
+      return;
+    }
     if (job == null) {
       lookUp(x, id);
       return;
--- a/src/main/java/wickdrift/coordination/Draft.java
+++ b/src/main/java/wickdrift/coordination/Draft.java
@@ -28,7 +28,8 @@
  * this node's log, one write however many they are; the rest counts one by one.
  */
 final class Draft {
-  private static final int OPS_FOR_END = 2;
+  /** The lasting record of an end appears, and the job's goes. */
+  private static final int OPS_FOR_MOVE = 2;
 
   /** The protocol allows four conditions for each write. */
   private static final int CONDITIONS_AN_OP = 4;
@@ -226,14 +227,15 @@
   }
 
   /**
-   * Ends a job in the same transaction: the final record appears and the job's goes, on condition
-   * that the job's record has not changed. So a job is either done or withdrawn, decided by one
-   * key; and no placement of it can follow, for that is conditional on the same key.
+   * Ends a job in the same transaction: its record says so, or (below {@link Gate#AWAITS}) the
+   * final one appears and the job's goes, on condition that the job's record has not changed. So a
+   * job is either done or withdrawn, decided by one key; and no placement of it can follow, for
+   * that is conditional on the same key.
    */
   void end(Job job, String phase, long wallMs) {
     ended.add(job);
     txn.when(job.key(), job.stamp());
-    others += OPS_FOR_END;
+    others += opsForEnd();
     for (int c = 0; c < job.chunks(); c++) {
       // What does not fit is left as an orphan and deleted later.
       if (job.chunkStamp(c) > 0 && hasRoom()) {
@@ -241,12 +243,35 @@
       }
     }
     Ended how = new Ended(phase, job.size(), wallMs);
-    txn.write(Job.finalKey(job.id()), how.toStore(tables.open(Gate.AWAITS)));
-    txn.delete(job.key());
+    if (tables.open(Gate.AWAITS)) {
+      // One write where others wait for it; it is moved when there are writes to spare.
+      txn.write(job.key(), Job.overToStore(how));
+    } else {
+      txn.write(Job.finalKey(job.id()), how.toStore(false));
+      txn.delete(job.key());
+    }
+  }
+
+  /** Moves an end to its lasting place. */
+  void move(String id, Tables.Over o) {
+    txn.when(Job.key(id), o.stamp());
+    txn.write(Job.finalKey(id), o.how().toStore(true));
+    txn.delete(Job.key(id));
+    others += OPS_FOR_MOVE;
+  }
+
+  boolean roomToMove() {
+    return hasRoom(OPS_FOR_MOVE) && hasConditions();
   }
 
   boolean roomToEnd() {
-    return hasRoom(OPS_FOR_END + 1) && hasConditions();
+    // Below the level as it was: with room for a chunk beside it.
+    int n = tables.open(Gate.AWAITS) ? opsForEnd() : opsForEnd() + 1;
+    return hasRoom(n) && hasConditions();
+  }
+
+  private int opsForEnd() {
+    return tables.open(Gate.AWAITS) ? 1 : OPS_FOR_MOVE;
   }
 
   /** Hands a job that is not withdrawn to another part. */
--- a/src/main/java/wickdrift/coordination/Scribe.java
+++ b/src/main/java/wickdrift/coordination/Scribe.java
@@ -32,6 +32,9 @@
   private static final long REFUSED_MS = 150;
   private static final long GAP_MS = 10;
 
+  /** So many ends may wait in their jobs' records; a load reads them all. */
+  private static final int MOVES_LATE_MOST = 2000;
+
   /** A page, and a record beside it. */
   private static final int LEAST_CHANGES = 2;
 
@@ -306,6 +309,7 @@
     if (draft.empty() && ledger.ease() > Conversion.EASE) {
       conversion.draft(draft);
     }
+    draftMoves(draft);
     owed = draft.wanted();
     if (draft.empty()) {
       if (owed > 0) {
@@ -495,6 +499,25 @@
     }
   }
 
+  /**
+   * Moves ends to their lasting place: while there are writes to spare, or when there are many.
+   * Each is moved by the member that the hash names, so that nobody waits for another.
+   */
+  private void draftMoves(Draft draft) {
+    boolean many = tables.over().size() > MOVES_LATE_MOST;
+    if (!many && !(draft.empty() && ledger.ease() > Conversion.EASE)) {
+      return;
+    }
+    for (Map.Entry<String, Tables.Over> e : tables.over().entrySet()) {
+      if (!draft.roomToMove()) {
+        return;
+      }
+      if (node.equals(tables.view().owner(e.getKey()))) {
+        draft.move(e.getKey(), e.getValue());
+      }
+    }
+  }
+
   private void draftRecords(Draft draft) {
     Iterator<Map.Entry<Machine, Machine.Info>> it = records.entrySet().iterator();
     while (it.hasNext()) {
--- a/src/main/java/wickdrift/daemon/Controller.java
+++ b/src/main/java/wickdrift/daemon/Controller.java
@@ -154,6 +154,7 @@
     metrics.watch("state.limits.fallen", () -> limits.fallen() ? 1 : 0);
     metrics.watch("finals.read", finals::reads);
     metrics.watch("stages.delay.ms", () -> scribe.stageDelayMs(90));
+    metrics.watch("jobs.over", () -> tables.over().size());
     metrics.watch("jobs.unclear", () -> tables.chains().unknown().size());
     metrics.watch("log.pages", () -> tables.log(settings.node()).size());
     metrics.watch("polls.shed", admission::shed);
