--- a/src/main/java/wickdrift/lab/Variant.java
+++ b/src/main/java/wickdrift/lab/Variant.java
@@ -187,6 +187,10 @@
           && c.doubleValue() == all) {
         f.set("count", n);
       }
+      // A roll that goes through all takes as long as it did: what follows it goes by its end.
+      if ("node_roll".equals(f.get("kind")) && f.get("every_s") instanceof Number e) {
+        f.set("every_s", e.doubleValue() * all / n);
+      }
     }
   }
 
--- a/src/test/java/wickdrift/lab/VariantTest.java
+++ b/src/test/java/wickdrift/lab/VariantTest.java
@@ -54,6 +54,7 @@
         { at_s = 2.0, kind = "node_crash", count = 1 },
         { at_s = 3.0, kind = "machine_die", count = 10 },
         { at_s = 4.0, kind = "node_crash", count = 2 },
+        { at_s = 5.0, kind = "node_roll", every_s = 15.0 },
       ]
       """;
 
@@ -97,6 +98,7 @@
         Arguments.of("controllers = 7", "day/0/faults/0/count", "7"),
         Arguments.of("controllers = 7", "day/0/faults/1/count", "1"),
         Arguments.of("controllers = 7", "day/0/faults/3/count", "2"),
+        Arguments.of("controllers = 9", "day/0/faults/4/every_s", "5.0"),
         Arguments.of("restart_delay_s = 0.1", "nodes/restart_delay_s", "0.1"),
         Arguments.of("skew = 0.5", "capacity/0/count", "130"),
         Arguments.of("skew = 0.5", "capacity/1/count", "30"),
--- a/src/test/java/wickdrift/sim/PipelineTest.java
+++ b/src/test/java/wickdrift/sim/PipelineTest.java
@@ -23,6 +23,8 @@
 import wickdrift.bookkeeping.View;
 import wickdrift.bookkeeping.level.Gate;
 import wickdrift.bookkeeping.level.Range;
+import wickdrift.protocol.BadMessage;
+import wickdrift.protocol.Doc;
 import wickdrift.protocol.Pack;
 import wickdrift.transport.Caller.Answer;
 
@@ -337,8 +339,8 @@
   private static String phase(SimWorld w, String node, int job) {
     Answer a = w.ask(node, "GET", "/api/jobs/" + id(job), null);
     try {
-      return wickdrift.protocol.Doc.parse(a.body()).text("phase");
-    } catch (wickdrift.protocol.BadMessage e) {
+      return Doc.parse(a.body()).text("phase");
+    } catch (BadMessage e) {
       throw new AssertionError(e);
     }
   }
@@ -380,6 +382,58 @@
     assertTrue(w.state().keys().stream().noneMatch(k -> k.startsWith("w/j/")), "jobs are left");
   }
 
+  /**
+   * One that has just started does not know how those ended that a job awaits: until it has read
+   * that it says neither that the job waits nor anything else, for someone was told that it is
+   * withdrawn.
+   */
+  @Test
+  void whoHasJustStartedSaysNothingOlder() {
+    SimWorld w = world(775);
+    w.run(8000);
+    w.submit(SimWorld.job(1, "batch", 1, 1, 60), 0);
+    w.submitChained(stage(2, 1), 0);
+    w.submitChained(stage(3, 2), 0);
+    w.run(4000);
+    // The ends of those after it are never written.
+    w.state().fate =
+        (from, d) -> endsOne(d, id(2), id(3)) ? SimState.Fate.LOST : SimState.Fate.APPLIED;
+    for (int n = 1; n < 4; n++) {
+      w.asked.add(id(n));
+    }
+    assertEquals(200, w.ask("n0", "POST", "/api/jobs/" + id(1) + "/withdraw", null).status());
+    w.rules.withdrawn(id(1));
+    assertEquals("withdrawn", phase(w, "n1", 3));
+    w.run(10_000);
+    // Its own end is written and moved to its lasting place.
+    w.state().force("w/d/" + id(1), Map.of("phase", "withdrawn", "tasks", 1L, "at", 1L));
+    w.state().force("w/j/" + id(1), null);
+    w.state().slowFinalsMs = 8000;
+    w.crash("n2", 300);
+    w.run(3000);
+    assertEquals(503, w.ask("n2", "GET", "/api/jobs/" + id(3), null).status());
+    w.run(8000);
+    assertEquals("withdrawn", phase(w, "n2", 3));
+    w.state().fate = (from, d) -> SimState.Fate.APPLIED;
+    w.run(60_000);
+    check(w);
+  }
+
+  private static boolean endsOne(Doc txn, String... ids) {
+    try {
+      for (Doc t : txn.docs("then")) {
+        String key = t.textOrNull("write");
+        boolean end = t.raw("v") instanceof Map<?, ?> m && m.containsKey("over");
+        if (end && Arrays.stream(ids).anyMatch(i -> key.equals("w/j/" + i))) {
+          return true;
+        }
+      }
+      return false;
+    } catch (BadMessage e) {
+      throw new AssertionError(e);
+    }
+  }
+
   /**
    * What waits for others asks for no machines, holds nothing of a limit, and is in nobody's way.
    */
--- a/src/test/java/wickdrift/sim/SimState.java
+++ b/src/test/java/wickdrift/sim/SimState.java
@@ -72,6 +72,10 @@
   private final Set<String> refused = new HashSet<>();
   private final Map<String, Long> slowReads = new HashMap<>();
   private long slowWritesMs;
+
+  /** A list of how jobs ended comes so much later. */
+  long slowFinalsMs;
+
   private double lateShare;
   private long lateMs;
   private Random late;
@@ -303,7 +307,10 @@
 
   private void serveInTime(
       String from, String method, String path, byte[] body, Consumer<Answer> done) {
-    long readLate = path.startsWith("/follow") ? slowReads.getOrDefault(from, 0L) : 0;
+    long readLate =
+        path.startsWith("/follow")
+            ? slowReads.getOrDefault(from, 0L)
+            : path.startsWith("/store?prefix=w/d/") ? slowFinalsMs : 0;
     if (path.equals("/commit")) {
       writers.add(from);
     }
--- a/src/test/java/wickdrift/sim/UnlistedTest.java
+++ b/src/test/java/wickdrift/sim/UnlistedTest.java
@@ -8,9 +8,11 @@
 import java.util.List;
 import java.util.Random;
 import java.util.stream.Stream;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.Arguments;
 import org.junit.jupiter.params.provider.MethodSource;
+import wickdrift.bookkeeping.Machine;
 import wickdrift.bookkeeping.level.Range;
 
 /**
@@ -197,4 +199,65 @@
     assertTrue(rented <= 12 + 30, "rented " + rented);
     assertEquals(Range.BUILD.most(), w.tables("n0").level());
   }
+
+  /** Once a machine is known to be deaf nothing more is placed there, until it hears. */
+  @Test
+  void aDeafMachineTakesNothing() {
+    SimWorld w = new SimWorld(990, 4, 4, "aaa", 60);
+    w.run(10_000);
+    SimWorker m = w.workers().get(0);
+    w.net.deaf.add(m.address);
+    int[] before = {-1};
+    int[] more = {0};
+    for (int t = 0; t < 90; t++) {
+      at(
+          w,
+          500L * t,
+          () -> {
+            Machine any = w.tables("n0").machine(m.name);
+            String owner = any == null ? "n0" : any.owner(w.tables("n0").view());
+            Machine is = w.tables(owner).machine(m.name);
+            if (is != null && (is.deafSinceMs() > 0 || is.phase() != Machine.Phase.UP)) {
+              more[0] += before[0] >= 0 ? Math.max(0, is.live().size() - before[0]) : 0;
+              before[0] = is.live().size();
+            }
+          });
+    }
+    // More than the others hold, all the time.
+    for (int i = 0; i < 60; i++) {
+      int n = i;
+      at(w, 300L * i, () -> w.submit(SimWorld.job(n, "batch", 1, 1, 12), 0));
+    }
+    w.run(45_000);
+    assertTrue(before[0] >= 0, "it was never found deaf");
+    assertEquals(0, more[0], "placed on a deaf machine");
+    w.net.deaf.remove(m.address);
+    w.run(200_000);
+    assertEquals(List.of(), w.broken());
+    for (int i = 0; i < 60; i++) {
+      assertEquals("done", w.lastTold(String.format("req-%06d", i)));
+    }
+  }
+
+  /**
+   * A single report of a machine that is not there, as a late copy of one that was deleted: nothing
+   * is recorded of it, and nothing placed there.
+   */
+  @Test
+  void aCopyBringsNoMachineToLife() {
+    SimWorld w = new SimWorld(991, 1, 1, "aaa", 60);
+    w.run(10_000);
+    w.submit(SimWorld.job(1, "batch", 12, 1, 10), 0);
+    for (int k = 0; k < 3; k++) {
+      w.nodes.forEach(n -> w.report(n, "i-000777", 0));
+      w.run(2000);
+    }
+    for (String n : w.nodes) {
+      Machine m = w.tables(n).machine("i-000777");
+      assertTrue(m == null || m.info() == null && m.live().isEmpty(), "at " + n);
+    }
+    w.run(120_000);
+    assertEquals(List.of(), w.broken());
+    assertEquals("done", w.lastTold("req-000001"));
+  }
 }
