The largest jobs start: a gang with marks is always looked at, a limit is saved up, teams by what they hold

A gang never started beside its own team's small work at the team's limit. Change: gangs with marks are always looked at; a team's limit is saved up for a gang that has waited for 30 s, two minutes of four; of teams beyond their guarantees who holds least of its guarantee is next; the door's Retry-After is worked out from what waits there.

--- a/src/main/java/wickdrift/bookkeeping/Ledger.java
+++ b/src/main/java/wickdrift/bookkeeping/Ledger.java
@@ -206,6 +206,11 @@
     return fairWrites;
   }
 
+  /** Of this node's changes a second, what users may take at least. */
+  public double userRate() {
+    return fairUserWrites;
+  }
+
   /** What another member may write at least, the leader apart. */
   public double evenWrites() {
     return limits.writeRps() * USED / Math.max(1, sharing);
--- a/src/main/java/wickdrift/bookkeeping/Usage.java
+++ b/src/main/java/wickdrift/bookkeeping/Usage.java
@@ -33,6 +33,20 @@
     return (long) Math.ceil(amount * UNIT - 0.01);
   }
 
+  /** What all live attempts of a team take. */
+  public Part.Share of(String team) {
+    long cpus = 0;
+    long gpus = 0;
+    Int2ObjectHashMap<Amount> all = teams.get(team);
+    if (all != null) {
+      for (Amount a : all.values()) {
+        cpus += a.cpus;
+        gpus += a.gpus;
+      }
+    }
+    return new Part.Share(cpus / UNIT, gpus / UNIT);
+  }
+
   /** What the live attempts of a team take that the controller of that number placed. */
   public Part.Share of(String team, int number) {
     Int2ObjectHashMap<Amount> all = teams.get(team);
--- a/src/main/java/wickdrift/coordination/Admission.java
+++ b/src/main/java/wickdrift/coordination/Admission.java
@@ -38,6 +38,9 @@
   private static final long GIVE_UP_MS = 3000;
   private static final int LOOK_UPS_MOST = 64;
 
+  /** A user tries for a minute: nobody is sent away for a large part of that. */
+  private static final int COME_AGAIN_MOST_S = 8;
+
   /** Of a job's record, besides what was submitted. */
   private static final int RECORD_BYTES = 160;
 
@@ -104,6 +107,19 @@
     x.reply(503, Map.of("error", "try again"), 1);
   }
 
+  /**
+   * In how many seconds a submission that is sent away should come again: when half of what waits
+   * here now has been taken at the rate that users have, so that the door is never empty meanwhile.
+   */
+  private int comeAgainS() {
+    double seconds = queue.size() / 2.0 / Math.max(1, ledger.userRate());
+    return (int) Math.max(1, Math.min(COME_AGAIN_MOST_S, Math.round(seconds)));
+  }
+
+  private void tooMany(Exchange x) {
+    x.reply(429, Map.of("error", "too many submissions"), comeAgainS());
+  }
+
   // ---- submissions ----
 
   public void submit(Exchange x) {
@@ -136,7 +152,7 @@
   private void enqueue(Submission s) {
     Submission gone = queue.add(s.spec, s);
     if (gone != null) {
-      gone.exchange.reply(429, Map.of("error", "too many submissions"), 2);
+      tooMany(gone.exchange);
     }
     pump();
   }
@@ -311,7 +327,7 @@
       Submission s = queue.poll();
       String id = s.spec.id();
       if (timers.nowMs() - s.sinceMs > GIVE_UP_MS) {
-        later(s.exchange);
+        s.exchange.reply(503, Map.of("error", "try again"), comeAgainS());
         continue;
       }
       if (tables.job(id) != null || tables.finished(id) != null) {
--- a/src/main/java/wickdrift/coordination/Board.java
+++ b/src/main/java/wickdrift/coordination/Board.java
@@ -46,7 +46,7 @@
     this.tables = tables;
     this.types = types;
     this.node = settings.node();
-    this.queue = new Queue(settings);
+    this.queue = new Queue(settings, tables.usage());
   }
 
   /** Machines with a change of their record on the way take no tasks. */
--- a/src/main/java/wickdrift/coordination/Fleet.java
+++ b/src/main/java/wickdrift/coordination/Fleet.java
@@ -1,7 +1,6 @@
 package wickdrift.coordination;
 
 import java.util.ArrayList;
-import java.util.Collection;
 import java.util.EnumMap;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -745,7 +744,7 @@
     private Demand() {}
 
     static Map<Kind, Integer> of(
-        Collection<Job> waiting,
+        Iterable<Job> waiting,
         long nowMs,
         Settings settings,
         Types types,
--- a/src/main/java/wickdrift/coordination/Placing.java
+++ b/src/main/java/wickdrift/coordination/Placing.java
@@ -134,6 +134,7 @@
     postponedMs = 0;
     rooms.newRound(now);
     Quota quota = new Quota(settings, tables);
+    quota.saveUp(board.queue().waiting(), timers.wallMs());
     boolean placedAny = false;
     Set<String> foreign = new HashSet<>();
     List<JobSpec> noRoom = new ArrayList<>();
@@ -169,7 +170,9 @@
       }
       List<JobSpec> failed = asLeader ? noRoomAnywhere : noRoom;
       int before = draft.live(job);
-      boolean hopeless = failed.stream().anyMatch(f -> needsNoLess(job.spec(), f));
+      // A gang that has marked machines has room that nobody else saw.
+      boolean hopeless =
+          marks.of(job).isEmpty() && failed.stream().anyMatch(f -> needsNoLess(job.spec(), f));
       if (!asLeader && draft.hasRoom() && imageIsElsewhere(job)) {
         // The leader, who sees all parts, places it beside the image at once.
         draft.handOver(job, Job.LEADER);
@@ -314,7 +317,7 @@
       if (draft.state(job, i).phase() != TaskState.Phase.WAITING) {
         continue;
       }
-      if (!draft.takes(job, 1) || !quota.allows(spec)) {
+      if (!draft.takes(job, 1) || !quota.allows(job)) {
         return;
       }
       Room r = chooseFor(spec, c -> scope.test(c) && zoneAllows(spec, zones, c.zone));
--- a/src/main/java/wickdrift/coordination/Queue.java
+++ b/src/main/java/wickdrift/coordination/Queue.java
@@ -3,15 +3,21 @@
 import java.util.Collection;
 import java.util.Comparator;
 import java.util.HashMap;
+import java.util.Iterator;
+import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Map;
+import java.util.NoSuchElementException;
 import java.util.TreeMap;
 import wickdrift.bookkeeping.Job;
+import wickdrift.bookkeeping.Usage;
 import wickdrift.daemon.Settings;
 
 /**
- * The jobs that wait, in the order in which they are served: priority, then guarantees, then by
- * when they must start to be done in time (without a deadline: by age). Kept up to date by the
- * changes of jobs; no round sorts them anew.
+ * The jobs that wait, in the order in which they are served: priority, then guarantees, then, of
+ * teams that are beyond theirs, by what each holds ({@link Fairly}), then by when they must start
+ * to be done in time (without a deadline: by age). Kept up to date by the changes of jobs; no round
+ * sorts them anew.
  */
 final class Queue {
   private record Age(long acceptedMs, String id) {}
@@ -19,6 +25,11 @@
   private static final Comparator<Age> BY_AGE =
       Comparator.comparingLong(Age::acceptedMs).thenComparing(Age::id);
 
+  private static final Age FIRST = new Age(Long.MIN_VALUE, "");
+
+  /** Jobs that are served as one: of a priority, and within guarantees or beyond. */
+  private record Class(int priority, int borrowed) {}
+
   private record Place(int priority, int borrowed, Age startBy) {}
 
   private static final Comparator<Place> ORDER =
@@ -58,10 +69,19 @@
   private final Map<String, Team> teams = new HashMap<>();
   private final Map<Job, Place> places = new HashMap<>();
   private final TreeMap<Place, Job> waiting = new TreeMap<>(ORDER);
+
+  /** By class and team, for those beyond a guarantee are served by what their teams hold. */
+  private final TreeMap<Class, Map<String, TreeMap<Place, Job>>> beyond =
+      new TreeMap<>(Comparator.comparingInt(Class::priority).thenComparingInt(Class::borrowed));
+
+  private final Map<String, Settings.Team> byName = new HashMap<>();
+  private final Usage usage;
   private final Promised promised = new Promised();
 
-  Queue(Settings settings) {
+  Queue(Settings settings, Usage usage) {
+    this.usage = usage;
     settings.teams().forEach(t -> teams.put(t.name(), new Team(t)));
+    settings.teams().forEach(t -> byName.put(t.name(), t));
   }
 
   /** Since when it could have been served: what waits for others has no age. */
@@ -121,17 +141,63 @@
     if (old != null) {
       waiting.remove(old);
       places.remove(j);
+      lines(old).getOrDefault(j.spec().team(), new TreeMap<>(ORDER)).remove(old);
     }
     if (now != null) {
       waiting.put(now, j);
       places.put(j, now);
+      lines(now).computeIfAbsent(j.spec().team(), k -> new TreeMap<>(ORDER)).put(now, j);
     }
   }
 
   /** The waiting jobs in order. */
-  Collection<Job> waiting() {
+  Iterable<Job> waiting() {
     teams.values().forEach(this::reach);
-    return waiting.values();
+    return teams.size() < 2 ? waiting.values() : Served::new;
+  }
+
+  private Map<String, TreeMap<Place, Job>> lines(Place p) {
+    return beyond.computeIfAbsent(new Class(p.priority, p.borrowed), k -> new LinkedHashMap<>());
+  }
+
+  /** One class after the other; of one with several teams beyond their guarantees, fairly. */
+  private final class Served implements Iterator<Job> {
+    private final Iterator<Map.Entry<Class, Map<String, TreeMap<Place, Job>>>> classes =
+        beyond.entrySet().iterator();
+    private Iterator<Job> now = List.<Job>of().iterator();
+
+    @Override
+    public boolean hasNext() {
+      while (!now.hasNext() && classes.hasNext()) {
+        Map.Entry<Class, Map<String, TreeMap<Place, Job>>> e = classes.next();
+        now = e.getKey().borrowed == 0 ? covered(e.getKey()) : fairly(e.getValue());
+      }
+      return now.hasNext();
+    }
+
+    private Iterator<Job> covered(Class c) {
+      Place from = new Place(c.priority, 0, FIRST);
+      return waiting.subMap(from, new Place(c.priority, 1, FIRST)).values().iterator();
+    }
+
+    private Iterator<Job> fairly(Map<String, TreeMap<Place, Job>> byTeam) {
+      Map<String, Collection<Job>> lines = new LinkedHashMap<>();
+      byTeam.forEach(
+          (team, jobs) -> {
+            if (!jobs.isEmpty()) {
+              lines.put(team, jobs.values());
+            }
+          });
+      return new Fairly(lines, usage::of, byName);
+    }
+
+    @Override
+    public Job next() {
+      if (!hasNext()) {
+        throw new NoSuchElementException();
+      }
+      return now.next();
+    }
   }
 
   /** Looks how far a guarantee reaches; where it covers all, that takes no look at the jobs. */
--- a/src/main/java/wickdrift/coordination/Quota.java
+++ b/src/main/java/wickdrift/coordination/Quota.java
@@ -1,7 +1,7 @@
 package wickdrift.coordination;
 
-import java.util.Collection;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.Map;
@@ -34,6 +34,14 @@
   private final Map<String, Share> booked = new HashMap<>();
 
   private final Map<Key, Share> needed = new HashMap<>();
+
+  /** By team, the gang for which its limit is saved up. */
+  private final Map<String, Job> saved = new HashMap<>();
+
+  /** A gang for which a limit had no room for so long has it saved up, and rests as long after. */
+  private static final long SAVE_AFTER_MS = 30_000;
+
+  private static final long SAVE_MS = 120_000;
   private final Tables tables;
   private final Settings settings;
   private final String node;
@@ -88,6 +96,65 @@
     return of.equals(node) ? left.minus(booked.getOrDefault(team, Share.NONE)) : left;
   }
 
+  /**
+   * A gang starts whole, so a team whose limit is always used up by small work would never start
+   * it: what ends is taken by the next small task at once. So the limit is saved up for the first
+   * gang in the order of service that has waited for a while: the team's other jobs start only what
+   * leaves room for it. For two minutes, then the others have two: one that can't start for other
+   * reasons is not to hold them for ever. All controllers draw the same from the tables.
+   *
+   * @param wallMs the time of day
+   */
+  void saveUp(Iterable<Job> waiting, long wallMs) {
+    Set<String> open = new HashSet<>();
+    for (String team : teams.keySet()) {
+      // Far from its limit there is nothing to save up.
+      if (!covers(teams.get(team), limit(team).minus(total(team)), limit(team).times(0.5))) {
+        open.add(team);
+      }
+    }
+    if (open.isEmpty()) {
+      return;
+    }
+    for (Job job : waiting) {
+      long aged = wallMs - job.readyWallMs() - SAVE_AFTER_MS;
+      if (job.spec().shape() == JobSpec.Shape.GANG
+          && job.live() == 0
+          && !job.suspect()
+          && aged > 0
+          && aged / SAVE_MS % 2 == 0
+          && open.remove(job.spec().team())) {
+        saved.put(job.spec().team(), job);
+        if (open.isEmpty()) {
+          return;
+        }
+      }
+    }
+  }
+
+  private Share limit(String team) {
+    Settings.Team t = teams.get(team);
+    return new Share(t.cpusMax(), t.gpusMax());
+  }
+
+  /** What a team has in use, with what this round has booked here. */
+  private Share total(String team) {
+    return tables.usage().of(team).plus(booked.getOrDefault(team, Share.NONE));
+  }
+
+  /** Whether a job's task may start, and leaves what is saved up for another. */
+  boolean allows(Job job) {
+    Job first = saved.get(job.spec().team());
+    if (first != null && first != job) {
+      Share beside = of(job.spec()).plus(of(first.spec()).times(first.waiting()));
+      String team = job.spec().team();
+      if (!covers(teams.get(team), limit(team).minus(total(team)), beside)) {
+        return false;
+      }
+    }
+    return allows(job.spec());
+  }
+
   boolean allows(JobSpec spec) {
     return allows(spec, 1);
   }
@@ -117,11 +184,12 @@
    * What this node should give away, or null: spare share goes to a node whose waiting jobs lack
    * it. A leader also gives on behalf of nodes outside the view, which can't place any more.
    */
-  Gift gift(boolean leader, Collection<Job> waiting) {
+  Gift gift(boolean leader, Iterable<Job> waiting) {
     var view = tables.view();
     for (Job job : waiting) {
       String team = job.spec().team();
-      if (teams.containsKey(team)) {
+      // What a team's other jobs may not start, they do not need now.
+      if (teams.containsKey(team) && saved.getOrDefault(team, job) == job) {
         needed.merge(
             new Key(team, view.placer(job.part(), job.id())),
             of(job.spec()).times(job.waiting()),
--- a/src/main/java/wickdrift/coordination/Scribe.java
+++ b/src/main/java/wickdrift/coordination/Scribe.java
@@ -564,7 +564,9 @@
 
   /** Only while nothing else is to be written: then nothing of ours is about to use the share. */
   private void draftGift(Draft draft) {
-    Quota.Gift g = new Quota(settings, tables).gift(membership.leads(), board.queue().waiting());
+    Quota quota = new Quota(settings, tables);
+    quota.saveUp(board.queue().waiting(), timers.wallMs());
+    Quota.Gift g = quota.gift(membership.leads(), board.queue().waiting());
     if (g != null) {
       LOG.info("giving quota of {} from {} to {}", g.team(), g.from(), g.to());
       draft.write(Part.key(g.from()), g.giver().toStore(), g.giver().stamp());
--- /dev/null
+++ b/src/test/java/wickdrift/coordination/FairlyTest.java
@@ -0,0 +1,77 @@
+package wickdrift.coordination;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import wickdrift.bookkeeping.Job;
+import wickdrift.bookkeeping.Ledger;
+import wickdrift.bookkeeping.Part.Share;
+import wickdrift.bookkeeping.Tables;
+import wickdrift.bookkeeping.level.Range;
+import wickdrift.daemon.Settings;
+import wickdrift.protocol.BadMessage;
+import wickdrift.protocol.Doc;
+import wickdrift.protocol.JobSpec;
+import wickdrift.protocol.Pack;
+import wickdrift.sim.SimWorld;
+
+/** In which order jobs of several teams are looked at, by what their teams hold. */
+class FairlyTest {
+  /** Jobs as team and GPUs: a4 is one of team a that asks for four. */
+  @ParameterizedTest(name = "{0}, held {1}, guaranteed {2}: {3}")
+  @CsvSource({
+    // One team: its own order.
+    "a1 a2 a3, , , a1 a2 a3",
+    // Two that hold nothing: in turn.
+    "a1 a1 a1 b1 b1, , , a1 b1 a1 b1 a1",
+    // One holds four already: the other first, until it has as much.
+    "a1 a1 b1 b1 b1 b1 b1, a4, , b1 b1 b1 b1 a1 b1 a1",
+    // A large job counts as what it is.
+    "a8 a1 b1 b1 b1, , , a8 b1 b1 b1 a1",
+    // Guaranteed twice as much: two for one.
+    "a1 a1 a1 a1 b1 b1, , a20 b10, a1 b1 a1 a1 b1 a1",
+    // Without a guarantee one counts as the least that is guaranteed.
+    "a1 a1 b1 b1, , a10, a1 b1 a1 b1",
+    // Many of one do not keep the other's one job waiting.
+    "a1 a1 a1 a1 a1 a1 b1, a1, , b1 a1 a1 a1 a1 a1 a1"
+  })
+  void nextIsWhoHoldsLeast(String jobs, String held, String guaranteed, String order)
+      throws BadMessage {
+    Tables t = new Tables(List.of(), Range.BUILD, () -> {});
+    Map<String, List<Job>> lines = new LinkedHashMap<>();
+    Map<Job, String> names = new LinkedHashMap<>();
+    int n = 0;
+    for (String j : jobs.split(" ")) {
+      Map<String, Object> m = SimWorld.job(++n, "batch", 1, j.charAt(1) - '0', 5);
+      m.put("owner", j.substring(0, 1));
+      m.put("cores", 0.0);
+      JobSpec s = JobSpec.parse(Doc.parse(Pack.encode(m)));
+      Object v = Pack.decode(Pack.encode(Job.toStore(s, null, n, "n0", 0)));
+      t.apply(List.of(new Ledger.Change(Job.key(s.id()), v, n)), n);
+      lines.computeIfAbsent(s.team(), k -> new ArrayList<>()).add(t.job(s.id()));
+      names.put(t.job(s.id()), j);
+    }
+    Map<String, Settings.Team> teams = new LinkedHashMap<>();
+    amounts(guaranteed).forEach((k, g) -> teams.put(k, new Settings.Team(k, 0, 0, g, 0)));
+    Map<String, Double> holds = amounts(held);
+    Fairly f = new Fairly(lines, k -> new Share(0, holds.getOrDefault(k, 0.0)), teams);
+    StringBuilder got = new StringBuilder();
+    while (f.hasNext()) {
+      got.append(got.isEmpty() ? "" : " ").append(names.get(f.next()));
+    }
+    assertEquals(order, got.toString());
+  }
+
+  private static Map<String, Double> amounts(String text) {
+    Map<String, Double> out = new LinkedHashMap<>();
+    for (String s : text == null ? new String[0] : text.split(" ")) {
+      out.put(s.substring(0, 1), Double.parseDouble(s.substring(1)));
+    }
+    return out;
+  }
+}
