A machine that is back at once; nothing is drawn from what may be a late copy

Change: what seems a copy makes its owner ask; an answer that counts lower tells; the epoch is raised and only what shows the new token counts. Unproved reports are answered and nothing is drawn from them.

--- a/src/main/java/wickdrift/bookkeeping/Machine.java
+++ b/src/main/java/wickdrift/bookkeeping/Machine.java
@@ -155,9 +155,15 @@
   /** How many reports in a row showed an older token than the answer before had. */
   private int unheeded;
 
-  /** The newest report that came by itself. */
+  /** The newest report that came by itself and was surely no copy. */
   private Report own;
 
+  /** The highest token that a report of its own has shown; -1: none has come. */
+  private long shownEpoch = -1;
+
+  /** What shows an older token is from before its worker began anew. */
+  private long trustedFrom;
+
   // From the logs, alike at all nodes: what failed here since a task last worked.
   private final Set<Job> accusers = new LinkedHashSet<>();
   private int faults;
@@ -384,11 +390,14 @@
    *     machine look alive; so until one is proved the machine takes no task, and silence goes on
    */
   public boolean heard(Report r, long epochNow, long nowMs) {
-    boolean proves = r.epoch() == epochNow || answeredEpoch > 0 && r.epoch() >= answeredEpoch;
+    boolean answered = answeredEpoch > 0 && r.epoch() >= answeredEpoch;
+    boolean proves = r.epoch() >= trustedFrom && (r.epoch() == epochNow || answered);
     if (report == null || quiet || proves && !proved) {
       note();
     }
-    report = r;
+    if (proves || !proved) {
+      report = r;
+    }
     if (proves) {
       proved = true;
       quiet = false;
@@ -397,6 +406,11 @@
     return proves;
   }
 
+  /** From which token on its reports count; 0: any. */
+  public long trustedFrom() {
+    return trustedFrom;
+  }
+
   /** Whether it has shown, since it is ours, that it is there now. */
   public boolean proved() {
     return proved;
@@ -408,6 +422,24 @@
         && (r.tenure() < own.tenure() || r.tenure() == own.tenure() && r.tick() <= own.tick());
   }
 
+  /**
+   * Its worker has begun anew, under the same name, and counts from one again: what was heard of
+   * the one before says nothing of this one. Late copies of what that one said may look newer than
+   * what this one says, so nothing counts until it shows a token that the other never had.
+   *
+   * @param epochNow the highest token that the one before may have seen
+   */
+  public void restarted(long epochNow) {
+    trustedFrom = epochNow + 1;
+    shownEpoch = -1;
+    report = null;
+    own = null;
+    proved = false;
+    answeredEpoch = 0;
+    hears();
+    note();
+  }
+
   /**
    * What a report that came by itself tells of whether its worker hears. Never judged by our having
    * answered alone: an answer may be lost with nobody deaf, and a worker may be slow.
@@ -420,9 +452,12 @@
     // Had the last answer reached it, its lease could not have ended yet.
     boolean lapsed =
         own != null && r.tenure() > own.tenure() && nowMs - answeredMs < leaseMs * 3 / 4;
-    boolean rose = own != null && r.epoch() > own.epoch();
+    boolean rose = shownEpoch >= 0 && r.epoch() > shownEpoch;
+    shownEpoch = Math.max(shownEpoch, r.epoch());
     unheeded = proves || answeredEpoch == 0 ? 0 : unheeded + 1;
-    own = r;
+    if (proves) {
+      own = r;
+    }
     if (rose) {
       hears();
     } else if (lapsed || ignored || unheeded >= UNHEEDED_MOST) {
@@ -458,6 +493,7 @@
     proved = false;
     deafSinceMs = 0;
     unheeded = 0;
+    shownEpoch = -1;
     own = null;
     lapseBaseMs = Math.max(lapseBaseMs, lapseBase);
   }
--- a/src/main/java/wickdrift/coordination/Reporting.java
+++ b/src/main/java/wickdrift/coordination/Reporting.java
@@ -39,6 +39,7 @@
   private static final long IGNORED_MS = 3500;
 
   private static final long UNCERTAIN_MS = 5000;
+  private static final long BEGUN_ANEW_MS = 2000;
   private static final long CATCH_UP_MS = 1000;
   private static final int WAITS_MOST = 12;
 
@@ -61,6 +62,19 @@
     boolean inFlight;
     long probeAtMs;
     final Map<Try, Loose> loose = new HashMap<>();
+
+    /** The newest that was known when the last was sent: an answer to it can't be older. */
+    private Report known;
+
+    void sent(Report newest) {
+      inFlight = true;
+      known = newest;
+    }
+
+    boolean olderThanKnown(Report r) {
+      return known != null && isLate(r, known);
+    }
+
     final Map<Try, Long> halted = new HashMap<>();
   }
 
@@ -93,6 +107,7 @@
   private String viewLeader;
   private long viewEpoch;
   private long viewSinceMs;
+
   private final long leaseMs;
   private Set<String> owned = new HashSet<>();
 
@@ -272,12 +287,14 @@
     Machine m = tables.machineOrNew(r.machine());
     if (m.hasOwnNewerThan(r)) {
       // A copy: its worker has long had an answer, or has given up. It proves nothing, and an
-      // answer that would renew a lease is not given.
+      // answer that would renew a lease is not given. Or its machine was back so soon that nobody
+      // missed it, and its worker counts from one again: only an answer of its own can tell.
+      probe(m, v, r.tenure());
       x.reply(503, null, 1);
       return;
     }
     Report last = m.report();
-    boolean late = last != null && isLate(r, last);
+    boolean late = last != null && m.proved() && isLate(r, last);
     List<Object> orders = new ArrayList<>();
     if (!late) {
       long now = timers.nowMs();
@@ -288,7 +305,8 @@
         scribe.settle();
       }
       note(m, r, proves);
-      boolean whole = standing == Membership.Standing.MEMBER;
+      // What may be a copy proves nothing: it is answered, so that the next one shows our token.
+      boolean whole = standing == Membership.Standing.MEMBER && proves;
       Direct d = directs.get(m);
       if (d != null) {
         d.loose.values().removeIf(l -> r.epoch() > l.epoch || r.tenure() != l.tenure);
@@ -302,7 +320,7 @@
     // A late report's answer renews the lease too, should the worker still wait for it.
     m.answered(timers.nowMs(), v.epoch());
     if (m.deafSinceMs() > 0) {
-      probe(m, v);
+      probe(m, v, r.tenure());
     }
     Map<String, Object> body = new LinkedHashMap<>();
     body.put("epoch", v.epoch());
@@ -485,19 +503,19 @@
     return false;
   }
 
-  /** Asks a worker that seems deaf for an answer; whoever answers hears. */
-  private void probe(Machine m, View v) {
+  /** Asks a worker that seems deaf, or new, for an answer; whoever answers hears. */
+  private void probe(Machine m, View v, long tenure) {
     Direct d = directs.computeIfAbsent(m, k -> new Direct());
     long now = timers.nowMs();
     if (d.inFlight || now < d.probeAtMs || m.report() == null) {
       return;
     }
-    d.probeAtMs = now + leaseMs / 2;
+    d.probeAtMs = now + leaseMs / 8;
     Map<String, Object> body = new LinkedHashMap<>();
     body.put("epoch", v.epoch());
-    body.put("tenure", m.report().tenure());
+    body.put("tenure", tenure);
     body.put("orders", List.of());
-    d.inFlight = true;
+    d.sent(m.report());
     caller.call(
         m.report().address(),
         "POST",
@@ -547,7 +565,7 @@
     body.put("epoch", v.epoch());
     body.put("tenure", r.tenure());
     body.put("orders", wire);
-    d.inFlight = true;
+    d.sent(r);
     caller.call(
         r.address(),
         "POST",
@@ -579,6 +597,11 @@
     }
     try {
       Report r = Report.parse(Doc.parse(a.body()));
+      if (d.olderThanKnown(r)) {
+        LOG.info("{} has begun anew: tenure {}, tick {}", m.name(), r.tenure(), r.tick());
+        m.restarted(v.epoch());
+        return;
+      }
       Report last = m.report();
       if (last == null || isLate(r, last)) {
         return;
@@ -660,6 +683,9 @@
         runs.remove(m);
       }
       stuck |= stuck(m, now);
+      // One that has begun anew is trusted again with a higher token; no more often than that has
+      // time to reach the workers.
+      stuck |= m.trustedFrom() > v.epoch() && now - viewSinceMs > BEGUN_ANEW_MS;
     }
     zones.judge(pulse.listeningSinceMs(), now);
     if (stuck) {
--- /dev/null
+++ b/src/test/java/wickdrift/bookkeeping/MachineTest.java
@@ -0,0 +1,81 @@
+package wickdrift.bookkeeping;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.util.List;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import wickdrift.protocol.Report;
+
+/** What a machine's reports prove: that it is there now, and that its worker hears. */
+class MachineTest {
+  private static final long LEASE_MS = 16_000;
+
+  /**
+   * Reports as {@code second:tenure/tick/token}, each answered with the epoch in force; {@code !}:
+   * it lacks what it was told to run; {@code h}: a command sent straight was answered before it.
+   */
+  @ParameterizedTest(name = "epoch {0}, {1}: proved {2}, deaf {3}")
+  @CsvSource({
+    // Its first report shows an older epoch, or none: perhaps a copy. The next shows the answer's.
+    "7, 0:1/1/0,                           false, false",
+    "7, 0:1/1/6,                           false, false",
+    "7, 0:1/1/0 3:1/2/7,                   true,  false",
+    // Of this epoch: no copy from before it.
+    "7, 0:1/1/7,                           true,  false",
+    // The token does not rise, though it was answered twice.
+    "7, 0:1/1/6 5:1/2/6,                   false, false",
+    "7, 0:1/1/6 5:1/2/6 10:1/3/6,          false, true",
+    "7, 0:1/1/6 5:1/2/6 10:1/3/6 15:1/4/7, true,  false",
+    // Its lease ended sooner than one that was renewed by the last answer could have.
+    "7, 0:1/1/7 5:1/2/7 10:2/3/7,          true,  true",
+    // It was cut off for longer than that: its lease may have ended with nothing wrong.
+    "7, 0:1/1/7 5:1/2/7 22:2/3/7,          true,  false",
+    // It lacks what it was long since told to run; it hears once it answers a command.
+    "7, 0:1/1/7 5:1/2/7!,                  true,  true",
+    "7, 0:1/1/7 5:1/2/7! h8:1/3/7,         true,  false",
+    "7, 0:1/1/7 5:1/2/7! 8:1/3/7,          true,  true",
+    // A higher token has reached it.
+    "7, 0:1/1/6 3:1/2/7! 6:1/3/8,          true,  false"
+  })
+  void whatReportsProve(long epoch, String reports, boolean proved, boolean deaf) {
+    Machine m = new Machine("m", 0, x -> {});
+    for (String r : reports.trim().split(" ")) {
+      boolean hears = r.startsWith("h");
+      boolean ignored = r.endsWith("!");
+      String[] p = r.replace("h", "").replace("!", "").split("[:/]");
+      long now = Long.parseLong(p[0]) * 1000 + 1;
+      if (hears) {
+        m.hears();
+      }
+      Report is =
+          new Report(
+              "m",
+              "a",
+              "t",
+              "z",
+              false,
+              Long.parseLong(p[1]),
+              Long.parseLong(p[2]),
+              Long.parseLong(p[3]),
+              null,
+              List.of());
+      boolean proves = m.heard(is, epoch, now);
+      m.listens(is, proves, ignored, LEASE_MS, now);
+      m.answered(now, epoch);
+    }
+    assertEquals(proved, m.proved());
+    assertEquals(deaf, m.deafSinceMs() > 0);
+  }
+
+  /** What came by itself makes older ones copies; of an earlier session too. */
+  @ParameterizedTest
+  @CsvSource({"1, 1, true", "1, 5, true", "1, 6, false", "2, 1, false"})
+  void whatIsOlderIsACopy(long tenure, long tick, boolean copy) {
+    Machine m = new Machine("m", 0, x -> {});
+    Report own = new Report("m", "a", "t", "z", false, 1, 5, 7, null, List.of());
+    m.listens(own, m.heard(own, 7, 1), false, LEASE_MS, 1);
+    Report r = new Report("m", "a", "t", "z", false, tenure, tick, 7, null, List.of());
+    assertEquals(copy, m.hasOwnNewerThan(r));
+  }
+}
--- a/src/test/java/wickdrift/sim/SimGang.java
+++ b/src/test/java/wickdrift/sim/SimGang.java
@@ -20,6 +20,11 @@
 
   void joined(SimWorker.Task t) {
     members.add(t);
+    if (over) {
+      // Started again where it was lost: the others are on their way out.
+      world.clock.after(NOTICE_MS, t::mateGone);
+      return;
+    }
     if (started || members.size() < spec.tasks()) {
       world.clock.after(
           30_000,
@@ -53,6 +58,10 @@
 
   void left(SimWorker.Task t) {
     members.remove(t);
+    if (started && members.isEmpty()) {
+      // Whoever starts the same attempt after that begins it.
+      world.gangs.remove(t.gang(), this);
+    }
     if (started && !over) {
       over = true;
       world.clock.after(NOTICE_MS, () -> List.copyOf(members).forEach(SimWorker.Task::mateGone));
--- a/src/test/java/wickdrift/sim/SimWorker.java
+++ b/src/test/java/wickdrift/sim/SimWorker.java
@@ -29,6 +29,7 @@
   private final List<String> results = new ArrayList<>();
   private final Set<String> images = new HashSet<>();
   private long tenure = 1;
+  private int lives;
   long tick;
   private long epoch;
   private long leaseStart;
@@ -116,6 +117,22 @@
     tasks.clear();
   }
 
+  private long session() {
+    return lives * 1_000_000L + tenure;
+  }
+
+  /** The machine is back at once, under its name, with nothing on it, and counts from one again. */
+  void restart() {
+    tasks.values().forEach(this::off);
+    tasks.clear();
+    images.clear();
+    lives++;
+    tenure = 1;
+    tick = 0;
+    epoch = 0;
+    leaseStart = clock.nowMs();
+  }
+
   boolean empty() {
     return tasks.isEmpty();
   }
@@ -201,7 +218,7 @@
       return;
     }
     long sent = clock.nowMs();
-    long session = tenure;
+    long session = session();
     caller.call(
         world.nodes.get(node % world.nodes.size()),
         "POST",
@@ -221,7 +238,7 @@
       if (a.status() == 200) {
         Doc d = Doc.parse(a.body());
         long token = d.count("epoch");
-        if (session == tenure && token >= epoch) {
+        if (session == session() && token >= epoch) {
           epoch = token;
           leaseStart = Math.max(leaseStart, sent);
           orders(d);
--- a/src/test/java/wickdrift/sim/UnlistedTest.java
+++ b/src/test/java/wickdrift/sim/UnlistedTest.java
@@ -12,6 +12,7 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.Arguments;
 import org.junit.jupiter.params.provider.MethodSource;
+import org.junit.jupiter.params.provider.ValueSource;
 import wickdrift.bookkeeping.Machine;
 import wickdrift.bookkeeping.level.Range;
 
@@ -29,6 +30,8 @@
     COPIES_SECONDS_LATE,
     COPIES_LONGER_THAN_A_LEASE,
     COPIES_AND_DEATHS,
+    BACK_AT_ONCE,
+    BACK_AT_ONCE_AND_COPIES,
     ISLAND,
     ISLAND_LEADER,
     ISLAND_TWO
@@ -53,6 +56,15 @@
     w.clock.after(ms, r);
   }
 
+  /** As the first node knows it that knows a view. */
+  private static String leader(SimWorld w) {
+    return w.nodes.stream()
+        .filter(n -> w.tables(n).view() != null)
+        .findFirst()
+        .map(n -> w.tables(n).view().leader())
+        .orElse(w.nodes.get(0));
+  }
+
   private static void island(SimWorld w, String node, boolean on) {
     if (on) {
       w.cutFromState(node, false);
@@ -97,12 +109,21 @@
           at(w, 15_000 + 6000 * i, () -> w.killMachine(r.nextInt(4)));
         }
       }
+      case BACK_AT_ONCE, BACK_AT_ONCE_AND_COPIES -> {
+        if (u == Unlisted.BACK_AT_ONCE_AND_COPIES) {
+          w.net.copies = new SimNet.Copies("/hello", 0.3, 20_000, w.nodes);
+        }
+        for (int i = 0; i < 8; i++) {
+          int n = i;
+          at(w, 13_000 + 4000 * i, () -> w.workers().get(n % 5).restart());
+        }
+      }
       case ISLAND, ISLAND_LEADER, ISLAND_TWO ->
           at(
               w,
               14_000,
               () -> {
-                String leader = w.tables("n0").view().leader();
+                String leader = leader(w);
                 List<String> cut = new ArrayList<>();
                 if (u != Unlisted.ISLAND) {
                   cut.add(leader);
@@ -123,8 +144,8 @@
     switch (b) {
       case NOTHING -> {}
       case LEADER_CRASHES -> {
-        at(w, 20_000, () -> w.crash(w.tables("n0").view().leader(), 300));
-        at(w, 33_000, () -> w.crash(w.tables("n0").view().leader(), 4000));
+        at(w, 20_000, () -> w.crash(leader(w), 300));
+        at(w, 33_000, () -> w.crash(leader(w), 4000));
       }
       case VIEW_CHANGES -> {
         for (int i = 0; i < 8; i++) {
@@ -209,6 +230,9 @@
     w.net.deaf.add(m.address);
     int[] before = {-1};
     int[] more = {0};
+    int[] upAgain = {0};
+    long[] emptyAt = {0};
+    boolean[] lost = {false};
     for (int t = 0; t < 90; t++) {
       at(
           w,
@@ -220,6 +244,9 @@
             if (is != null && (is.deafSinceMs() > 0 || is.phase() != Machine.Phase.UP)) {
               more[0] += before[0] >= 0 ? Math.max(0, is.live().size() - before[0]) : 0;
               before[0] = is.live().size();
+              emptyAt[0] = emptyAt[0] == 0 && is.live().isEmpty() ? w.clock.nowMs() : emptyAt[0];
+              upAgain[0] += lost[0] && is.phase() == Machine.Phase.UP ? 1 : 0;
+              lost[0] |= is.phase() != Machine.Phase.UP;
             }
           });
     }
@@ -231,6 +258,10 @@
     w.run(45_000);
     assertTrue(before[0] >= 0, "it was never found deaf");
     assertEquals(0, more[0], "placed on a deaf machine");
+    // Its session ends within a lease; what was never seen there is over with that.
+    assertTrue(emptyAt[0] > 0 && emptyAt[0] < 10_000 + 36_000, "empty at " + emptyAt[0]);
+    assertTrue(lost[0], "it was not recorded as silent");
+    assertEquals(0, upAgain[0], "up again, and nothing reaches it");
     w.net.deaf.remove(m.address);
     w.run(200_000);
     assertEquals(List.of(), w.broken());
@@ -260,4 +291,56 @@
     assertEquals(List.of(), w.broken());
     assertEquals("done", w.lastTold("req-000001"));
   }
+
+  /**
+   * A machine dies with what runs on it, and late copies of its reports go on coming for much
+   * longer than its lease, to all controllers, of which one has just come back: its tasks are over
+   * when they would be without the copies.
+   */
+  @ParameterizedTest
+  @ValueSource(booleans = {false, true})
+  void copiesOfADeadMachinePostponeNothing(boolean ownerIsNew) {
+    SimWorld w = new SimWorld(992, 3, 3, "aaa", 60);
+    w.net.copies = new SimNet.Copies("/hello", 1.0, 60_000, w.nodes);
+    w.run(10_000);
+    w.submit(SimWorld.job(1, "batch", 12, 1, 100), 0);
+    w.run(20_000);
+    SimWorker m = w.workers().get(0);
+    String owner = w.owner("n0", m.name);
+    assertTrue(!w.tables("n0").machine(m.name).live().isEmpty(), "nothing runs there");
+    w.killMachine(0);
+    if (ownerIsNew) {
+      w.crash(owner, 300);
+    }
+    // The lease, and for a new owner the grace before it; and a few seconds to notice.
+    w.run(16_000 + (ownerIsNew ? 3 * 16_000 : 0) + 6000);
+    Machine is = w.tables("n0").machine(m.name);
+    assertTrue(is == null || is.live().isEmpty(), "its tasks still count as there");
+    assertTrue(is == null || is.phase() != Machine.Phase.UP, "it still counts as up");
+    w.net.copies = null;
+    w.run(250_000);
+    assertEquals(List.of(), w.broken());
+    assertEquals("done", w.lastTold("req-000001"));
+  }
+
+  /** A machine that is back at once is found out in seconds, long before its silence would be. */
+  @Test
+  void aMachineThatIsBackAtOnceWorksOn() {
+    SimWorld w = new SimWorld(993, 2, 2, "aaa", 60);
+    w.run(10_000);
+    w.submit(SimWorld.job(1, "batch", 8, 1, 30), 0);
+    w.run(12_000);
+    w.workers().get(0).restart();
+    w.run(9000);
+    // What ran there runs there again.
+    int on = 0;
+    for (int i = 0; i < 8; i++) {
+      on += w.isOn("req-000001/" + i) ? 1 : 0;
+    }
+    assertEquals(8, on);
+    assertEquals(2, w.rented);
+    w.run(90_000);
+    assertEquals(List.of(), w.broken());
+    assertEquals("done", w.lastTold("req-000001"));
+  }
 }
