--- a/src/test/java/wickdrift/daemon/SettingsTest.java
+++ b/src/test/java/wickdrift/daemon/SettingsTest.java
@@ -1,6 +1,7 @@
 package wickdrift.daemon;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
@@ -8,6 +9,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import wickdrift.bookkeeping.Limits;
 
 class SettingsTest {
   private static final String GOOD =
@@ -41,6 +43,10 @@
       write_rps = 100.0
       value_kb = 32.0
       txn_ops = 16
+      [cluster.state.next]
+      write_rps = 70.0
+      value_kb = 2.0
+      txn_ops = 5
       [cluster.cloud]
       rps = 4.0
       list_lag_s = 5.0
@@ -58,6 +64,9 @@
     assertEquals("a", s.node());
     assertEquals(16, s.stateLimits().txnOps());
     assertEquals(8.0, s.teams().get(0).gpusMax());
+    // What the next limits do not name stays as it is; without them nothing changes.
+    assertEquals(new Limits.Bounds(250, 70, 2, 5), s.nextLimits());
+    assertNull(parse(GOOD.replace("[cluster.state.next]", "[cluster.later]")).nextLimits());
   }
 
   @ParameterizedTest(name = "{0} -> {1}")
@@ -75,9 +84,14 @@
         "rps = 250.0                  | rps = 0.0                   | cluster.state.rps",
         "txn_ops = 16                 | txn_ops = 2                 | cluster.state.txn_ops",
         "fd_limit = 1500              | fd_limit = -1               | cluster.quota.fd_limit",
+        "write_rps = 70.0             | write_rps = 0.0             | cluster.state.next.write_rps",
+        "value_kb = 2.0               | value_kb = \"small\"          | cluster.state.next.value_kb",
+        "value_kb = 2.0               | value_kb = 0.5              | cluster.state.next.value_kb",
+        "txn_ops = 5                  | txn_ops = 3                 | cluster.state.next.txn_ops",
+        "[cluster.state.next]         | next = 7\\n[cluster.other]   | cluster.state.next",
       })
   void theFieldAtFaultIsNamed(String from, String to, String field) {
-    String toml = GOOD.replace(from, to);
+    String toml = GOOD.replace(from, to.replace("\\n", "\n"));
     Settings.Invalid e = assertThrows(Settings.Invalid.class, () -> parse(toml));
     assertTrue(e.getMessage().contains(field), e.getMessage());
   }
