--- a/src/main/java/wickdrift/bookkeeping/Finals.java
+++ b/src/main/java/wickdrift/bookkeeping/Finals.java
@@ -68,7 +68,13 @@
   }
 
   private void pump() {
-    if (!reading && !next.isEmpty()) {
+    if (reading) {
+      return;
+    }
+    // The chains' questions are put again with each change; some were answered meanwhile.
+    next.entrySet()
+        .removeIf(e -> e.getValue().isEmpty() && !tables.chains().unknown().contains(e.getKey()));
+    if (!next.isEmpty()) {
       TreeMap<String, List<Consumer<Answer>>> open = next;
       next = new TreeMap<>();
       reading = true;
--- a/src/main/java/wickdrift/coordination/Reporting.java
+++ b/src/main/java/wickdrift/coordination/Reporting.java
@@ -319,7 +319,9 @@
     }
     // A late report's answer renews the lease too, should the worker still wait for it.
     m.answered(timers.nowMs(), v.epoch());
-    if (m.deafSinceMs() > 0) {
+    // One that is newly ours need not wait for its next report to prove itself.
+    boolean unproved = !late && !m.proved() && m.phase() == Machine.Phase.UP;
+    if (m.deafSinceMs() > 0 || unproved) {
       probe(m, v, r.tenure());
     }
     Map<String, Object> body = new LinkedHashMap<>();
--- a/src/test/java/wickdrift/sim/OperatorTest.java
+++ b/src/test/java/wickdrift/sim/OperatorTest.java
@@ -66,14 +66,18 @@
 
   private static SimWorld busy(long seed) {
     SimWorld w = new SimWorld(seed, 8, 30, "aab", 40);
-    for (int i = 0; i < 30; i++) {
+    load(w, 30);
+    return w;
+  }
+
+  private static void load(SimWorld w, int jobs) {
+    for (int i = 0; i < jobs; i++) {
       int n = i;
       String shape = i % 8 == 0 ? "daemon" : i % 5 < 2 ? "ensemble" : "batch";
       w.clock.after(
           i * 700, () -> w.submit(SimWorld.job(n, shape, 1 + n % 4, 1 + n % 2, 5 + n % 25), 0));
     }
     w.run(25_000);
-    return w;
   }
 
   private static byte[] written(Records r) throws IOException {
@@ -169,13 +173,7 @@
     }
     SimWorld w = new SimWorld(502, 8, 30, "aab", 40);
     w.restartAll(new Range(1, 3), "");
-    for (int i = 0; i < 40; i++) {
-      int n = i;
-      String shape = i % 8 == 0 ? "daemon" : i % 5 < 2 ? "ensemble" : "batch";
-      w.clock.after(
-          i * 700, () -> w.submit(SimWorld.job(n, shape, 1 + n % 4, 1 + n % 2, 5 + n % 25), 0));
-    }
-    w.run(25_000);
+    load(w, 40);
     Map<String, Set<String>> now = new TreeMap<>();
     for (Ledger.Change c : w.state().all()) {
       shape(c.key(), c.value(), now);
--- a/src/test/java/wickdrift/sim/ReturnsTest.java
+++ b/src/test/java/wickdrift/sim/ReturnsTest.java
@@ -147,27 +147,7 @@
   void comesBackAtOnce(Row row, int backMs) {
     SimWorld w = new SimWorld(31 + backMs, 14, 20);
     Random r = new Random(backMs);
-    List<String> finite = new ArrayList<>();
-    for (int i = 0; i < 60; i++) {
-      int n = i;
-      int kind = r.nextInt(10);
-      int tasks = 1 + r.nextInt(4);
-      boolean off = kind > 7 && r.nextBoolean();
-      long offAfter = off ? 500 + r.nextInt(5000) : 0;
-      w.clock.after(
-          4000 + r.nextInt(30_000),
-          () ->
-              w.submit(
-                  kind < 2
-                      ? SimWorld.job(n, "daemon", Math.min(tasks, 2), 1, 0)
-                      : kind < 5
-                          ? SimWorld.job(n, "ensemble", Math.min(tasks, 3), 2, 6)
-                          : SimWorld.job(n, "batch", tasks, 1, 5),
-                  offAfter));
-      if (kind >= 2 && !off) {
-        finite.add(String.format("req-%06d", n));
-      }
-    }
+    List<String> finite = w.submitSmall(r, 4000, 30_000, 5000, n -> n % 2 == 0 ? 5 : 6);
     row.trouble.accept(w, backMs);
     w.run(240_000);
     assertEquals(0, w.full);
--- a/src/test/java/wickdrift/sim/SimWorld.java
+++ b/src/test/java/wickdrift/sim/SimWorld.java
@@ -13,6 +13,7 @@
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.function.Consumer;
+import java.util.function.IntToDoubleFunction;
 import java.util.function.Predicate;
 import java.util.function.UnaryOperator;
 import wickdrift.bookkeeping.Job;
@@ -977,6 +978,37 @@
     }
   }
 
+  /**
+   * Submits 60 small jobs of all shapes, of which some are withdrawn.
+   *
+   * @param fromMs when the first may come, within so many milliseconds the last
+   * @param offMs within so long a withdrawal comes
+   * @param seconds a job runs, by its number
+   * @return those that must be done in the end
+   */
+  List<String> submitSmall(
+      Random r, int fromMs, int spanMs, int offMs, IntToDoubleFunction seconds) {
+    List<String> finite = new ArrayList<>();
+    for (int i = 0; i < 60; i++) {
+      int n = i;
+      int kind = r.nextInt(10);
+      int tasks = 1 + r.nextInt(4);
+      boolean off = kind > 7 && r.nextBoolean();
+      long offAfter = off ? 500 + r.nextInt(offMs) : 0;
+      String shape = kind < 2 ? "daemon" : kind < 5 ? "ensemble" : "batch";
+      int most = kind < 2 ? 2 : kind < 5 ? 3 : 4;
+      double run = kind < 2 ? 0 : seconds.applyAsDouble(n);
+      double gpus = shape.equals("ensemble") ? 2 : 1;
+      clock.after(
+          fromMs + r.nextInt(spanMs),
+          () -> submit(job(n, shape, Math.min(tasks, most), gpus, run), offAfter));
+      if (kind >= 2 && !off) {
+        finite.add(String.format("req-%06d", n));
+      }
+    }
+    return finite;
+  }
+
   /** How many machines there are, those that have not come up too. */
   public int fleet() {
     return machines.size() + booting.size();
--- a/src/test/java/wickdrift/sim/UnlistedTest.java
+++ b/src/test/java/wickdrift/sim/UnlistedTest.java
@@ -182,28 +182,7 @@
       w.restartAll(new Range(1, 3), "");
     }
     Random r = new Random(seed);
-    List<String> finite = new ArrayList<>();
-    for (int i = 0; i < 60; i++) {
-      int n = i;
-      int kind = r.nextInt(10);
-      int tasks = 1 + r.nextInt(4);
-      boolean off = kind > 7 && r.nextBoolean();
-      long offAfter = off ? 500 + r.nextInt(15_000) : 0;
-      at(
-          w,
-          6000 + r.nextInt(40_000),
-          () ->
-              w.submit(
-                  kind < 2
-                      ? SimWorld.job(n, "daemon", Math.min(tasks, 2), 1, 0)
-                      : kind < 5
-                          ? SimWorld.job(n, "ensemble", Math.min(tasks, 3), 2, 6)
-                          : SimWorld.job(n, "batch", tasks, 1, 4 + n % 9),
-                  offAfter));
-      if (kind >= 2 && !off) {
-        finite.add(String.format("req-%06d", n));
-      }
-    }
+    List<String> finite = w.submitSmall(r, 6000, 40_000, 15_000, n -> 4 + n % 9);
     unlisted(w, u, r);
     beside(w, b);
     at(
