--- a/src/main/java/wickdrift/lab/Served.java
+++ b/src/main/java/wickdrift/lab/Served.java
@@ -121,6 +121,8 @@
       JsonObject t = object(e, "targets");
       if (t.get("class") instanceof JsonPrimitive c
           && c.getAsString().endsWith(Variant.LARGEST)
+          // Of none that counts, nothing is told.
+          && !(t.get("of") instanceof JsonPrimitive n && n.isNumber() && n.getAsLong() == 0)
           && t.get("value") instanceof JsonPrimitive v
           && v.isNumber()) {
         out.put(c.getAsString(), v.getAsDouble());
