Read the change once more: one way to send orders, one way to a smaller view, no throw-away map

A probe and the direct orders built the same request; two ways to a view of fewer members ended alike; a job's description was cut in two places; a waiting job's change made a map to be thrown away.

--- a/src/main/java/wickdrift/bookkeeping/Job.java
+++ b/src/main/java/wickdrift/bookkeeping/Job.java
@@ -167,7 +167,7 @@
   public static Map<String, Object> toStore(
       JobSpec spec, Overflow more, long acceptedWallMs, String part, long withdrawnWallMs) {
     Map<String, Object> m = new LinkedHashMap<>();
-    m.put("spec", (more == null ? spec : spec.awaiting(List.of())).toStore());
+    m.put("spec", described(spec, more));
     if (more != null) {
       m.put("more", more.toStore());
     }
@@ -178,6 +178,11 @@
     return m;
   }
 
+  /** What was submitted, without names that are in records of their own. */
+  private static Map<String, Object> described(JobSpec spec, Overflow more) {
+    return (more == null ? spec : spec.awaiting(List.of())).toStore();
+  }
+
   /**
    * What is stored of it when its part or its withdrawal changes; what a newer writer added stays.
    *
@@ -187,7 +192,7 @@
     Map<String, Object> m = toStore(spec, overflow, acceptedWallMs, newPart, offWallMs);
     m.putAll(extra);
     if (!specExtra.isEmpty()) {
-      Map<String, Object> s = (overflow == null ? spec : spec.awaiting(List.of())).toStore();
+      Map<String, Object> s = described(spec, overflow);
       s.putAll(specExtra);
       m.put("spec", s);
     }
--- a/src/main/java/wickdrift/coordination/Membership.java
+++ b/src/main/java/wickdrift/coordination/Membership.java
@@ -520,6 +520,11 @@
     }
     Map<String, String> zones = new TreeMap<>(now == null ? Map.of() : now.zones());
     zones.putAll(next.zones());
+    return among(next, fewer, zones);
+  }
+
+  /** The view with fewer members; its leader stays, if it is one of them. */
+  private static View among(View next, Map<String, String> fewer, Map<String, String> zones) {
     zones.keySet().retainAll(fewer.keySet());
     String leader =
         fewer.containsKey(next.leader()) ? next.leader() : fewer.keySet().iterator().next();
@@ -553,10 +558,7 @@
       fewer.put(comes, next.members().get(comes));
     }
     Map<String, String> zones = new TreeMap<>(next.zones());
-    zones.keySet().retainAll(fewer.keySet());
-    String leader =
-        fewer.containsKey(next.leader()) ? next.leader() : fewer.keySet().iterator().next();
-    return next.with(fewer, leader, zones);
+    return among(next, fewer, zones);
   }
 
   /** Who comes next: of the zone that has the fewest members, or it would stand alone in a cut. */
--- a/src/main/java/wickdrift/coordination/Queue.java
+++ b/src/main/java/wickdrift/coordination/Queue.java
@@ -141,7 +141,7 @@
     if (old != null) {
       waiting.remove(old);
       places.remove(j);
-      lines(old).getOrDefault(j.spec().team(), new TreeMap<>(ORDER)).remove(old);
+      lines(old).get(j.spec().team()).remove(old);
     }
     if (now != null) {
       waiting.put(now, j);
--- a/src/main/java/wickdrift/coordination/Reporting.java
+++ b/src/main/java/wickdrift/coordination/Reporting.java
@@ -289,7 +289,7 @@
       // A copy: its worker has long had an answer, or has given up. It proves nothing, and an
       // answer that would renew a lease is not given. Or its machine was back so soon that nobody
       // missed it, and its worker counts from one again: only an answer of its own can tell.
-      probe(m, v, r.tenure());
+      probe(m, r.tenure());
       x.reply(503, null, 1);
       return;
     }
@@ -322,7 +322,7 @@
     // One that is newly ours need not wait for its next report to prove itself.
     boolean unproved = !late && !m.proved() && m.phase() == Machine.Phase.UP;
     if (m.deafSinceMs() > 0 || unproved) {
-      probe(m, v, r.tenure());
+      probe(m, r.tenure());
     }
     Map<String, Object> body = new LinkedHashMap<>();
     body.put("epoch", v.epoch());
@@ -506,25 +506,14 @@
   }
 
   /** Asks a worker that seems deaf, or new, for an answer; whoever answers hears. */
-  private void probe(Machine m, View v, long tenure) {
+  private void probe(Machine m, long tenure) {
     Direct d = directs.computeIfAbsent(m, k -> new Direct());
     long now = timers.nowMs();
     if (d.inFlight || now < d.probeAtMs || m.report() == null) {
       return;
     }
     d.probeAtMs = now + leaseMs / 8;
-    Map<String, Object> body = new LinkedHashMap<>();
-    body.put("epoch", v.epoch());
-    body.put("tenure", tenure);
-    body.put("orders", List.of());
-    d.sent(m.report());
-    caller.call(
-        m.report().address(),
-        "POST",
-        "/orders",
-        Pack.encode(body),
-        DIRECT_MS,
-        a -> directAnswered(m, d, List.of(), a));
+    post(m, d, tenure, List.of(), List.of());
   }
 
   private static boolean loose(Direct d, String task, int attempt) {
@@ -563,13 +552,18 @@
     if (wire.isEmpty()) {
       return;
     }
+    post(m, d, r.tenure(), wire, tries);
+  }
+
+  /** Sends orders straight to a worker, of which none may be under way. */
+  private void post(Machine m, Direct d, long tenure, List<Object> wire, List<Try> tries) {
     Map<String, Object> body = new LinkedHashMap<>();
-    body.put("epoch", v.epoch());
-    body.put("tenure", r.tenure());
+    body.put("epoch", tables.view().epoch());
+    body.put("tenure", tenure);
     body.put("orders", wire);
-    d.sent(r);
+    d.sent(m.report());
     caller.call(
-        r.address(),
+        m.report().address(),
         "POST",
         "/orders",
         Pack.encode(body),
