A user is told that a job is withdrawn once that will be kept, whatever fails next

Cause: the state service refuses the owner of a machine alone; it learns of withdrawals by its watch only, and goes on renewing its workers' leases for its grace (three leases), longer than cancel_s. Another controller had answered as soon as the write was durable.

Now the word waits for a proof, for each machine that may hold a task of the job: its owner has said over the back port that it knows (two new frames), the worker has shown that view's epoch, and nothing of the job can begin there any more. A later view's owner has read the withdrawal before the view, so the proof stands whoever fails next. An owner that is told so stops the job's tasks at once, also in its grace.

The judge is stricter: any start after the word, the word of polls, and tasks that left too late between its looks count too.

--- a/src/main/java/wickdrift/bookkeeping/Job.java
+++ b/src/main/java/wickdrift/bookkeeping/Job.java
@@ -75,6 +75,10 @@
   private int done;
 
   // Known to this process only.
+
+  /** A peer has told that it is withdrawn; its record as read here may not say so yet. */
+  private boolean foretold;
+
   private long retryAtMs;
   private int refusals;
   private int failures;
@@ -227,11 +231,7 @@
     extra = d.without("spec", "more", "at", "part", "off", "offAt");
     boolean off = d.flag("off");
     if (off && !withdrawn) {
-      for (TaskState t : tasks) {
-        if (t.live()) {
-          t.machine().touch();
-        }
-      }
+      touchMachines();
     }
     withdrawn = off;
     withdrawnWallMs = d.count("offAt", 0);
@@ -239,6 +239,20 @@
     note();
   }
 
+  private void touchMachines() {
+    for (TaskState t : tasks) {
+      if (t.live()) {
+        t.machine().touch();
+      }
+    }
+  }
+
+  /** Told by a peer to be withdrawn: nothing of it is started or kept from now on. */
+  void foretold() {
+    foretold = true;
+    touchMachines();
+  }
+
   // ---- chunks ----
 
   public int chunks() {
@@ -575,6 +589,11 @@
     return withdrawn || stage == Stage.WITHDRAWN;
   }
 
+  /** Withdrawn, or known to be ahead of what the tables say: what is there of it is to end. */
+  public boolean calledOff() {
+    return withdrawn() || foretold;
+  }
+
   /** Whether its user has withdrawn it itself: what its record says. */
   public boolean withdrawnItself() {
     return withdrawn;
--- a/src/main/java/wickdrift/bookkeeping/Tables.java
+++ b/src/main/java/wickdrift/bookkeeping/Tables.java
@@ -33,6 +33,7 @@
   public static final String TAKES_KEY = "w/x";
 
   private static final int FINISHED_KEPT = 4096;
+  private static final int FORETOLD_MOST = 20_000;
 
   private final Map<String, Job> jobs = new LinkedHashMap<>();
   private final TreeMap<String, Machine> machines = new TreeMap<>();
@@ -80,6 +81,12 @@
   /** Names of awaited jobs, by record, until their job has them all. */
   private final TreeMap<String, List<String>> names = new TreeMap<>();
 
+  /**
+   * Jobs that a peer has told to be withdrawn, with a revision that says so and is not applied here
+   * yet: who is not served by the state service learns of it in no other way.
+   */
+  private final Map<String, Long> foretold = new HashMap<>();
+
   private View view;
   private long viewStamp;
   private long takesStamp;
@@ -326,6 +333,38 @@
     return over;
   }
 
+  /**
+   * Takes in that a job is withdrawn, ahead of the record that says so. It is final, so it is kept
+   * until the tables hold it themselves.
+   *
+   * @param rev a revision as of which the job's record says it
+   * @return false if so much is known ahead already that it can't be kept
+   */
+  public boolean foretell(String id, long rev) {
+    if (rev <= appliedRev || foretold.containsKey(id)) {
+      return true;
+    }
+    if (foretold.size() >= FORETOLD_MOST) {
+      return false;
+    }
+    foretold.put(id, rev);
+    Job j = jobs.get(id);
+    if (j != null) {
+      j.foretold();
+    }
+    return true;
+  }
+
+  /** Whether a job is known to be withdrawn ahead of what the tables say. */
+  public boolean foretold(String id) {
+    return foretold.containsKey(id);
+  }
+
+  private void appliedTo(long rev) {
+    appliedRev = rev;
+    foretold.values().removeIf(told -> told <= rev);
+  }
+
   public void rememberFinished(String id, Ended how) {
     finished.put(id, how);
     chains.ended(id, how);
@@ -593,7 +632,7 @@
     jobs.values().forEach(Job::doneTogether);
     // Named by what a log still says of tasks that are over; itself it was forgotten long ago.
     machines.values().removeIf(m -> m.info() == null && m.live().isEmpty() && m.report() == null);
-    appliedRev = rev;
+    appliedTo(rev);
     bar();
   }
 
@@ -632,7 +671,7 @@
     steps.sort(
         Comparator.comparingLong(Step::rev).thenComparingInt(Step::order).thenComparing(Step::key));
     steps.forEach(s -> s.action.run());
-    appliedRev = Math.max(appliedRev, rev);
+    appliedTo(Math.max(appliedRev, rev));
     bar();
   }
 
@@ -769,6 +808,9 @@
             j = new Job(name, usage, changedJobs::add);
             j.record(d, c.stamp());
             jobs.put(name, j);
+            if (foretold.containsKey(name)) {
+              j.foretold();
+            }
             gather(j);
             chains.joined(j);
           } else {
--- a/src/main/java/wickdrift/coordination/Admission.java
+++ b/src/main/java/wickdrift/coordination/Admission.java
@@ -55,6 +55,7 @@
   private final Settings settings;
   private final Tuning tuning;
   private final Pulse pulse;
+  private final Confirmations confirmations;
   private final Door<Submission> queue = new Door<>(MAX_QUEUE);
 
   /** By job, who waits for the read after the one that is out. */
@@ -74,7 +75,8 @@
       Types types,
       Settings settings,
       Tuning tuning,
-      Pulse pulse) {
+      Pulse pulse,
+      Confirmations confirmations) {
     this.timers = timers;
     this.ledger = ledger;
     this.tables = tables;
@@ -84,6 +86,7 @@
     this.settings = settings;
     this.tuning = tuning;
     this.pulse = pulse;
+    this.confirmations = confirmations;
     double share = settings.stateLimits().rps() / (settings.peers().size() + 1);
     this.reads = new Bucket(share * tuning.lookUpShare(), timers.nowMs());
   }
@@ -563,7 +566,11 @@
       later(x);
       return;
     }
-    String phase = job.withdrawn() ? Ended.WITHDRAWN : job.live() > 0 ? "running" : "pending";
+    if (job.withdrawn()) {
+      tellWithdrawn(x, id);
+      return;
+    }
+    String phase = job.live() > 0 ? "running" : "pending";
     x.reply(200, Map.of("ref", id, "phase", phase, "done", job.done(), "running", job.live()));
   }
 
@@ -645,7 +652,7 @@
           } else if (job == null) {
             answerStatus(x, id);
           } else if (job.withdrawn()) {
-            x.reply(200, Map.of("ref", id, "phase", Ended.WITHDRAWN));
+            tellWithdrawn(x, id);
           } else {
             commitWithdrawal(x, job, tries);
           }
@@ -662,7 +669,17 @@
         Ledger.Rank.USER,
         r -> {
           switch (r.outcome()) {
-            case OK -> x.reply(200, Map.of("ref", job.id(), "phase", Ended.WITHDRAWN));
+            // Whom to ask is known once the tables hold what was placed before.
+            case OK ->
+                ledger.barrier(
+                    BARRIER_MS,
+                    ok -> {
+                      if (ok) {
+                        tellWithdrawn(x, job.id());
+                      } else {
+                        later(x);
+                      }
+                    });
             case FAILED -> withdraw(x, job.id(), tries - 1);
             case REFUSED -> {
               if (ledger.reachable()) {
@@ -675,4 +692,25 @@
           }
         });
   }
+
+  /**
+   * Says that a job is withdrawn, which its record says, once that will be kept whatever fails
+   * next. Until then nobody is told anything else of it: someone may have been told already.
+   */
+  private void tellWithdrawn(Exchange x, String id) {
+    confirmations.whenKept(
+        id,
+        kept -> {
+          Ended fin = tables.finished(id);
+          Job job = tables.job(id);
+          if (fin != null) {
+            answerFinal(x, id, fin);
+          } else if (!kept) {
+            later(x);
+          } else {
+            int done = job == null ? 0 : job.done();
+            x.reply(200, Map.of("ref", id, "phase", Ended.WITHDRAWN, "done", done, "running", 0));
+          }
+        });
+  }
 }
--- a/src/main/java/wickdrift/coordination/Reporting.java
+++ b/src/main/java/wickdrift/coordination/Reporting.java
@@ -153,7 +153,7 @@
     if (v != null && membership.standing() == Membership.Standing.MEMBER) {
       for (Machine m : changed) {
         if (owned.contains(m.name()) && m.takeChanged()) {
-          direct(m);
+          direct(m, true);
         }
       }
     }
@@ -367,7 +367,7 @@
       if (!ours) {
         // Nothing durable stands for it: it is over, or was never to be.
         if (e.phase() != Report.Phase.EXITED) {
-          if (whole) {
+          if (whole || tables.foretold(e.job())) {
             out.add(new Order.Halt(e.job(), e.index(), e.attempt(), 0));
           }
         } else if (own && m.synced() && !loose(direct, e.task(), e.attempt())) {
@@ -471,7 +471,7 @@
    */
   private boolean waitsOn(Machine m, Job job, TaskState s, Report.Entry e) {
     if (!Report.ALONE.equals(e.why())
-        || job.withdrawn()
+        || job.calledOff()
         || s.stop() != TaskState.Stop.NONE
         || job.live() < job.size()
         || scribe.exiting(job, e.index(), e.attempt())) {
@@ -528,8 +528,65 @@
 
   // ---- commands sent straight to a worker ----
 
-  /** Sends what is wanted at once, instead of with the answer to the next report. */
-  private void direct(Machine m) {
+  /**
+   * Stops a job whose withdrawal a peer has told of. Without the state service too: what is there
+   * of it is over for good, whoever holds authority.
+   */
+  public void stop(Job job) {
+    Membership.Standing standing = membership.standing();
+    if (standing == Membership.Standing.OUTSIDE) {
+      return;
+    }
+    Set<Machine> on = new HashSet<>();
+    for (int i = 0; i < job.size(); i++) {
+      if (job.task(i).live() && owned.contains(job.task(i).machine().name())) {
+        on.add(job.task(i).machine());
+      }
+    }
+    on.forEach(m -> direct(m, standing == Membership.Standing.MEMBER));
+  }
+
+  /**
+   * Whether a worker takes orders from this node alone, and nothing of a job that this node knows
+   * to be withdrawn can begin there any more. It has shown this view's epoch, so it drops what any
+   * earlier owner says; no run of the job is under way to it, and what it has of the job is past
+   * its fetch. Once so, it stays so: a later view's owner has read of the withdrawal.
+   */
+  public boolean obeys(Machine m, String job) {
+    View v = tables.view();
+    Report r = m.report();
+    if (v == null || !node.equals(m.owner(v)) || v.epoch() != viewEpoch) {
+      return false;
+    }
+    if (r == null || !m.synced() || !m.proved()) {
+      return false;
+    }
+    String prefix = job + "/";
+    Direct d = directs.get(m);
+    if (d != null && d.loose.keySet().stream().anyMatch(t -> t.task.startsWith(prefix))) {
+      return false;
+    }
+    Map<String, Sent> sent = runs.getOrDefault(m, Map.of());
+    for (Map.Entry<String, Sent> s : sent.entrySet()) {
+      if (!s.getValue().seen && s.getKey().startsWith(prefix)) {
+        return false;
+      }
+    }
+    for (Report.Entry e : r.tasks()) {
+      boolean again = e.phase() == Report.Phase.EXITED && waits(m, e) > 0;
+      if (e.job().equals(job) && (e.phase() == Report.Phase.FETCHING || again)) {
+        return false;
+      }
+    }
+    return true;
+  }
+
+  /**
+   * Sends what is wanted at once, instead of with the answer to the next report.
+   *
+   * @param whole as for {@link #orders}
+   */
+  private void direct(Machine m, boolean whole) {
     Report r = m.report();
     Direct d = directs.computeIfAbsent(m, k -> new Direct());
     View v = tables.view();
@@ -538,7 +595,7 @@
     }
     List<Object> wire = new ArrayList<>();
     List<Try> tries = new ArrayList<>();
-    for (Order o : orders(m, r, true, false)) {
+    for (Order o : orders(m, r, whole, false)) {
       Try t = new Try(o.job() + "/" + o.index(), o.attempt());
       if (wire.size() >= MAX_ORDERS || o instanceof Order.Halt && !firstHalt(d, t)) {
         continue;
@@ -605,7 +662,7 @@
       m.heard(r, v.epoch(), timers.nowMs());
       m.synced(r.epoch() == v.epoch());
       if (membership.standing() == Membership.Standing.MEMBER) {
-        direct(m);
+        direct(m, true);
       }
     } catch (BadMessage e) {
       LOG.warn("{}: malformed answer to orders: {}", m.name(), e.getMessage());
@@ -617,7 +674,7 @@
   }
 
   private static void halt(Job job, TaskState s, Report.Entry e, List<Order> out) {
-    if (job.withdrawn() || s.stop() == TaskState.Stop.KILL) {
+    if (job.calledOff() || s.stop() == TaskState.Stop.KILL) {
       out.add(new Order.Halt(job.id(), e.index(), e.attempt(), 0));
     } else if (s.stop() == TaskState.Stop.SAVE && e.phase() != Report.Phase.SAVING) {
       out.add(new Order.Halt(job.id(), e.index(), e.attempt(), job.spec().saveS() + 1));
--- a/src/main/java/wickdrift/daemon/Controller.java
+++ b/src/main/java/wickdrift/daemon/Controller.java
@@ -1,7 +1,9 @@
 package wickdrift.daemon;
 
 import java.nio.ByteBuffer;
+import java.util.HashSet;
 import java.util.Map;
+import java.util.Set;
 import java.util.function.Consumer;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -13,6 +15,7 @@
 import wickdrift.bookkeeping.level.Range;
 import wickdrift.coordination.Admission;
 import wickdrift.coordination.Board;
+import wickdrift.coordination.Confirmations;
 import wickdrift.coordination.Fleet;
 import wickdrift.coordination.Membership;
 import wickdrift.coordination.Pulse;
@@ -38,6 +41,7 @@
   private static final int BARRED_RETRY_S = 5;
 
   private static final long LEAVE_STEP_MS = 20;
+  private static final int CAUSES_TOLD = 100;
 
   private final Pulse pulse;
   private final Ledger ledger;
@@ -48,10 +52,13 @@
   private final Scribe scribe;
   private final Relay relay;
   private final Reporting reporting;
+  private final Confirmations confirmations;
   private final Admission admission;
   private final Fleet fleet;
   private final Metrics metrics;
   private long unknownFrames;
+  private long malformedFrames;
+  private final Set<String> malformedTold = new HashSet<>();
 
   public Controller(
       Settings settings,
@@ -119,8 +126,10 @@
             (long) (settings.workers().leaseS() * 1000),
             settings.node());
     finals = new Finals(timers, ledger, tables);
+    confirmations = new Confirmations(timers, ledger, tables, reporting, settings.node(), peers);
     admission =
-        new Admission(timers, ledger, tables, finals, board, types, settings, tuning, pulse);
+        new Admission(
+            timers, ledger, tables, finals, board, types, settings, tuning, pulse, confirmations);
     admission.leaving(membership::leaving);
     fleet =
         new Fleet(
@@ -166,6 +175,9 @@
     metrics.watch("state.barred", () -> tables.barred() == null ? 0 : 1);
     metrics.watch("state.old.forms", () -> tables.oldForms().size());
     metrics.watch("peers.unknown", () -> unknownFrames);
+    metrics.watch("peers.malformed", () -> malformedFrames);
+    metrics.watch("withdrawals.kept", confirmations::kept);
+    metrics.watch("withdrawals.unkept", confirmations::unkept);
   }
 
   /** For looking in from outside: what this node holds for durable. */
@@ -225,7 +237,10 @@
     try {
       frame = PeerFrame.decode(bytes);
     } catch (BadMessage e) {
-      LOG.warn("from a peer: {}", e.getMessage());
+      malformedFrames++;
+      if (malformedTold.size() < CAUSES_TOLD && malformedTold.add(e.getMessage())) {
+        LOG.warn("from a peer: {}", e.getMessage());
+      }
       return;
     }
     if (frame instanceof PeerFrame.Standing s) {
@@ -234,6 +249,10 @@
       reporting.relayed(relay.received(r));
     } else if (frame instanceof PeerFrame.Answered a) {
       relay.answered(a);
+    } else if (frame instanceof PeerFrame.Withdrawn w) {
+      confirmations.asked(w);
+    } else if (frame instanceof PeerFrame.Obeyed o) {
+      confirmations.answered(o);
     } else {
       unknownFrames++;
     }
--- a/src/test/java/wickdrift/protocol/PeerFrameTest.java
+++ b/src/test/java/wickdrift/protocol/PeerFrameTest.java
@@ -7,6 +7,7 @@
 import java.nio.ByteBuffer;
 import java.util.Arrays;
 import java.util.HexFormat;
+import java.util.List;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
@@ -48,15 +49,48 @@
     assertEquals(from + " 421", a.from() + " " + a.status());
   }
 
+  @ParameterizedTest
+  @ValueSource(ints = {0, 127, 128, 65_535})
+  void aWithdrawalAndWhoObeysAreCarried(int from) throws BadMessage {
+    PeerFrame.Withdrawn w =
+        new PeerFrame.Withdrawn(from, 7, 41, 900, "req-000001", List.of("i-000001", "i-\u00e9"));
+    assertEquals(w, PeerFrame.decode(w.encode()));
+    PeerFrame.Obeyed o =
+        (PeerFrame.Obeyed) PeerFrame.decode(new PeerFrame.Obeyed(from, 7, new byte[] {5}).encode());
+    assertEquals(from + " 7 [5]", o.from() + " " + o.id() + " " + Arrays.toString(o.places()));
+  }
+
+  /** However early it ends, it is malformed, and nothing is read past its end. */
+  @Test
+  void aWithdrawalThatEndsEarlyIsMalformed() {
+    ByteBuffer whole =
+        new PeerFrame.Withdrawn(1, 7, 41, 900, "req-000001", List.of("i-000001")).encode();
+    for (int n = 0; n < whole.limit(); n++) {
+      ByteBuffer cut = ByteBuffer.wrap(Arrays.copyOf(whole.array(), n));
+      assertThrows(BadMessage.class, () -> PeerFrame.decode(cut), n + " bytes");
+    }
+  }
+
   /** Of another layout or kind: not understood, and no reason to stop. */
   @ParameterizedTest
-  @ValueSource(strings = {"040102", "030902", "03FF02", "030002", "031402000000", "030402"})
+  @ValueSource(strings = {"040102", "030902", "03FF02", "030002", "031602000000", "030602"})
   void whatIsNotKnownIsNoError(String bytes) throws BadMessage {
     assertInstanceOf(PeerFrame.Unknown.class, PeerFrame.decode(hex(bytes)));
   }
 
   @ParameterizedTest
-  @CsvSource({"''", "03", "0301", "030102", "0301020100", "031101", "0302020000"})
+  @CsvSource({
+    "''",
+    "03",
+    "0301",
+    "030102",
+    "0301020100",
+    "031101",
+    "0302020000",
+    "030402",
+    "0305020000",
+    "031402000000"
+  })
   void aFrameThatEndsEarlyIsMalformed(String bytes) {
     assertThrows(BadMessage.class, () -> PeerFrame.decode(hex(bytes)));
   }
--- /dev/null
+++ b/src/test/java/wickdrift/sim/CancellationTest.java
@@ -0,0 +1,234 @@
+package wickdrift.sim;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Map;
+import java.util.stream.Stream;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.Arguments;
+import org.junit.jupiter.params.provider.MethodSource;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/**
+ * A cancellation that was confirmed is kept, whatever fails next. In every case the state service
+ * refuses somebody alone, and a moment later it is away for all, for longer than a cancelled task
+ * may stay; workers go on reporting to whom they reported before.
+ */
+class CancellationTest {
+  private static final int JOBS = 24;
+  private static final long REFUSED_AT_MS = 24_000;
+
+  /** Whom the state service refuses alone. */
+  enum Refused {
+    LEADER,
+    OTHER,
+    /** The one whom users ask. */
+    CONFIRMER
+  }
+
+  /** What happens a moment before the state service is away for all. */
+  enum Beside {
+    NOTHING,
+    CONFIRMER_BACK_AT_ONCE,
+    REFUSED_BACK_AT_ONCE,
+    REFUSED_ENDS,
+    REFUSED_LOSES_PEERS,
+    REFUSED_STANDS_STILL,
+    LEADERS_CHANGE,
+    DEAF,
+    MUTE,
+    HANGS
+  }
+
+  /** When users call jobs off. */
+  enum When {
+    BEFORE,
+    IN_THE_REFUSAL,
+    AT_THE_END_OF_JOBS
+  }
+
+  static Stream<Arguments> cases() {
+    return Arrays.stream(Refused.values())
+        .flatMap(
+            r ->
+                Arrays.stream(Beside.values())
+                    .flatMap(
+                        b -> Arrays.stream(When.values()).map(when -> Arguments.of(r, b, when))));
+  }
+
+  private static String id(int i) {
+    return String.format("req-%06d", i);
+  }
+
+  /** Of several images, so that the tasks come to machines of all parts. */
+  private static Map<String, Object> job(int i, String shape, int tasks, double seconds) {
+    Map<String, Object> job = SimWorld.job(i, shape, tasks, 1, seconds);
+    job.put("bundle", "img-" + i);
+    return job;
+  }
+
+  /** How many tasks a node's machines have, as it knows it. */
+  private static int tasks(SimWorld w, String node) {
+    return w.tables(node).machines().stream()
+        .filter(m -> node.equals(m.owner(w.tables(node).view())))
+        .mapToInt(m -> m.live().size())
+        .sum();
+  }
+
+  /** Jobs run, some on machines of every controller: of these seeds the first of which it holds. */
+  private static SimWorld running(long seed, double seconds) {
+    for (long s = seed; s < seed + 100_000; s += 1000) {
+      SimWorld w = new SimWorld(s, 14, 22, "aab", 60);
+      w.run(8000);
+      for (int i = 0; i < JOBS; i++) {
+        w.submit(job(i, i % 3 == 0 ? "ensemble" : "batch", 1 + i % 3, seconds), 0);
+      }
+      w.run(REFUSED_AT_MS - 8000);
+      if (w.starts() > JOBS && w.nodes.stream().allMatch(n -> tasks(w, n) > 0)) {
+        return w;
+      }
+    }
+    throw new AssertionError("nothing runs at some controller, whatever the seed");
+  }
+
+  private static String other(SimWorld w, String than, String and) {
+    return w.nodes.stream().filter(n -> !n.equals(than) && !n.equals(and)).findFirst().get();
+  }
+
+  private static void beside(SimWorld w, Beside b, String refused, String confirmer) {
+    switch (b) {
+      case NOTHING -> {}
+      case CONFIRMER_BACK_AT_ONCE -> w.crash(confirmer, 300);
+      case REFUSED_BACK_AT_ONCE -> w.crash(refused, 300);
+      case REFUSED_ENDS -> w.crash(refused, 100_000);
+      case REFUSED_LOSES_PEERS -> {
+        w.cutFromPeers(refused, true);
+        w.clock.after(50_000, () -> w.cutFromPeers(refused, false));
+      }
+      case REFUSED_STANDS_STILL -> w.freeze(refused, 30_000, true);
+      case LEADERS_CHANGE -> {
+        for (int i = 0; i < 10; i++) {
+          String n = w.nodes.get(i % w.nodes.size());
+          w.clock.after(6000L * i, () -> w.crash(n, 300));
+        }
+      }
+      case DEAF -> {
+        w.workers().stream().limit(3).forEach(m -> w.net.deaf.add(m.address));
+        w.clock.after(50_000, w.net.deaf::clear);
+      }
+      case MUTE -> {
+        w.workers().stream().limit(3).forEach(m -> w.net.mute.add(m.address));
+        w.clock.after(50_000, w.net.mute::clear);
+      }
+      case HANGS -> {
+        for (int i = 0; i < 4; i++) {
+          w.hangMachine(i, 9000 + 4000L * i);
+        }
+      }
+      default -> throw new AssertionError(b);
+    }
+  }
+
+  /**
+   * Half the jobs are called off. The other half are done in the end, every one that is called off
+   * is told to be withdrawn, or done, and nothing of it is left.
+   */
+  @ParameterizedTest(name = "{0}, {1}, called off {2}")
+  @MethodSource("cases")
+  void theWordIsKept(Refused r, Beside b, When when) {
+    long seed = 4000 + 100 * r.ordinal() + 10 * b.ordinal() + when.ordinal();
+    SimWorld w = running(seed, when == When.AT_THE_END_OF_JOBS ? 15.5 : 90);
+    String leader = w.tables("n0").view().leader();
+    String refused = r == Refused.OTHER ? other(w, leader, "") : leader;
+    String confirmer = r == Refused.CONFIRMER ? refused : other(w, leader, refused);
+    int told = when == When.BEFORE ? -300 : 700;
+    for (int i = 0; i < JOBS; i += 2) {
+      String id = id(i);
+      w.clock.after(1000 + told + 30L * i, () -> w.withdraw(id, confirmer));
+    }
+    w.clock.after(1000, () -> w.state().refuse(refused, true));
+    w.clock.after(2900, () -> beside(w, b, refused, confirmer));
+    w.clock.after(3000, () -> w.state().outage(true));
+    w.clock.after(12_000, () -> w.state().refuse(refused, false));
+    w.clock.after(48_000, () -> w.state().outage(false));
+    w.run(3000);
+    long known = w.asked.stream().filter(w.rules::toldWithdrawn).count();
+    w.run(57_000);
+    w.rules.calmSinceMs = w.clock.nowMs() + 45_000;
+    w.run(240_000);
+    List<String> finite = new ArrayList<>();
+    for (int i = 0; i < JOBS; i++) {
+      if (i % 2 > 0) {
+        finite.add(id(i));
+        continue;
+      }
+      String last = w.lastTold(id(i));
+      assertTrue("withdrawn".equals(last) || "done".equals(last), id(i) + " is " + last);
+      for (int k = 0; k < 3; k++) {
+        assertTrue(!w.isOn(id(i) + "/" + k), "left: " + id(i) + "/" + k);
+      }
+    }
+    ClusterTest.check(w, finite);
+    if (when == When.IN_THE_REFUSAL && r != Refused.CONFIRMER) {
+      // Else the meeting did not take place: the word was given, and then had to be kept.
+      assertTrue(known >= JOBS / 4, "only " + known + " were told before the state service went");
+    }
+  }
+
+  /** Where nothing fails the word comes within a second, whoever owns the machines. */
+  @ParameterizedTest
+  @ValueSource(longs = {1, 2, 3})
+  void theWordComesAtOnceWhereNothingFails(long seed) {
+    SimWorld w = new SimWorld(4900 + seed, 12, 20, "aab", 60);
+    w.run(8000);
+    for (int i = 0; i < JOBS; i++) {
+      w.submit(job(i, i % 4 == 0 ? "daemon" : "batch", 1 + i % 3, 60), 14_000 + 10 * i);
+    }
+    w.run(60_000);
+    for (int i = 0; i < JOBS; i++) {
+      assertEquals("withdrawn", w.lastTold(id(i)));
+    }
+    assertTrue(w.slowestWordMs < 1000, "the word took " + w.slowestWordMs + " ms");
+    ClusterTest.check(w, List.of());
+  }
+
+  /**
+   * An owner that neither the state service nor its peers reach goes on answering its workers:
+   * nobody may say that what runs there is withdrawn until it surely can't any more.
+   */
+  @Test
+  void noWordWhileAnOwnerCanNotKnow() {
+    SimWorld w = running(4950, 200);
+    String leader = w.tables("n0").view().leader();
+    w.state().refuse(leader, true);
+    w.cutFromPeers(leader, true);
+    String confirmer = other(w, leader, "");
+    for (int i = 0; i < JOBS; i++) {
+      w.withdraw(id(i), confirmer);
+    }
+    w.run(900);
+    w.state().outage(true);
+    w.run(45_000);
+    // The others owned some of it, and the word came for that.
+    List<String> told = w.asked.stream().filter(w.rules::toldWithdrawn).toList();
+    for (String id : told) {
+      for (int k = 0; k < 2; k++) {
+        assertTrue(!w.isOn(id + "/" + k), "told, and still there: " + id);
+      }
+    }
+    assertTrue(told.size() < JOBS, "the leader owned nothing of this");
+    w.state().outage(false);
+    w.state().refuse(leader, false);
+    w.cutFromPeers(leader, false);
+    w.run(200_000);
+    for (int i = 0; i < JOBS; i++) {
+      assertEquals("withdrawn", w.lastTold(id(i)));
+    }
+    ClusterTest.check(w, List.of());
+  }
+}
--- a/src/test/java/wickdrift/sim/SimNet.java
+++ b/src/test/java/wickdrift/sim/SimNet.java
@@ -27,6 +27,9 @@
   /** Hosts that nothing reaches, though what they send arrives. */
   final Set<String> deaf = new HashSet<>();
 
+  /** Hosts whose own requests reach nobody, though what is sent to them arrives and is answered. */
+  final Set<String> mute = new HashSet<>();
+
   /**
    * A share of the requests to a path comes again, so much later at most, to one of these hosts.
    */
@@ -124,6 +127,9 @@
             }
           };
       clock.after(timeoutMs, () -> once.accept(Caller.Answer.NONE));
+      if (mute.contains(from)) {
+        return;
+      }
       copy(from, method, path, body);
       send(
           from,
--- a/src/test/java/wickdrift/sim/SimRules.java
+++ b/src/test/java/wickdrift/sim/SimRules.java
@@ -43,8 +43,8 @@
       broke("ran_twice " + t.id + " on " + t.machine() + " and " + other.machine());
     }
     Long off = withdrawnAt.get(job(t.id));
-    if (off != null && world.clock.nowMs() - off > world.cancelMs) {
-      broke("ran_cancelled: started " + t.id);
+    if (off != null) {
+      broke("ran_cancelled: started " + t.id + " after the word");
     }
     for (String a : world.specs.get(job(t.id)).awaits()) {
       if (!allDone(a)) {
@@ -71,6 +71,10 @@
   }
 
   void left(SimWorker.Task t) {
+    Long off = withdrawnAt.get(job(t.id));
+    if (off != null && world.clock.nowMs() - off > world.cancelMs) {
+      broke("ran_cancelled " + t.id + " until now");
+    }
     on.remove(t.id, t);
   }
 
@@ -114,6 +118,10 @@
         broke("orphaned " + job + " by " + u);
       }
     }
+    if (phase.equals("withdrawn")) {
+      // The word of a poll counts as that of the withdrawal's own answer.
+      withdrawn(job);
+    }
     if (phase.equals("withdrawn") && !asked) {
       broke("went_back " + job + ": withdrawn, but no one asked");
     }
--- a/src/test/java/wickdrift/sim/SimWorld.java
+++ b/src/test/java/wickdrift/sim/SimWorld.java
@@ -843,6 +843,11 @@
 
   public final Set<String> accepted = new HashSet<>();
 
+  private final Map<String, Long> firstAsked = new HashMap<>();
+
+  /** The longest that a user waited for the word that a job is withdrawn. */
+  long slowestWordMs;
+
   /** One poll by itself. */
   public void poll(String node, String id, long timeoutMs, Consumer<Answer> done) {
     net.caller("user", () -> true).call(node, "GET", "/api/jobs/" + id, null, timeoutMs, done);
@@ -876,11 +881,17 @@
   }
 
   private void withdraw(String id) {
+    withdraw(id, anyNode());
+  }
+
+  /** A user calls a job off, at this node first, until one answers. */
+  void withdraw(String id, String node) {
     asked.add(id);
     long asked = clock.nowMs();
+    firstAsked.putIfAbsent(id, asked);
     net.caller("user", () -> true)
         .call(
-            anyNode(),
+            node,
             "POST",
             "/api/jobs/" + id + "/withdraw",
             null,
@@ -890,6 +901,7 @@
                 String p = phase(a);
                 if (p.equals("withdrawn")) {
                   rules.withdrawn(id);
+                  slowestWordMs = Math.max(slowestWordMs, clock.nowMs() - firstAsked.get(id));
                 }
                 rules.told(id, p, asked);
               } else if (a.status() == 404) {
