--- a/src/main/java/wickdrift/lab/Day.java
+++ b/src/main/java/wickdrift/lab/Day.java
@@ -11,17 +11,26 @@
  *
  * <ul>
  *   <li>{@code at}: when, as a share of the day, in place of {@code at_s}
+ *   <li>{@code plus_s}: so many seconds after that
+ *   <li>{@code for_leases}, {@code for_cancels}: for so many times the workers' lease, or the time
+ *       that a cancellation has, in place of {@code for_s}
  *   <li>{@code times}, {@code every_s}: it comes so often, so many seconds apart
  *   <li>{@code class = "@service"}, {@code "@array"}, {@code "@gang"}: the site's first class of
  *       that kind
- *   <li>{@code share}: of all machines that can be had (for a {@code machine_} kind), or of the
+ *   <li>{@code share}: of all machines that can be had (for most {@code machine_} kinds), or of the
  *       controllers (for a {@code node_} kind), in place of {@code count}
  *   <li>{@code zone = "@1"}: the second zone of the site's capacity, say
  * </ul>
+ *
+ * A day's {@code jobs} change classes of the site, of which {@code name} may be {@code "@array"} as
+ * well.
  */
 final class Day {
   private static final Set<String> FIELDS =
-      Set.of("name", "slot", "light", "seed", "vary", "faults");
+      Set.of("name", "slot", "light", "seed", "vary", "jobs", "faults");
+
+  /** Of these the bench takes a share itself. */
+  private static final Set<String> OF_WHAT_IS_THERE = Set.of("machine_deaf", "machine_mute");
 
   private final Config spec;
   private final String name;
@@ -56,7 +65,11 @@
           f.contains("at")
               ? Toml.number(f, "at", 0, at) * Toml.number(site, "duration_s", 0, "site")
               : Toml.number(f, "at_s", 0, at);
+      first += Toml.number(f, "plus_s", 0, at);
+      fault.remove("plus_s");
       place(fault, site, at);
+      last(fault, "for_leases", "workers.lease_s", site, at);
+      last(fault, "for_cancels", "workers.cancel_s", site, at);
       long times = (long) Toml.number(f, "times", 1, at);
       double every = Toml.number(f, "every_s", 0, at);
       fault.remove("at");
@@ -72,13 +85,39 @@
     }
     faults.sort((a, b) -> Double.compare(a.<Double>get("at_s"), b.<Double>get("at_s")));
     day.set("faults", faults);
+    List<Config> jobs = new ArrayList<>();
+    for (Config j : Toml.tables(spec, "jobs")) {
+      Config job = Toml.copy(j);
+      String of = "day " + name + ", jobs";
+      job.set("name", className(Toml.text(j, "name", of), site, of));
+      jobs.add(job);
+    }
+    if (!jobs.isEmpty()) {
+      day.set("jobs", jobs);
+    }
     return day;
   }
 
+  /** How long a fault lasts, as a multiple of one of the site's own times. */
+  private static void last(Config fault, String field, String of, Config site, String at)
+      throws BadInput {
+    if (fault.contains(field)) {
+      double times = Toml.number(fault, field, 0, at);
+      fault.set("for_s", Math.round(times * Toml.number(site, of, 0, "site") * 10) / 10.0);
+      fault.remove(field);
+    }
+  }
+
+  private static String className(String name, Config site, String at) throws BadInput {
+    return name.startsWith("@")
+        ? named(site, "jobs", "kind", name.substring(1), at).<String>get("name")
+        : named(site, "jobs", "name", name, at).<String>get("name");
+  }
+
   private static void place(Config fault, Config site, String at) throws BadInput {
     String kind = Toml.text(fault, "kind", at);
     if (fault.get("class") instanceof String c && c.startsWith("@")) {
-      fault.set("class", named(site, "jobs", "kind", c.substring(1), at).<String>get("name"));
+      fault.set("class", className(c, site, at));
     }
     if (fault.get("zone") instanceof String z && z.startsWith("@")) {
       List<Config> zones = Toml.tables(site, "capacity");
@@ -88,7 +127,9 @@
       fault.set("zone", zones.get(Integer.parseInt(z.substring(1))).<String>get("zone"));
     }
     boolean ofControllers = kind.startsWith("node_");
-    if (fault.contains("share") && (ofControllers || kind.startsWith("machine_"))) {
+    boolean counted =
+        ofControllers || kind.startsWith("machine_") && !OF_WHAT_IS_THERE.contains(kind);
+    if (fault.contains("share") && counted) {
       double all = 0;
       if (ofControllers) {
         all = Toml.number(site, "nodes.count", 0, "site");
--- a/src/test/java/wickdrift/lab/VariantTest.java
+++ b/src/test/java/wickdrift/lab/VariantTest.java
@@ -19,6 +19,9 @@
       """
       name = "s"
       duration_s = 200.0
+      [workers]
+      lease_s = 20.0
+      cancel_s = 30.0
       [nodes]
       count = 3
       restart_delay_s = 5.0
@@ -138,6 +141,12 @@
         Arguments.of("at_s = 7.0, kind = \"zone_cut\", zone = \"@1\"", "zone", "y"),
         Arguments.of("at_s = 7.0, kind = \"machine_die\", share = 0.1", "count", "18"),
         Arguments.of("at_s = 7.0, kind = \"node_crash\", share = 1.0", "count", "3"),
+        Arguments.of("at_s = 7.0, kind = \"machine_mute\", share = 0.3", "share", "0.3"),
+        Arguments.of("at = 0.5, plus_s = 1.5, kind = \"state_outage\"", "at_s", "101.5"),
+        Arguments.of("at = 0.5, plus_s = 1.5, kind = \"state_outage\"", "plus_s", "null"),
+        Arguments.of("at_s = 1.0, kind = \"zone_cut\", for_leases = 1.5", "for_s", "30.0"),
+        Arguments.of("at_s = 1.0, kind = \"zone_cut\", for_cancels = 1.3", "for_s", "39.0"),
+        Arguments.of("at_s = 1.0, kind = \"zone_cut\", for_cancels = 1.3", "for_cancels", "null"),
         // Of other kinds a share is the fault's own.
         Arguments.of("at_s = 7.0, kind = \"spot_taken\", share = 0.3", "share", "0.3"));
   }
@@ -149,6 +158,25 @@
     assertEquals(value, at(day, "faults/0/" + field));
   }
 
+  /** A day changes classes of the site; which it is may be told by its kind. */
+  @ParameterizedTest
+  @ValueSource(strings = {"@gang", "c"})
+  void aDayChangesClasses(String name) throws BadInput {
+    Config day =
+        new Day(parse("name = \"d\"\njobs = [{name = \"" + name + "\", cancelled = 0.8}]"))
+            .on(parse(SITE));
+    assertEquals("c 0.8", at(day, "jobs/0/name") + " " + at(day, "jobs/0/cancelled"));
+  }
+
+  @Test
+  void aClassThatADayCanNotChangeIsNamed() {
+    BadInput e =
+        assertThrows(
+            BadInput.class,
+            () -> new Day(parse("name = \"d\"\njobs = [{name = \"x\"}]")).on(parse(SITE)));
+    assertEquals("day d, jobs: the site has no jobs of name x", e.getMessage());
+  }
+
   @Test
   void aFaultThatComesAgainIsListedEachTime() throws BadInput {
     Config day =
