--- a/src/test/java/wickdrift/sim/CancellationTest.java
+++ b/src/test/java/wickdrift/sim/CancellationTest.java
@@ -13,6 +13,9 @@
 import org.junit.jupiter.params.provider.Arguments;
 import org.junit.jupiter.params.provider.MethodSource;
 import org.junit.jupiter.params.provider.ValueSource;
+import wickdrift.protocol.BadMessage;
+import wickdrift.protocol.Doc;
+import wickdrift.protocol.PeerFrame;
 
 /**
  * A cancellation that was confirmed is kept, whatever fails next. In every case the state service
@@ -96,6 +99,10 @@
     throw new AssertionError("nothing runs at some controller, whatever the seed");
   }
 
+  private static int number(SimWorld w, String node) {
+    return w.tables(node).roster().number(node);
+  }
+
   private static String other(SimWorld w, String than, String and) {
     return w.nodes.stream().filter(n -> !n.equals(than) && !n.equals(and)).findFirst().get();
   }
@@ -199,10 +206,12 @@
 
   /**
    * An owner that neither the state service nor its peers reach goes on answering its workers:
-   * nobody may say that what runs there is withdrawn until it surely can't any more.
+   * nobody may say that what runs there is withdrawn until it surely can't any more, and nobody's
+   * word but the owner's own proves that it knows.
    */
-  @Test
-  void noWordWhileAnOwnerCanNotKnow() {
+  @ParameterizedTest
+  @ValueSource(booleans = {false, true})
+  void noWordWhileAnOwnerCanNotKnow(boolean forged) {
     SimWorld w = running(4950, 200);
     String leader = w.tables("n0").view().leader();
     w.state().refuse(leader, true);
@@ -211,7 +220,17 @@
     for (int i = 0; i < JOBS; i++) {
       w.withdraw(id(i), confirmer);
     }
-    w.run(900);
+    w.run(300);
+    if (forged) {
+      // Answers that nobody was asked for, by all who might be, and one who is no controller.
+      byte[] all = {-1, -1, -1, -1};
+      for (int from : new int[] {0, 1, 2, 77}) {
+        for (long question = 0; from != number(w, leader) && question < 200; question++) {
+          w.frame(confirmer, new PeerFrame.Obeyed(from, question, all));
+        }
+      }
+    }
+    w.run(600);
     w.state().outage(true);
     w.run(45_000);
     // The others owned some of it, and the word came for that.
@@ -231,4 +250,61 @@
     }
     ClusterTest.check(w, List.of());
   }
+
+  /**
+   * In a rollout some know nothing of the question. They count as those who do not know, and the
+   * word comes once what they own of the job is over, which they learn from the state service.
+   */
+  @ParameterizedTest
+  @ValueSource(ints = {1, 2, 3})
+  void anOldBuildCountsAsOneThatDoesNotKnow(int old) {
+    SimWorld w = running(4960 + old, 200);
+    w.nodes.subList(0, old).forEach(w.oldFrames::add);
+    for (int i = 0; i < JOBS; i++) {
+      w.withdraw(id(i), w.nodes.get(i % 3));
+    }
+    w.run(15_000);
+    for (int i = 0; i < JOBS; i++) {
+      assertTrue(w.rules.toldWithdrawn(id(i)), "no word of " + id(i));
+    }
+    ClusterTest.check(w, List.of());
+  }
+
+  /** Whatever is asked about a job that is withdrawn, or can't be, is answered at once. */
+  @Test
+  void whatCanNotBeWithdrawnIsAnsweredAtOnce() {
+    SimWorld w = new SimWorld(4970, 4, 4, "aab", 60);
+    w.run(8000);
+    w.submit(SimWorld.job(1, "batch", 1, 1, 2), 0);
+    w.submit(SimWorld.job(2, "batch", 1, 1, 200), 0);
+    w.submit(SimWorld.job(3, "batch", 1, 1, 200), 0);
+    w.run(12_000);
+    assertEquals("200 done", withdraw(w, "n0", "req-000001"));
+    assertEquals("200 withdrawn", withdraw(w, "n0", "req-000002"));
+    assertEquals("200 withdrawn", withdraw(w, "n1", "req-000002"));
+    assertEquals("404", withdraw(w, "n2", "req-000009"));
+    assertEquals("404", withdraw(w, "n2", "req-9"));
+    w.state().outage(true);
+    w.run(3000);
+    assertEquals("200 done", withdraw(w, "n0", "req-000001"));
+    assertEquals("503", withdraw(w, "n0", "req-000003"));
+    assertEquals("503", withdraw(w, "n0", "req-000009"));
+    w.crash("n2", 100);
+    w.run(1000);
+    assertEquals("503", withdraw(w, "n2", "req-000003"), "while it loads");
+    w.state().outage(false);
+    w.run(12_000);
+    assertEquals("200 withdrawn", withdraw(w, "n2", "req-000003"));
+    assertEquals(List.of(), w.broken());
+  }
+
+  private static String withdraw(SimWorld w, String node, String id) {
+    w.asked.add(id);
+    var a = w.ask(node, "POST", "/api/jobs/" + id + "/withdraw", new byte[0]);
+    try {
+      return a.status() == 200 ? "200 " + Doc.parse(a.body()).text("phase") : "" + a.status();
+    } catch (BadMessage e) {
+      throw new AssertionError(e);
+    }
+  }
 }
--- a/src/test/java/wickdrift/sim/SimWorld.java
+++ b/src/test/java/wickdrift/sim/SimWorld.java
@@ -30,6 +30,7 @@
 import wickdrift.protocol.Doc;
 import wickdrift.protocol.JobSpec;
 import wickdrift.protocol.Pack;
+import wickdrift.protocol.PeerFrame;
 import wickdrift.transport.Caller;
 import wickdrift.transport.Caller.Answer;
 import wickdrift.transport.Exchange;
@@ -297,6 +298,14 @@
   /** The levels that a node's build speaks, where it is not this one. */
   final Map<String, Range> levels = new HashMap<>();
 
+  /** Nodes whose build does not know the frames about withdrawals, and passes them over. */
+  final Set<String> oldFrames = new HashSet<>();
+
+  /** A frame arrives at a node, whoever sent it. */
+  void frame(String node, PeerFrame f) {
+    net.at("peer:" + node).serve("peer", "", "", bytes(f.encode()), a -> {});
+  }
+
   private String zone(String node) {
     return "" + controllerZones.charAt(number(node) % controllerZones.length());
   }
@@ -423,7 +432,11 @@
             levels.getOrDefault(name, Range.BUILD));
     net.listen(
         "peer:" + name,
-        (from, m, p, body, done) -> n.message(() -> n.controller.peerFrame(ByteBuffer.wrap(body))));
+        (from, m, p, body, done) -> {
+          if (!oldFrames.contains(name) || body[1] <= PeerFrame.ANSWER) {
+            n.message(() -> n.controller.peerFrame(ByteBuffer.wrap(body)));
+          }
+        });
     net.listen(
         name,
         (from, m, p, body, done) ->
