--- a/src/main/java/wickdrift/coordination/Confirmations.java
+++ b/src/main/java/wickdrift/coordination/Confirmations.java
@@ -180,7 +180,7 @@
       }
       live--;
       Machine m = s.machine();
-      if (!seen.add(m) || m.phase() == Machine.Phase.GONE || o.proved.contains(m.name())) {
+      if (!seen.add(m) || o.proved.contains(m.name())) {
         continue;
       }
       String owner = m.owner(v);
--- a/src/main/java/wickdrift/coordination/Reporting.java
+++ b/src/main/java/wickdrift/coordination/Reporting.java
@@ -558,7 +558,7 @@
     if (v == null || !node.equals(m.owner(v)) || v.epoch() != viewEpoch) {
       return false;
     }
-    if (r == null || !m.synced() || !m.proved()) {
+    if (r == null || !m.synced()) {
       return false;
     }
     String prefix = job + "/";
