--- a/src/main/java/wickdrift/coordination/Placing.java
+++ b/src/main/java/wickdrift/coordination/Placing.java
@@ -213,7 +213,7 @@
       job.blocked(rooms.version(), now + BLOCKED_MS);
       if (draft.hasRoom()) {
         givingWay.draft(draft, job, asLeader, quota, now);
-        if (!asLeader && draft.hasRoom() && handOver(job, now)) {
+        if (!asLeader && draft.hasRoom() && handOver(draft, job, now)) {
           draft.handOver(job, Job.LEADER);
         }
       }
@@ -267,11 +267,19 @@
     return asLeader ? c -> true : c -> c.owner.equals(node);
   }
 
-  /** A job waits in a full part while another part has room: the leader, who sees all, takes it. */
-  private boolean handOver(Job job, long now) {
-    return now - job.waitingSinceMs(now) >= tuning.handoverMs()
-        && !rooms.any(job.spec(), scope(node, false))
-        && rooms.any(job.spec(), scope(node, true));
+  /**
+   * A job waits in a part that has no room for it while another has: the leader, who sees all,
+   * takes it. Room in a zone where no more of it may be is none: a part may have lost the machines
+   * of other zones since the job came to it.
+   */
+  private boolean handOver(Draft draft, Job job, long now) {
+    if (now - job.waitingSinceMs(now) < tuning.handoverMs()) {
+      return false;
+    }
+    Map<String, Integer> zones = zones(draft, job);
+    Predicate<Rooms.Cell> allowed = c -> zoneAllows(job.spec(), zones, c.zone);
+    return !rooms.any(job.spec(), scope(node, false).and(allowed))
+        && rooms.any(job.spec(), scope(node, true).and(allowed));
   }
 
   /** How many of the job's live attempts are in each zone, as durable plus drafted. */
--- a/src/test/java/wickdrift/sim/SimRules.java
+++ b/src/test/java/wickdrift/sim/SimRules.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import wickdrift.protocol.JobSpec;
 
 /** The rules of the protocol, checked at every event of the simulated world. */
 final class SimRules {
@@ -24,6 +25,11 @@
   long calmSinceMs = Long.MAX_VALUE;
   private static final long FORGOTTEN_MS = 75_000;
 
+  /** Since when a job could have been given room, troubles over. */
+  private final Map<String, Long> passedOverSince = new HashMap<>();
+
+  private static final long PASSED_OVER_MS = 90_000;
+
   SimRules(SimWorld world) {
     this.world = world;
   }
@@ -180,6 +186,16 @@
         }
       }
     }
+    if (now > calmSinceMs) {
+      for (String job : world.accepted) {
+        if (!couldRunMore(job)) {
+          passedOverSince.remove(job);
+        } else if (now - passedOverSince.computeIfAbsent(job, k -> now) > PASSED_OVER_MS) {
+          broke("passed_over " + job + ": waits beside room for it");
+          passedOverSince.put(job, now);
+        }
+      }
+    }
     withdrawnAt.forEach(
         (job, at) -> {
           if (world.clock.nowMs() - at > world.cancelMs) {
@@ -189,4 +205,40 @@
           }
         });
   }
+
+  /** Whether a job has a task that waits though machines have room and its team may have it. */
+  private boolean couldRunMore(String job) {
+    JobSpec spec = world.specs.get(job);
+    if (upstream(job).stream().anyMatch(u -> world.asked.contains(u))
+        || !spec.awaits().stream().allMatch(this::allDone)) {
+      return false;
+    }
+    int missing = 0;
+    Map<String, Integer> inZone = new HashMap<>();
+    for (int i = 0; i < spec.tasks(); i++) {
+      SimWorker.Task t = on.get(job + "/" + i);
+      missing += t == null && !doneTasks.contains(job + "/" + i) ? 1 : 0;
+      if (t != null) {
+        inZone.merge(t.zone(), 1, Integer::sum);
+      }
+    }
+    boolean together = spec.shape() == JobSpec.Shape.GANG;
+    if (missing == 0 || together && missing < spec.tasks()) {
+      return false;
+    }
+    int wanted = together ? missing : 1;
+    double held = 0;
+    Map<String, Integer> room = new HashMap<>();
+    for (SimWorker m : world.workers()) {
+      held += m.gpusOf(spec.team());
+      boolean full = spec.spread() && inZone.getOrDefault(m.zone, 0) >= spec.zoneLimit();
+      boolean elsewhere = spec.oneZone() && !inZone.isEmpty() && !inZone.containsKey(m.zone);
+      room.merge(m.zone, full || elsewhere ? 0 : m.room(spec), Integer::sum);
+    }
+    int most =
+        spec.oneZone()
+            ? room.values().stream().mapToInt(n -> n).max().orElse(0)
+            : room.values().stream().mapToInt(n -> n).sum();
+    return most >= wanted && held + wanted * spec.gpus() <= world.gpusMax;
+  }
 }
--- a/src/test/java/wickdrift/sim/SimWorker.java
+++ b/src/test/java/wickdrift/sim/SimWorker.java
@@ -138,6 +138,37 @@
     return tasks.isEmpty();
   }
 
+  /** How many more tasks like these fit here; none where nothing works. */
+  int room(JobSpec of) {
+    if (dead || hung || sick || spot && !of.spot()) {
+      return 0;
+    }
+    if (of.zone() != null && !of.zone().equals(zone)) {
+      return 0;
+    }
+    double gpus = SimWorld.GPUS;
+    double cpus = SimWorld.CPUS;
+    double memory = SimWorld.MEMORY_GB;
+    for (Task t : tasks.values()) {
+      if (!t.phase.equals("ended")) {
+        gpus -= t.spec.gpus();
+        cpus -= t.spec.cpus();
+        memory -= t.spec.memoryGb();
+      }
+    }
+    double n = Math.min(cpus / of.cpus(), memory / of.memoryGb());
+    return (int) Math.floor((of.gpus() > 0 ? Math.min(n, gpus / of.gpus()) : n) + 1e-6);
+  }
+
+  /** What its tasks hold of a team's GPUs, fetching ones too. */
+  double gpusOf(String team) {
+    double sum = 0;
+    for (Task t : tasks.values()) {
+      sum += !t.phase.equals("ended") && t.spec.team().equals(team) ? t.spec.gpus() : 0;
+    }
+    return sum;
+  }
+
   private void off(Task t) {
     t.removed = true;
     leave(t);
--- a/src/test/java/wickdrift/sim/SimWorld.java
+++ b/src/test/java/wickdrift/sim/SimWorld.java
@@ -39,6 +39,8 @@
 /** Three controllers with stand-ins for all they deal with, on a simulated clock. */
 public final class SimWorld {
   static final double GPUS = 4;
+  static final double CPUS = 32;
+  static final double MEMORY_GB = 128;
   static final String STATE = "10.2.0.1:1";
   static final String CLOUD = "10.2.0.2:1";
   private static final List<String> ZONES = List.of("a", "b");
@@ -691,11 +693,11 @@
                             "sku",
                             "g4",
                             "cores",
-                            32.0,
+                            CPUS,
                             "gpus",
                             GPUS,
                             "memoryGb",
-                            128.0,
+                            MEMORY_GB,
                             "rate",
                             10.0,
                             "lowPrice",
--- a/src/test/java/wickdrift/sim/UnlistedTest.java
+++ b/src/test/java/wickdrift/sim/UnlistedTest.java
@@ -302,6 +302,41 @@
     assertEquals("done", w.lastTold("req-000001"));
   }
 
+  /**
+   * A job that must be in two zones came to a part while the other zone had no controller, and the
+   * part had machines of both. The controller is back, and has those of its zone; what the job
+   * loses there is placed there again.
+   */
+  @Test
+  void aPartThatLostAZoneHandsOnWhatMustBeThere() {
+    SimWorld w = new SimWorld(994, 12, 12, "aab", 60);
+    w.run(8000);
+    w.crash("n2", 30_000);
+    w.run(10_000);
+    for (int i = 0; i < 4; i++) {
+      w.submit(SimWorld.job(i, "daemon", 2, 1, 0), 0);
+    }
+    w.run(10_000);
+    assertEquals(8, w.starts());
+    for (int i = 0; i < 4; i++) {
+      assertTrue(!w.tables("n0").job(String.format("req-%06d", i)).part().equals("*"));
+    }
+    w.run(25_000);
+    assertEquals(3, w.tables("n0").view().members().size());
+    for (SimWorker m : w.workers()) {
+      if (m.zone.equals("b") && !m.empty()) {
+        m.die();
+      }
+    }
+    w.run(45_000);
+    for (int i = 0; i < 4; i++) {
+      for (int k = 0; k < 2; k++) {
+        assertTrue(w.isOn(String.format("req-%06d/%d", i, k)), "job " + i + " lacks task " + k);
+      }
+    }
+    assertEquals(List.of(), w.broken());
+  }
+
   /** A machine that is back at once is found out in seconds, long before its silence would be. */
   @Test
   void aMachineThatIsBackAtOnceWorksOn() {
