--- a/src/main/java/wickdrift/coordination/Admission.java
+++ b/src/main/java/wickdrift/coordination/Admission.java
@@ -128,7 +128,7 @@
   public void submit(Exchange x) {
     JobSpec spec;
     try {
-      spec = JobSpec.parse(Doc.parse(x.body()));
+      spec = JobSpec.submitted(Doc.parse(x.body()));
     } catch (BadMessage e) {
       x.reply(400, Map.of("error", e.getMessage()));
       return;
@@ -306,6 +306,9 @@
       return "a task fits no allowed machine type";
     }
     int n = s.shape() == JobSpec.Shape.ARRAY ? 1 : s.tasks();
+    if (n > s.zoneLimit() && (s.oneZone() || s.zone() != null || zonesOf(s) < 2)) {
+      return "its tasks must be in several zones, and may be in one only";
+    }
     if (team.cpusMax() > 0 && n * s.cpus() > team.cpusMax() + Room.EPS
         || team.gpusMax() > 0 && n * s.gpus() > team.gpusMax() + Room.EPS) {
       return "more than the team's limit";
@@ -313,6 +316,14 @@
     return null;
   }
 
+  private long zonesOf(JobSpec s) {
+    return types.all().stream()
+        .filter(t -> t.canHold(s))
+        .flatMap(t -> t.zones().stream())
+        .distinct()
+        .count();
+  }
+
   private void pump() {
     if (busy || queue.isEmpty()) {
       return;
--- a/src/main/java/wickdrift/protocol/JobSpec.java
+++ b/src/main/java/wickdrift/protocol/JobSpec.java
@@ -79,6 +79,32 @@
     return ID.matcher(id).matches();
   }
 
+  /** What a submission must have; the others may be null, and so may be left out. */
+  private static final List<String> REQUIRED =
+      List.of(
+          "gpus",
+          "pullGb",
+          "oneZone",
+          "apart",
+          "reclaimable",
+          "expectS",
+          "checkpointEveryS",
+          "flushS");
+
+  /**
+   * What a user has sent. Stored descriptions are read by {@link #parse}, which goes without what
+   * an older build may not have had.
+   */
+  public static JobSpec submitted(Doc d) throws BadMessage {
+    JobSpec s = parse(d);
+    for (String field : REQUIRED) {
+      if (d.raw(field) == null) {
+        throw new BadMessage(field + " is missing");
+      }
+    }
+    return s;
+  }
+
   public static JobSpec parse(Doc d) throws BadMessage {
     String id = d.text("ref");
     if (!validId(id)) {
--- a/src/test/java/wickdrift/protocol/MessagesTest.java
+++ b/src/test/java/wickdrift/protocol/MessagesTest.java
@@ -55,7 +55,23 @@
     List<Arguments> out = new ArrayList<>();
     for (String missing :
         List.of(
-            "ref", "jobclass", "owner", "shape", "rank", "shards", "cores", "memoryGb", "bundle")) {
+            "ref",
+            "jobclass",
+            "owner",
+            "shape",
+            "rank",
+            "shards",
+            "cores",
+            "gpus",
+            "memoryGb",
+            "bundle",
+            "pullGb",
+            "oneZone",
+            "apart",
+            "reclaimable",
+            "expectS",
+            "checkpointEveryS",
+            "flushS")) {
       out.add(Arguments.of(missing, null));
     }
     Object[][] wrong = {
@@ -89,8 +105,24 @@
     Map<String, Object> m = SimWorld.job(1, "batch", 2, 1, 10);
     m.put(field, value);
     byte[] body = Pack.encode(m);
-    BadMessage e = assertThrows(BadMessage.class, () -> JobSpec.parse(Doc.parse(body)));
+    BadMessage e = assertThrows(BadMessage.class, () -> JobSpec.submitted(Doc.parse(body)));
     assertTrue(e.getMessage().contains(field), e.getMessage());
+    m.remove(field);
+    if (value == null) {
+      byte[] without = Pack.encode(m);
+      assertThrows(BadMessage.class, () -> JobSpec.submitted(Doc.parse(without)));
+    }
+  }
+
+  /** What may be null may be left out, and what nobody knows is ignored. */
+  @ParameterizedTest
+  @ValueSource(strings = {"flavours", "region", "dueS", "awaits", "unknown"})
+  void whatMayBeNullMayBeLeftOut(String field) throws BadMessage {
+    Map<String, Object> m = SimWorld.job(1, "batch", 2, 1, 10);
+    m.remove(field);
+    JobSpec without = JobSpec.submitted(Doc.parse(Pack.encode(m)));
+    m.put(field, null);
+    assertEquals(without, JobSpec.submitted(Doc.parse(Pack.encode(m))));
   }
 
   @Test
--- a/src/test/java/wickdrift/sim/AnswersTest.java
+++ b/src/test/java/wickdrift/sim/AnswersTest.java
@@ -4,10 +4,15 @@
 import static org.junit.jupiter.api.Assertions.assertNotNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Map;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import wickdrift.protocol.BadMessage;
+import wickdrift.protocol.Doc;
+import wickdrift.protocol.Pack;
 
 /** Single answers of the user interface. */
 class AnswersTest {
@@ -75,6 +80,60 @@
     assertEquals(status, w.ask("n0", "POST", "/api/jobs", w.describe(job)).status());
   }
 
+  /**
+   * Tasks that must be in several zones and may be in one only never run together; those of an
+   * array need not.
+   */
+  @ParameterizedTest(name = "{0} of {1}, one zone {2}, apart {3}, bound to {4}: {5}")
+  @CsvSource({
+    "ensemble, 2, true, true, , 422",
+    "ensemble, 1, true, true, , 201",
+    "ensemble, 2, false, true, a, 422",
+    "daemon, 3, false, true, a, 422",
+    "daemon, 2, true, true, , 422",
+    "daemon, 2, false, true, , 201",
+    "ensemble, 2, true, false, a, 201",
+    "batch, 2, true, true, , 201",
+    "batch, 5, false, true, b, 201",
+  })
+  void zonesThatCanNotBe(
+      String shape, int tasks, boolean one, boolean apart, String zone, int status) {
+    Map<String, Object> job = SimWorld.job(9, shape, tasks, 1, 5);
+    job.put("oneZone", one);
+    job.put("apart", apart);
+    job.put("region", zone);
+    SimWorld w = settled();
+    assertEquals(status, w.ask("n0", "POST", "/api/jobs", w.describe(job)).status());
+  }
+
+  /** A submission that lacks a field is malformed, unless the field may be null. */
+  @ParameterizedTest
+  @CsvSource({"gpus, 400", "flushS, 400", "reclaimable, 400", "shards, 400", "region, 201"})
+  void whatLacksAFieldIsMalformed(String field, int status) {
+    Map<String, Object> job = SimWorld.job(9, "batch", 1, 1, 5);
+    SimWorld w = settled();
+    w.describe(job);
+    job.remove(field);
+    assertEquals(status, w.ask("n0", "POST", "/api/jobs", Pack.encode(job)).status());
+  }
+
+  /** Repeated in whatever state, an accepted submission gets 200 and how it stands. */
+  @Test
+  void repeatedSubmissionsTellHowItStands() throws BadMessage {
+    SimWorld w = settled();
+    byte[] body = w.describe(SimWorld.job(9, "batch", 2, 1, 6));
+    assertEquals(201, w.ask("n0", "POST", "/api/jobs", body).status());
+    List<String> seen = new ArrayList<>();
+    for (int i = 0; i < 6; i++) {
+      var a = w.ask("n" + i % 3, "POST", "/api/jobs", body);
+      assertEquals(200, a.status());
+      seen.add(Doc.parse(a.body()).text("phase"));
+    }
+    assertTrue(seen.contains("running"), seen.toString());
+    assertEquals("done", seen.get(5));
+    assertTrue(seen.lastIndexOf("running") < seen.indexOf("done"), seen.toString());
+  }
+
   /** An array needs only one task within the limit; a gang and a service all of them. */
   @ParameterizedTest
   @CsvSource({"batch, 201", "ensemble, 422", "daemon, 422"})
--- a/src/test/java/wickdrift/sim/SimRules.java
+++ b/src/test/java/wickdrift/sim/SimRules.java
@@ -137,7 +137,7 @@
     told.put(job, phase);
   }
 
-  private boolean allDone(String job) {
+  boolean allDone(String job) {
     for (int i = 0; i < world.specs.get(job).tasks(); i++) {
       if (!doneTasks.contains(job + "/" + i)) {
         return false;
--- a/src/test/java/wickdrift/sim/SimState.java
+++ b/src/test/java/wickdrift/sim/SimState.java
@@ -76,6 +76,9 @@
   /** A list of how jobs ended comes so much later. */
   long slowFinalsMs;
 
+  /** Transactions that were carried out late, after their sender had given up. */
+  int lateWrites;
+
   private double lateShare;
   private long lateMs;
   private Random late;
@@ -316,6 +319,7 @@
     }
     if (path.equals("/commit") && lateShare > 0 && late.nextDouble() < lateShare) {
       // Its packets were lost and sent again, while other connections go on.
+      lateWrites++;
       clock.after(lateMs, () -> serveNow(from, method, path, body, done));
     } else if (path.equals("/commit") && slowWritesMs > 0) {
       clock.after(slowWritesMs, () -> serveNow(from, method, path, body, done));
--- a/src/test/java/wickdrift/sim/SimWorker.java
+++ b/src/test/java/wickdrift/sim/SimWorker.java
@@ -377,7 +377,7 @@
     }
     t.phase = "running";
     if (t.spec.shape() != JobSpec.Shape.SERVICE) {
-      finishLater(t, (long) (t.spec.estimateS() * 1000));
+      finishLater(t, (long) (t.spec.estimateS() * 1000 * world.pace.applyAsDouble(t.id)));
     }
   }
 
--- a/src/test/java/wickdrift/sim/SimWorld.java
+++ b/src/test/java/wickdrift/sim/SimWorld.java
@@ -15,6 +15,7 @@
 import java.util.function.Consumer;
 import java.util.function.IntToDoubleFunction;
 import java.util.function.Predicate;
+import java.util.function.ToDoubleFunction;
 import java.util.function.UnaryOperator;
 import wickdrift.bookkeeping.Job;
 import wickdrift.bookkeeping.Limits;
@@ -73,6 +74,9 @@
 
   final double gpusMax;
 
+  /** How much longer than its job says a task of an array runs, by its name. */
+  ToDoubleFunction<String> pace = task -> 1;
+
   /** What a worker says that its address is. */
   UnaryOperator<String> published = a -> a;
 
@@ -787,6 +791,8 @@
     m.put("apart", shape.equals("daemon"));
     m.put("reclaimable", true);
     m.put("expectS", seconds);
+    m.put("checkpointEveryS", 0.0);
+    m.put("flushS", 0.0);
     return m;
   }
 
@@ -863,6 +869,25 @@
   /** The longest that a user waited for the word that a job is withdrawn. */
   long slowestWordMs;
 
+  /** A user repeats a submission, whatever has become of it. */
+  void submitAgain(String id, Map<String, Object> job) {
+    long asked = clock.nowMs();
+    net.caller("user", () -> true)
+        .call(
+            anyNode(),
+            "POST",
+            "/api/jobs",
+            Pack.encode(job),
+            5000,
+            a -> {
+              if (a.status() == 200) {
+                rules.told(id, phase(a), asked);
+              } else if (a.status() == 400 || a.status() == 422 || a.status() == 404) {
+                rules.told(id, null, asked);
+              }
+            });
+  }
+
   /** One poll by itself. */
   public void poll(String node, String id, long timeoutMs, Consumer<Answer> done) {
     net.caller("user", () -> true).call(node, "GET", "/api/jobs/" + id, null, timeoutMs, done);
