--- a/src/main/java/wickdrift/daemon/Controller.java
+++ b/src/main/java/wickdrift/daemon/Controller.java
@@ -253,8 +253,8 @@
       confirmations.asked(w);
     } else if (frame instanceof PeerFrame.Obeyed o) {
       confirmations.answered(o);
-    } else {
-      unknownFrames++;
+    } else if (unknownFrames++ == 0) {
+      LOG.info("from a peer: a frame that this build does not know, and passes over");
     }
   }
 
--- a/src/test/java/wickdrift/sim/CancellationTest.java
+++ b/src/test/java/wickdrift/sim/CancellationTest.java
@@ -357,6 +357,19 @@
     ClusterTest.check(w, List.of());
   }
 
+  /** Frames that are malformed or of no known kind are dropped and counted; nothing changes. */
+  @Test
+  void badFramesAreDroppedAndCounted() {
+    SimWorld w = running(4990, 60);
+    String before = SimWorld.digest(w.tables("n1"));
+    for (byte[] b : new byte[][] {{}, {3}, {3, 4, 1}, {3, 4, 1, 0, 0}, {3, 9, 1}, {9, 4, 1, 1}}) {
+      w.net.at("peer:n1").serve("peer", "", "", b, a -> {});
+    }
+    assertEquals(4, w.metric("n1", "wickdrift.peers.malformed"));
+    assertEquals(2, w.metric("n1", "wickdrift.peers.unknown"));
+    assertEquals(before, SimWorld.digest(w.tables("n1")));
+  }
+
   /** Whatever is asked about a job that is withdrawn, or can't be, is answered at once. */
   @Test
   void whatCanNotBeWithdrawnIsAnsweredAtOnce() {
