--- a/src/main/java/wickdrift/coordination/Admission.java
+++ b/src/main/java/wickdrift/coordination/Admission.java
@@ -127,8 +127,11 @@
 
   public void submit(Exchange x) {
     JobSpec spec;
+    String lacks;
     try {
-      spec = JobSpec.submitted(Doc.parse(x.body()));
+      Doc d = Doc.parse(x.body());
+      spec = JobSpec.parse(d);
+      lacks = JobSpec.lacks(d);
     } catch (BadMessage e) {
       x.reply(400, Map.of("error", e.getMessage()));
       return;
@@ -142,7 +145,10 @@
       return;
     }
     Submission s = new Submission(x, spec, timers.nowMs());
-    if (spec.awaits().isEmpty()) {
+    if (lacks != null) {
+      // A build before this one may have taken it.
+      refuse(s, 400, lacks + " is missing");
+    } else if (spec.awaits().isEmpty()) {
       enqueue(s);
     } else if (!tables.open(Gate.AWAITS)) {
       // An older build would read the record, and run the job too early.
@@ -212,7 +218,7 @@
             if (unsaid[0]) {
               later(s.exchange);
             } else if (never[0] != null) {
-              refuse(s, "awaits " + never[0] + ", which was never accepted");
+              refuse(s, 422, "awaits " + never[0] + ", which was never accepted");
             } else {
               named(s);
             }
@@ -225,7 +231,7 @@
     for (String id : s.spec.awaits()) {
       Job j = tables.job(id);
       if (j != null && j.spec().shape() == JobSpec.Shape.SERVICE && !j.withdrawn()) {
-        refuse(s, "awaits " + id + ", a service, which is never done");
+        refuse(s, 422, "awaits " + id + ", a service, which is never done");
         return;
       }
     }
@@ -373,7 +379,7 @@
               }
               txn.drop(Job.key(e.getKey()));
               txn.drop(Job.finalKey(e.getKey()));
-              e.getValue().forEach(s -> refuse(s, why));
+              e.getValue().forEach(s -> refuse(s, 422, why));
               return true;
             });
     if (batch.isEmpty()) {
@@ -384,7 +390,7 @@
     ledger.commit(txn, Ledger.Rank.USER, r -> accepted(r, batch));
   }
 
-  private void refuse(Submission s, String why) {
+  private void refuse(Submission s, int status, String why) {
     ledger.barrier(
         BARRIER_MS,
         ok -> {
@@ -401,7 +407,7 @@
                   } else if (read.value() != null) {
                     answerFinal(s.exchange, s.spec.id(), read.value());
                   } else {
-                    s.exchange.reply(422, Map.of("error", why));
+                    s.exchange.reply(status, Map.of("error", why));
                   }
                 });
           }
--- a/src/main/java/wickdrift/protocol/JobSpec.java
+++ b/src/main/java/wickdrift/protocol/JobSpec.java
@@ -91,18 +91,9 @@
           "checkpointEveryS",
           "flushS");
 
-  /**
-   * What a user has sent. Stored descriptions are read by {@link #parse}, which goes without what
-   * an older build may not have had.
-   */
-  public static JobSpec submitted(Doc d) throws BadMessage {
-    JobSpec s = parse(d);
-    for (String field : REQUIRED) {
-      if (d.raw(field) == null) {
-        throw new BadMessage(field + " is missing");
-      }
-    }
-    return s;
+  /** The field that a submission lacks, or null. Stored descriptions of older builds may. */
+  public static String lacks(Doc submitted) {
+    return REQUIRED.stream().filter(f -> submitted.raw(f) == null).findFirst().orElse(null);
   }
 
   public static JobSpec parse(Doc d) throws BadMessage {
--- a/src/test/java/wickdrift/sim/AnswersTest.java
+++ b/src/test/java/wickdrift/sim/AnswersTest.java
@@ -113,8 +113,16 @@
     Map<String, Object> job = SimWorld.job(9, "batch", 1, 1, 5);
     SimWorld w = settled();
     w.describe(job);
+    byte[] whole = Pack.encode(job);
     job.remove(field);
     assertEquals(status, w.ask("n0", "POST", "/api/jobs", Pack.encode(job)).status());
+    if (!field.equals("shards")) {
+      // What was accepted is never refused, not as malformed either: an older build may have.
+      w.ask("n1", "POST", "/api/jobs", whole);
+      assertEquals(200, w.ask("n2", "POST", "/api/jobs", Pack.encode(job)).status());
+      w.run(30_000);
+      assertEquals(200, w.ask("n2", "POST", "/api/jobs", Pack.encode(job)).status());
+    }
   }
 
   /** Repeated in whatever state, an accepted submission gets 200 and how it stands. */
