Read the change once more: a job tells the machines it is on, in one place

Confirmations, Reporting.stop, Job and Fleet.deleteOverdue each went over its tasks for that; the simulated worker looked at the end of its lease in two places.

--- a/src/main/java/wickdrift/bookkeeping/Job.java
+++ b/src/main/java/wickdrift/bookkeeping/Job.java
@@ -231,7 +231,7 @@
     extra = d.without("spec", "more", "at", "part", "off", "offAt");
     boolean off = d.flag("off");
     if (off && !withdrawn) {
-      touchMachines();
+      machines().forEach(Machine::touch);
     }
     withdrawn = off;
     withdrawnWallMs = d.count("offAt", 0);
@@ -239,18 +239,23 @@
     note();
   }
 
-  private void touchMachines() {
-    for (TaskState t : tasks) {
-      if (t.live()) {
-        t.machine().touch();
+  /** The machines that live attempts of it are booked on, each once, in the order of its tasks. */
+  public Set<Machine> machines() {
+    Set<Machine> out = new LinkedHashSet<>();
+    int left = live;
+    for (int i = 0; i < tasks.length && left > 0; i++) {
+      if (tasks[i].live()) {
+        out.add(tasks[i].machine());
+        left--;
       }
     }
+    return out;
   }
 
   /** Told by a peer to be withdrawn: nothing of it is started or kept from now on. */
   void foretold() {
     foretold = true;
-    touchMachines();
+    machines().forEach(Machine::touch);
   }
 
   // ---- chunks ----
--- a/src/main/java/wickdrift/coordination/Confirmations.java
+++ b/src/main/java/wickdrift/coordination/Confirmations.java
@@ -17,7 +17,6 @@
 import wickdrift.bookkeeping.Ledger;
 import wickdrift.bookkeeping.Machine;
 import wickdrift.bookkeeping.Tables;
-import wickdrift.bookkeeping.TaskState;
 import wickdrift.bookkeeping.View;
 import wickdrift.protocol.PeerFrame;
 import wickdrift.transport.Timers;
@@ -171,16 +170,8 @@
       return null;
     }
     Map<String, List<String>> left = new TreeMap<>();
-    Set<Machine> seen = new HashSet<>();
-    int live = job.live();
-    for (int i = 0; i < job.size() && live > 0; i++) {
-      TaskState s = job.task(i);
-      if (!s.live()) {
-        continue;
-      }
-      live--;
-      Machine m = s.machine();
-      if (!seen.add(m) || o.proved.contains(m.name())) {
+    for (Machine m : job.machines()) {
+      if (o.proved.contains(m.name())) {
         continue;
       }
       String owner = m.owner(v);
--- a/src/main/java/wickdrift/coordination/Fleet.java
+++ b/src/main/java/wickdrift/coordination/Fleet.java
@@ -342,10 +342,8 @@
       if (j.withdrawnWallMs() == 0 || wall - j.withdrawnWallMs() < tuning.overdueMs()) {
         continue;
       }
-      for (int i = 0; i < j.size(); i++) {
-        if (j.task(i).live()) {
-          condemn(j.task(i).machine().name(), "a cancelled task may still run there");
-        }
+      for (Machine m : j.machines()) {
+        condemn(m.name(), "a cancelled task may still run there");
       }
     }
   }
--- a/src/main/java/wickdrift/coordination/Reporting.java
+++ b/src/main/java/wickdrift/coordination/Reporting.java
@@ -537,13 +537,11 @@
     if (standing == Membership.Standing.OUTSIDE) {
       return;
     }
-    Set<Machine> on = new HashSet<>();
-    for (int i = 0; i < job.size(); i++) {
-      if (job.task(i).live() && owned.contains(job.task(i).machine().name())) {
-        on.add(job.task(i).machine());
+    for (Machine m : job.machines()) {
+      if (owned.contains(m.name())) {
+        direct(m, standing == Membership.Standing.MEMBER);
       }
     }
-    on.forEach(m -> direct(m, standing == Membership.Standing.MEMBER));
   }
 
   /**
--- a/src/test/java/wickdrift/sim/SimWorker.java
+++ b/src/test/java/wickdrift/sim/SimWorker.java
@@ -191,11 +191,15 @@
     }
     clock.after(20, this::leaseCheck);
     // A hung machine may resume within its lease only: its end is enforced from outside.
-    if (clock.nowMs() - leaseStart > world.leaseMs && !world.workersKeepTheirLeases) {
+    if (leaseIsOver()) {
       lapse();
     }
   }
 
+  private boolean leaseIsOver() {
+    return clock.nowMs() - leaseStart > world.leaseMs && !world.workersKeepTheirLeases;
+  }
+
   private void lapse() {
     killedByLease += tasks.size();
     tasks.values().forEach(this::off);
@@ -206,7 +210,7 @@
 
   void hang(boolean on) {
     hung = on;
-    if (!on && clock.nowMs() - leaseStart > world.leaseMs && !world.workersKeepTheirLeases) {
+    if (!on && leaseIsOver()) {
       lapse();
     }
   }
