--- a/src/main/java/wickdrift/lab/Variant.java
+++ b/src/main/java/wickdrift/lab/Variant.java
@@ -25,6 +25,7 @@
  *       {@code machines})
  *   <li>{@code controllers}: how many
  *   <li>{@code restart_delay_s}: how long a process that has ended stays away
+ *   <li>{@code boot_s}: how long a rented machine of any type takes to boot
  *   <li>{@code skew}: from 0 to 1, the share of each zone's machines but the first's that are moved
  *       to the first
  *   <li>{@code zone}: a further zone without a controller, with an even share of the machines
@@ -49,6 +50,7 @@
           "faults",
           "controllers",
           "restart_delay_s",
+          "boot_s",
           "skew",
           "zone",
           "teams");
@@ -123,6 +125,10 @@
     if (spec.contains("restart_delay_s")) {
       site.set("nodes.restart_delay_s", factor("restart_delay_s", 0));
     }
+    if (spec.contains("boot_s")) {
+      double bootSeconds = factor("boot_s", 0);
+      Toml.tables(site, "machine_types").forEach(t -> t.set("boot_s", bootSeconds));
+    }
     skew(site, factor("skew", 0));
     if (spec.contains("zone")) {
       addZone(site, Toml.text(spec, "zone", "variant " + name));
--- a/src/test/java/wickdrift/lab/VariantTest.java
+++ b/src/test/java/wickdrift/lab/VariantTest.java
@@ -103,6 +103,7 @@
         Arguments.of("controllers = 7", "day/0/faults/3/count", "2"),
         Arguments.of("controllers = 9", "day/0/faults/4/every_s", "5.0"),
         Arguments.of("restart_delay_s = 0.1", "nodes/restart_delay_s", "0.1"),
+        Arguments.of("boot_s = 1.5", "machine_types/0/boot_s", "1.5"),
         Arguments.of("skew = 0.5", "capacity/0/count", "130"),
         Arguments.of("skew = 0.5", "capacity/1/count", "30"),
         Arguments.of("zone = \"z\"", "capacity/2/zone", "z"),
