--- a/src/test/java/wickdrift/bookkeeping/ChainsTest.java
+++ b/src/test/java/wickdrift/bookkeeping/ChainsTest.java
@@ -20,7 +20,7 @@
 import wickdrift.protocol.Doc;
 import wickdrift.protocol.JobSpec;
 import wickdrift.protocol.Pack;
-import wickdrift.sim.SimWorld;
+import wickdrift.sim.SimJobs;
 
 /** What follows from who awaits whom, against a model that works it out anew each time. */
 class ChainsTest {
@@ -52,11 +52,11 @@
   }
 
   private JobSpec spec(Node n) throws BadMessage {
-    Map<String, Object> m = SimWorld.job(n.number, "batch", 1, 1, 10);
+    Map<String, Object> m = SimJobs.job(n.number, "batch", 1, 1, 10);
     m.put("rank", n.rank);
     m.put("owner", n.team);
     m.put("dueS", 100.0 + n.number % 5 * 20);
-    SimWorld.awaiting(m, n.awaits.stream().mapToInt(i -> i).toArray());
+    SimJobs.awaiting(m, n.awaits.stream().mapToInt(i -> i).toArray());
     return JobSpec.parse(Doc.parse(Pack.encode(m)));
   }
 
@@ -192,9 +192,9 @@
   void hasteIsCarriedBack(int job, long startBy) throws BadMessage {
     Tables t = new Tables(List.of(), Range.BUILD, () -> {});
     for (int n = 0; n < 4; n++) {
-      Map<String, Object> m = SimWorld.job(n, "batch", 1, 1, 10);
+      Map<String, Object> m = SimJobs.job(n, "batch", 1, 1, 10);
       if (n > 0) {
-        SimWorld.awaiting(m, n - 1);
+        SimJobs.awaiting(m, n - 1);
       }
       if (n == 3) {
         m.put("dueS", 100.0);
@@ -255,9 +255,9 @@
   }
 
   private Ledger.Change job(int n, int awaits) throws BadMessage {
-    Map<String, Object> m = SimWorld.job(n, "batch", 1, 1, 10);
+    Map<String, Object> m = SimJobs.job(n, "batch", 1, 1, 10);
     if (awaits >= 0) {
-      SimWorld.awaiting(m, awaits);
+      SimJobs.awaiting(m, awaits);
     }
     JobSpec s = JobSpec.parse(Doc.parse(Pack.encode(m)));
     Object v = Pack.decode(Pack.encode(Job.toStore(s, null, 1000, "n0", 0)));
--- a/src/test/java/wickdrift/bookkeeping/RecordsTest.java
+++ b/src/test/java/wickdrift/bookkeeping/RecordsTest.java
@@ -22,7 +22,7 @@
 import wickdrift.protocol.Doc;
 import wickdrift.protocol.JobSpec;
 import wickdrift.protocol.Pack;
-import wickdrift.sim.SimWorld;
+import wickdrift.sim.SimJobs;
 
 class RecordsTest {
   private static Doc doc(Map<String, Object> m) throws BadMessage {
@@ -37,7 +37,7 @@
   private static final String JOB_KEY = "w/j/" + JOB;
 
   private static Ledger.Change job(String shape, int tasks) throws BadMessage {
-    JobSpec s = JobSpec.parse(doc(SimWorld.job(1, shape, tasks, 1, 10)));
+    JobSpec s = JobSpec.parse(doc(SimJobs.job(1, shape, tasks, 1, 10)));
     return new Ledger.Change(JOB_KEY, raw(Job.toStore(s, null, 5, "n0", 0)), 3);
   }
 
@@ -49,7 +49,7 @@
 
   private static Job job(Tables t, int number) {
     try {
-      JobSpec s = JobSpec.parse(doc(SimWorld.job(number, "batch", 9, 1, 10)));
+      JobSpec s = JobSpec.parse(doc(SimJobs.job(number, "batch", 9, 1, 10)));
       apply(t, new Ledger.Change(Job.key(s.id()), raw(Job.toStore(s, null, 5, "n0", 0)), number));
       return t.job(s.id());
     } catch (BadMessage e) {
--- a/src/test/java/wickdrift/coordination/DoorTest.java
+++ b/src/test/java/wickdrift/coordination/DoorTest.java
@@ -14,14 +14,14 @@
 import wickdrift.protocol.Doc;
 import wickdrift.protocol.JobSpec;
 import wickdrift.protocol.Pack;
-import wickdrift.sim.SimWorld;
+import wickdrift.sim.SimJobs;
 
 /** Who is let in next, and who makes way when the door is full. */
 class DoorTest {
   /** Written as {@code team/class/rank}. */
   private static JobSpec spec(String who) {
     String[] w = who.split("/");
-    Map<String, Object> job = SimWorld.job(1, "batch", 1, 1, 5);
+    Map<String, Object> job = SimJobs.job(1, "batch", 1, 1, 5);
     job.put("owner", w[0]);
     job.put("jobclass", w[1]);
     job.put("rank", w[2]);
--- a/src/test/java/wickdrift/coordination/DraftTest.java
+++ b/src/test/java/wickdrift/coordination/DraftTest.java
@@ -16,7 +16,7 @@
 import wickdrift.protocol.Doc;
 import wickdrift.protocol.JobSpec;
 import wickdrift.protocol.Pack;
-import wickdrift.sim.SimWorld;
+import wickdrift.sim.SimJobs;
 
 class DraftTest {
   private static final int PAGE = 3600;
@@ -26,7 +26,7 @@
   @CsvSource({"2, 1", "60, 1", "300, 2"})
   void aGangOfAnySizeIsPlacedInOneTransaction(int size, int leastPages) throws BadMessage {
     Tables t = new Tables(List.of("n0"), Range.BUILD, () -> {});
-    JobSpec s = JobSpec.parse(Doc.parse(Pack.encode(SimWorld.job(1, "ensemble", size, 1, 10))));
+    JobSpec s = JobSpec.parse(Doc.parse(Pack.encode(SimJobs.job(1, "ensemble", size, 1, 10))));
     Object record = Pack.decode(Pack.encode(Job.toStore(s, null, 5, Job.LEADER, 0)));
     t.apply(List.of(new Ledger.Change("w/j/req-000001", record, 3)), 3);
     Job job = t.job("req-000001");
--- a/src/test/java/wickdrift/coordination/FairlyTest.java
+++ b/src/test/java/wickdrift/coordination/FairlyTest.java
@@ -18,7 +18,7 @@
 import wickdrift.protocol.Doc;
 import wickdrift.protocol.JobSpec;
 import wickdrift.protocol.Pack;
-import wickdrift.sim.SimWorld;
+import wickdrift.sim.SimJobs;
 
 /** In which order jobs of several teams are looked at, by what their teams hold. */
 class FairlyTest {
@@ -47,7 +47,7 @@
     Map<Job, String> names = new LinkedHashMap<>();
     int n = 0;
     for (String j : jobs.split(" ")) {
-      Map<String, Object> m = SimWorld.job(++n, "batch", 1, j.charAt(1) - '0', 5);
+      Map<String, Object> m = SimJobs.job(++n, "batch", 1, j.charAt(1) - '0', 5);
       m.put("owner", j.substring(0, 1));
       m.put("cores", 0.0);
       JobSpec s = JobSpec.parse(Doc.parse(Pack.encode(m)));
--- a/src/test/java/wickdrift/coordination/PlacementTest.java
+++ b/src/test/java/wickdrift/coordination/PlacementTest.java
@@ -22,11 +22,11 @@
 import wickdrift.protocol.Doc;
 import wickdrift.protocol.JobSpec;
 import wickdrift.protocol.Pack;
-import wickdrift.sim.SimWorld;
+import wickdrift.sim.SimJobs;
 
 class PlacementTest {
   private static JobSpec spec(double cpus, double gpus) {
-    var m = SimWorld.job(1, "batch", 1, gpus, 10);
+    var m = SimJobs.job(1, "batch", 1, gpus, 10);
     m.put("cores", cpus);
     m.put("memoryGb", 1.0);
     try {
@@ -127,7 +127,7 @@
 
   private static JobSpec drawn(String shape, double cpus, double gpus, String image)
       throws BadMessage {
-    var m = SimWorld.job(2, shape, 1, gpus, 10);
+    var m = SimJobs.job(2, shape, 1, gpus, 10);
     m.put("apart", false);
     m.put("cores", cpus);
     m.put("memoryGb", 1.0);
--- a/src/test/java/wickdrift/coordination/PreemptionTest.java
+++ b/src/test/java/wickdrift/coordination/PreemptionTest.java
@@ -17,7 +17,7 @@
 import wickdrift.protocol.Doc;
 import wickdrift.protocol.JobSpec;
 import wickdrift.protocol.Pack;
-import wickdrift.sim.SimWorld;
+import wickdrift.sim.SimJobs;
 
 class PreemptionTest {
   private static final TypeInfo TYPE =
@@ -39,7 +39,7 @@
 
   private static JobSpec spec(int number, String rank, double gpus, String image)
       throws BadMessage {
-    var m = SimWorld.job(number, "batch", 1, gpus, 10);
+    var m = SimJobs.job(number, "batch", 1, gpus, 10);
     m.put("rank", rank);
     m.put("cores", 1.0);
     m.put("memoryGb", 1.0);
--- a/src/test/java/wickdrift/coordination/PromisedTest.java
+++ b/src/test/java/wickdrift/coordination/PromisedTest.java
@@ -14,14 +14,14 @@
 import wickdrift.protocol.Doc;
 import wickdrift.protocol.JobSpec;
 import wickdrift.protocol.Pack;
-import wickdrift.sim.SimWorld;
+import wickdrift.sim.SimJobs;
 
 /** What waits at a part is counted as room that is taken. */
 class PromisedTest {
   private static final String ID = "req-000001";
 
   private static JobSpec spec(int tasks, double gpus) throws Exception {
-    return JobSpec.parse(Doc.parse(Pack.encode(SimWorld.job(1, "batch", tasks, gpus, 5))));
+    return JobSpec.parse(Doc.parse(Pack.encode(SimJobs.job(1, "batch", tasks, gpus, 5))));
   }
 
   private final Tables tables = new Tables(List.of("n1", "n2"), Range.BUILD, () -> {});
--- a/src/test/java/wickdrift/protocol/MessagesTest.java
+++ b/src/test/java/wickdrift/protocol/MessagesTest.java
@@ -14,7 +14,7 @@
 import org.junit.jupiter.params.provider.Arguments;
 import org.junit.jupiter.params.provider.MethodSource;
 import org.junit.jupiter.params.provider.ValueSource;
-import wickdrift.sim.SimWorld;
+import wickdrift.sim.SimJobs;
 
 class MessagesTest {
   @Test
@@ -102,7 +102,7 @@
   @ParameterizedTest(name = "{0} = {1}")
   @MethodSource("badSubmissions")
   void badSubmissionsNameTheField(String field, Object value) {
-    Map<String, Object> m = SimWorld.job(1, "batch", 2, 1, 10);
+    Map<String, Object> m = SimJobs.job(1, "batch", 2, 1, 10);
     m.put(field, value);
     byte[] body = Pack.encode(m);
     assertTrue(wrong(body).contains(field), wrong(body));
@@ -127,7 +127,7 @@
   @ParameterizedTest
   @ValueSource(strings = {"flavours", "region", "dueS", "awaits", "unknown"})
   void whatMayBeNullMayBeLeftOut(String field) throws BadMessage {
-    Map<String, Object> m = SimWorld.job(1, "batch", 2, 1, 10);
+    Map<String, Object> m = SimJobs.job(1, "batch", 2, 1, 10);
     m.remove(field);
     assertEquals("", wrong(Pack.encode(m)));
     JobSpec without = JobSpec.parse(Doc.parse(Pack.encode(m)));
@@ -138,7 +138,7 @@
 
   @Test
   void aStoredJobReadsBackAsSubmitted() throws BadMessage {
-    Map<String, Object> m = SimWorld.job(1, "daemon", 9, 1, 0);
+    Map<String, Object> m = SimJobs.job(1, "daemon", 9, 1, 0);
     m.put("unknown", "ignored");
     m.put("flavours", List.of("g4"));
     m.put("region", "a");
--- a/src/test/java/wickdrift/sim/AnswersTest.java
+++ b/src/test/java/wickdrift/sim/AnswersTest.java
@@ -37,12 +37,12 @@
       w.state().outage(true);
     }
     w.run(6000);
-    assertEquals(status, w.ask("n1", "GET", "/up", null).status());
+    assertEquals(status, w.users.ask("n1", "GET", "/up", null).status());
     w.healFromState("n1");
     w.cutFromPeers("n1", false);
     w.state().outage(false);
     w.run(6000);
-    assertEquals(200, w.ask("n1", "GET", "/up", null).status());
+    assertEquals(200, w.users.ask("n1", "GET", "/up", null).status());
   }
 
   @ParameterizedTest(name = "{0} {1}: {2}")
@@ -61,7 +61,7 @@
     "GET, /elsewhere, 404",
   })
   void methodsAndPaths(String method, String path, int status) {
-    assertEquals(status, settled().ask("n1", method, path, new byte[] {1}).status());
+    assertEquals(status, settled().users.ask("n1", method, path, new byte[] {1}).status());
   }
 
   @ParameterizedTest(name = "{0} = {1}: {2}")
@@ -74,10 +74,10 @@
     "cores, 32, 201",
   })
   void whatCanNeverRunIsRefused(String field, String value, int status) {
-    Map<String, Object> job = SimWorld.job(9, "batch", 1, 1, 5);
+    Map<String, Object> job = SimJobs.job(9, "batch", 1, 1, 5);
     job.put(field, Character.isDigit(value.charAt(0)) ? (Object) Double.valueOf(value) : value);
     SimWorld w = settled();
-    assertEquals(status, w.ask("n0", "POST", "/api/jobs", w.describe(job)).status());
+    assertEquals(status, w.users.ask("n0", "POST", "/api/jobs", w.users.describe(job)).status());
   }
 
   /**
@@ -98,30 +98,30 @@
   })
   void zonesThatCanNotBe(
       String shape, int tasks, boolean one, boolean apart, String zone, int status) {
-    Map<String, Object> job = SimWorld.job(9, shape, tasks, 1, 5);
+    Map<String, Object> job = SimJobs.job(9, shape, tasks, 1, 5);
     job.put("oneZone", one);
     job.put("apart", apart);
     job.put("region", zone);
     SimWorld w = settled();
-    assertEquals(status, w.ask("n0", "POST", "/api/jobs", w.describe(job)).status());
+    assertEquals(status, w.users.ask("n0", "POST", "/api/jobs", w.users.describe(job)).status());
   }
 
   /** A submission that lacks a field is malformed, unless the field may be null. */
   @ParameterizedTest
   @CsvSource({"gpus, 400", "flushS, 400", "reclaimable, 400", "shards, 400", "region, 201"})
   void whatLacksAFieldIsMalformed(String field, int status) {
-    Map<String, Object> job = SimWorld.job(9, "batch", 1, 1, 5);
+    Map<String, Object> job = SimJobs.job(9, "batch", 1, 1, 5);
     SimWorld w = settled();
-    w.describe(job);
+    w.users.describe(job);
     byte[] whole = Pack.encode(job);
     job.remove(field);
-    assertEquals(status, w.ask("n0", "POST", "/api/jobs", Pack.encode(job)).status());
+    assertEquals(status, w.users.ask("n0", "POST", "/api/jobs", Pack.encode(job)).status());
     if (!field.equals("shards")) {
       // What was accepted is never refused, not as malformed either: an older build may have.
-      w.ask("n1", "POST", "/api/jobs", whole);
-      assertEquals(200, w.ask("n2", "POST", "/api/jobs", Pack.encode(job)).status());
+      w.users.ask("n1", "POST", "/api/jobs", whole);
+      assertEquals(200, w.users.ask("n2", "POST", "/api/jobs", Pack.encode(job)).status());
       w.run(30_000);
-      assertEquals(200, w.ask("n2", "POST", "/api/jobs", Pack.encode(job)).status());
+      assertEquals(200, w.users.ask("n2", "POST", "/api/jobs", Pack.encode(job)).status());
     }
   }
 
@@ -129,11 +129,11 @@
   @Test
   void repeatedSubmissionsTellHowItStands() throws BadMessage {
     SimWorld w = settled();
-    byte[] body = w.describe(SimWorld.job(9, "batch", 2, 1, 6));
-    assertEquals(201, w.ask("n0", "POST", "/api/jobs", body).status());
+    byte[] body = w.users.describe(SimJobs.job(9, "batch", 2, 1, 6));
+    assertEquals(201, w.users.ask("n0", "POST", "/api/jobs", body).status());
     List<String> seen = new ArrayList<>();
     for (int i = 0; i < 6; i++) {
-      var a = w.ask("n" + i % 3, "POST", "/api/jobs", body);
+      var a = w.users.ask("n" + i % 3, "POST", "/api/jobs", body);
       assertEquals(200, a.status());
       seen.add(Doc.parse(a.body()).text("phase"));
     }
@@ -146,16 +146,16 @@
   @ParameterizedTest
   @CsvSource({"batch, 201", "ensemble, 422", "daemon, 422"})
   void theLimitCountsByShape(String shape, int status) {
-    Map<String, Object> job = SimWorld.job(9, shape, 61, 1, 5);
+    Map<String, Object> job = SimJobs.job(9, shape, 61, 1, 5);
     SimWorld w = settled();
-    assertEquals(status, w.ask("n2", "POST", "/api/jobs", w.describe(job)).status());
+    assertEquals(status, w.users.ask("n2", "POST", "/api/jobs", w.users.describe(job)).status());
   }
 
   /** Polls share reads, those for jobs that no one submitted are bounded; none is left waiting. */
   @Test
   void pollsByTheThousandCostFewReads() {
     SimWorld w = settled();
-    w.submit(SimWorld.job(1, "batch", 1, 1, 100), 0);
+    w.users.submit(SimJobs.job(1, "batch", 1, 1, 100), 0);
     w.run(5000);
     int[] known = new int[600];
     int[] unknown = new int[600];
@@ -164,7 +164,7 @@
       int n = i;
       String id = n % 2 == 0 ? "req-000001" : "req-9" + n % 1000;
       int[] count = n % 2 == 0 ? known : unknown;
-      w.clock.after(n / 3, () -> w.poll("n0", id, 2000, a -> count[a.status()]++));
+      w.clock.after(n / 3, () -> w.users.poll("n0", id, 2000, a -> count[a.status()]++));
     }
     w.run(4000);
     assertEquals(1500, known[200]);
@@ -177,20 +177,20 @@
   @Test
   void withoutTheStateServiceAnswersComeAtOnceAndFinalOnesAreKept() {
     SimWorld w = settled();
-    w.submit(SimWorld.job(1, "batch", 1, 1, 2), 0);
+    w.users.submit(SimJobs.job(1, "batch", 1, 1, 2), 0);
     w.run(20_000);
     assertEquals("done", w.lastTold("req-000001"));
     w.state().outage(true);
     w.run(2500);
-    byte[] job = w.describe(SimWorld.job(2, "batch", 1, 1, 2));
-    assertEquals(503, w.ask("n0", "POST", "/api/jobs", job).status());
-    assertEquals(503, w.ask("n0", "GET", "/api/jobs/req-000002", null).status());
-    var kept = w.ask("n0", "GET", "/api/jobs/req-000001", null);
+    byte[] job = w.users.describe(SimJobs.job(2, "batch", 1, 1, 2));
+    assertEquals(503, w.users.ask("n0", "POST", "/api/jobs", job).status());
+    assertEquals(503, w.users.ask("n0", "GET", "/api/jobs/req-000002", null).status());
+    var kept = w.users.ask("n0", "GET", "/api/jobs/req-000001", null);
     assertNotNull(kept);
     assertEquals(200, kept.status());
     w.state().outage(false);
     w.run(5000);
-    assertEquals(201, w.ask("n0", "POST", "/api/jobs", job).status());
-    assertEquals(200, w.ask("n1", "POST", "/api/jobs", job).status());
+    assertEquals(201, w.users.ask("n0", "POST", "/api/jobs", job).status());
+    assertEquals(200, w.users.ask("n1", "POST", "/api/jobs", job).status());
   }
 }
--- a/src/test/java/wickdrift/sim/CancellationTest.java
+++ b/src/test/java/wickdrift/sim/CancellationTest.java
@@ -72,7 +72,7 @@
 
   /** Of several images, so that the tasks come to machines of all parts. */
   private static Map<String, Object> job(int i, String shape, int tasks, double seconds) {
-    Map<String, Object> job = SimWorld.job(i, shape, tasks, 1, seconds);
+    Map<String, Object> job = SimJobs.job(i, shape, tasks, 1, seconds);
     job.put("bundle", "img-" + i);
     return job;
   }
@@ -91,7 +91,7 @@
       SimWorld w = new SimWorld(s, 14, 22, "aab", 60);
       w.run(8000);
       for (int i = 0; i < JOBS; i++) {
-        w.submit(job(i, i % 3 == 0 ? "ensemble" : "batch", 1 + i % 3, seconds), 0);
+        w.users.submit(job(i, i % 3 == 0 ? "ensemble" : "batch", 1 + i % 3, seconds), 0);
       }
       w.run(REFUSED_AT_MS - 8000);
       if (w.starts() > JOBS && w.nodes.stream().allMatch(n -> tasks(w, n) > 0)) {
@@ -158,7 +158,7 @@
     int told = when == When.BEFORE ? -300 : 700;
     for (int i = 0; i < JOBS; i += 2) {
       String id = id(i);
-      w.clock.after(1000 + told + 30L * i, () -> w.withdraw(id, confirmer));
+      w.clock.after(1000 + told + 30L * i, () -> w.users.withdraw(id, confirmer));
     }
     w.clock.after(1000, () -> w.state().refuse(refused, true));
     w.clock.after(2900, () -> beside(w, b, refused, confirmer));
@@ -166,7 +166,7 @@
     w.clock.after(12_000, () -> w.state().refuse(refused, false));
     w.clock.after(48_000, () -> w.state().outage(false));
     w.run(3000);
-    long known = w.asked.stream().filter(w.rules::toldWithdrawn).count();
+    long known = w.users.asked.stream().filter(w.rules::toldWithdrawn).count();
     w.run(57_000);
     w.rules.calmSinceMs = w.clock.nowMs() + 45_000;
     w.run(240_000);
@@ -201,7 +201,7 @@
     w.run(8000);
     w.workers().forEach(m -> m.slowFetchMs = 5000);
     for (int i = 0; i < JOBS; i++) {
-      w.submit(job(i, "batch", 2, 60), 0);
+      w.users.submit(job(i, "batch", 2, 60), 0);
     }
     while (w.placed("n0", id(JOBS / 2)) == 0) {
       w.run(1);
@@ -217,9 +217,9 @@
     if (!hang) {
       w.clock.after(9000, w::healMachines);
     }
-    List<String> off = List.copyOf(w.accepted);
+    List<String> off = List.copyOf(w.users.accepted);
     assertTrue(off.size() >= JOBS / 2);
-    off.forEach(id -> w.withdraw(id, w.nodes.get(off.indexOf(id) % 3)));
+    off.forEach(id -> w.users.withdraw(id, w.nodes.get(off.indexOf(id) % 3)));
     w.run(120_000);
     off.forEach(id -> assertEquals("withdrawn", w.lastTold(id)));
     ClusterTest.check(w, List.of());
@@ -240,7 +240,7 @@
     String leader = w.tables("n0").view().leader();
     w.state().refuse(leader, true);
     for (int i = 0; i < JOBS; i++) {
-      w.withdraw(id(i), other(w, leader, ""));
+      w.users.withdraw(id(i), other(w, leader, ""));
     }
     w.run(600);
     for (int i = 0; i < JOBS; i++) {
@@ -261,13 +261,13 @@
     SimWorld w = new SimWorld(4900 + seed, 12, 20, "aab", 60);
     w.run(8000);
     for (int i = 0; i < JOBS; i++) {
-      w.submit(job(i, i % 4 == 0 ? "daemon" : "batch", 1 + i % 3, 60), 14_000 + 10 * i);
+      w.users.submit(job(i, i % 4 == 0 ? "daemon" : "batch", 1 + i % 3, 60), 14_000 + 10 * i);
     }
     w.run(60_000);
     for (int i = 0; i < JOBS; i++) {
       assertEquals("withdrawn", w.lastTold(id(i)));
     }
-    assertTrue(w.slowestWordMs < 1000, "the word took " + w.slowestWordMs + " ms");
+    assertTrue(w.users.slowestWordMs < 1000, "the word took " + w.users.slowestWordMs + " ms");
     ClusterTest.check(w, List.of());
   }
 
@@ -285,7 +285,7 @@
     w.cutFromPeers(leader, true);
     String confirmer = other(w, leader, "");
     for (int i = 0; i < JOBS; i++) {
-      w.withdraw(id(i), confirmer);
+      w.users.withdraw(id(i), confirmer);
     }
     // A question is no back door: the word is not in its answer either.
     Set<String> polled = new HashSet<>();
@@ -295,7 +295,7 @@
         w.clock.after(
             100L * k,
             () ->
-                w.poll(
+                w.users.poll(
                     confirmer,
                     id,
                     2000,
@@ -320,7 +320,7 @@
     w.state().outage(true);
     w.run(45_000);
     // The others owned some of it, and the word came for that.
-    List<String> told = w.asked.stream().filter(w.rules::toldWithdrawn).toList();
+    List<String> told = w.users.asked.stream().filter(w.rules::toldWithdrawn).toList();
     polled.addAll(told);
     for (String id : polled) {
       for (int k = 0; k < 2; k++) {
@@ -348,7 +348,7 @@
     SimWorld w = running(4960 + old, 200);
     w.nodes.subList(0, old).forEach(w.oldFrames::add);
     for (int i = 0; i < JOBS; i++) {
-      w.withdraw(id(i), w.nodes.get(i % 3));
+      w.users.withdraw(id(i), w.nodes.get(i % 3));
     }
     w.run(15_000);
     for (int i = 0; i < JOBS; i++) {
@@ -375,9 +375,9 @@
   void whatCanNotBeWithdrawnIsAnsweredAtOnce() {
     SimWorld w = new SimWorld(4970, 4, 4, "aab", 60);
     w.run(8000);
-    w.submit(SimWorld.job(1, "batch", 1, 1, 2), 0);
-    w.submit(SimWorld.job(2, "batch", 1, 1, 200), 0);
-    w.submit(SimWorld.job(3, "batch", 1, 1, 200), 0);
+    w.users.submit(SimJobs.job(1, "batch", 1, 1, 2), 0);
+    w.users.submit(SimJobs.job(2, "batch", 1, 1, 200), 0);
+    w.users.submit(SimJobs.job(3, "batch", 1, 1, 200), 0);
     w.run(12_000);
     assertEquals("200 done", withdraw(w, "n0", "req-000001"));
     assertEquals("200 withdrawn", withdraw(w, "n0", "req-000002"));
@@ -399,8 +399,8 @@
   }
 
   private static String withdraw(SimWorld w, String node, String id) {
-    w.asked.add(id);
-    var a = w.ask(node, "POST", "/api/jobs/" + id + "/withdraw", new byte[0]);
+    w.users.asked.add(id);
+    var a = w.users.ask(node, "POST", "/api/jobs/" + id + "/withdraw", new byte[0]);
     try {
       return a.status() == 200 ? "200 " + Doc.parse(a.body()).text("phase") : "" + a.status();
     } catch (BadMessage e) {
--- a/src/test/java/wickdrift/sim/ClusterTest.java
+++ b/src/test/java/wickdrift/sim/ClusterTest.java
@@ -10,7 +10,6 @@
 import java.util.Map;
 import java.util.Random;
 import java.util.function.Consumer;
-import java.util.function.UnaryOperator;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
@@ -36,12 +35,12 @@
       w.clock.after(
           r.nextInt(60_000),
           () ->
-              w.submit(
+              w.users.submit(
                   kind < 2
-                      ? SimWorld.job(number, "daemon", Math.min(tasks, 3), 1, 0)
+                      ? SimJobs.job(number, "daemon", Math.min(tasks, 3), 1, 0)
                       : kind < 5
-                          ? SimWorld.job(number, "ensemble", Math.min(tasks, 3), 2, seconds)
-                          : SimWorld.job(number, "batch", tasks, 1, seconds),
+                          ? SimJobs.job(number, "ensemble", Math.min(tasks, 3), 2, seconds)
+                          : SimJobs.job(number, "batch", tasks, 1, seconds),
                   withdrawAfter));
       if (kind >= 2 && !off) {
         finite.add(String.format("req-%06d", number));
@@ -149,7 +148,7 @@
   void aControllerThatItsWorkersCannotReachLosesNoTask() {
     SimWorld w = new SimWorld(61, 6, 6);
     for (int i = 0; i < 12; i++) {
-      w.submit(SimWorld.job(i, "daemon", 1, 1, 0), 0);
+      w.users.submit(SimJobs.job(i, "daemon", 1, 1, 0), 0);
     }
     w.run(30_000);
     int starts = w.starts();
@@ -173,7 +172,8 @@
     for (int i = 0; i < 60; i++) {
       int n = i;
       w.clock.after(
-          r.nextInt(20_000), () -> w.submit(SimWorld.job(n, "batch", 4, 1, 8 + r.nextInt(10)), 0));
+          r.nextInt(20_000),
+          () -> w.users.submit(SimJobs.job(n, "batch", 4, 1, 8 + r.nextInt(10)), 0));
     }
     for (int k = 0; k < 6; k++) {
       String node = "n" + k % 3;
@@ -198,9 +198,9 @@
     w.state().lateCommits(0.15, 2600, seed);
     Random r = new Random(seed);
     for (int i = 0; i < 70; i++) {
-      Map<String, Object> job = SimWorld.job(i, "batch", 1 + r.nextInt(6), 1, 3 + r.nextInt(8));
+      Map<String, Object> job = SimJobs.job(i, "batch", 1 + r.nextInt(6), 1, 3 + r.nextInt(8));
       job.put("rank", List.of("urgent", "standard", "idle").get(r.nextInt(3)));
-      w.clock.after(r.nextInt(40_000), () -> w.submit(job, 0));
+      w.clock.after(r.nextInt(40_000), () -> w.users.submit(job, 0));
     }
     w.run(60_000);
     w.state().lateCommits(0, 0, seed);
@@ -221,7 +221,7 @@
       int n = i;
       w.clock.after(
           r.nextInt(60_000),
-          () -> w.submit(SimWorld.job(n, "batch", 1, 1, 2), 2800 + r.nextInt(1600)));
+          () -> w.users.submit(SimJobs.job(n, "batch", 1, 1, 2), 2800 + r.nextInt(1600)));
     }
     w.run(120_000);
     assertEquals(List.of(), w.broken());
@@ -243,8 +243,8 @@
       w.clock.after(
           r.nextInt(400) + 5000L * (i / 20),
           () ->
-              w.submit(
-                  SimWorld.job(n, gang ? "ensemble" : "batch", 1, gang ? 4 : 1, 1 + r.nextInt(3)),
+              w.users.submit(
+                  SimJobs.job(n, gang ? "ensemble" : "batch", 1, gang ? 4 : 1, 1 + r.nextInt(3)),
                   0));
     }
     w.run(120_000);
@@ -259,9 +259,9 @@
     SimWorld w = new SimWorld(7, 12, 12);
     w.run(8000);
     for (int i = 0; i < 5; i++) {
-      Map<String, Object> job = SimWorld.job(i, shape, 1, 2, 1000);
+      Map<String, Object> job = SimJobs.job(i, shape, 1, 2, 1000);
       job.put("bundle", "img-" + i);
-      w.submit(job, 0);
+      w.users.submit(job, 0);
     }
     w.run(10_000);
     for (int i = 0; i < 5; i++) {
@@ -279,7 +279,7 @@
     SimWorld w = new SimWorld(seed, 9, 9);
     w.run(8000);
     for (int i = 0; i < 12; i++) {
-      w.submit(SimWorld.job(i, "daemon", 1, 1, 0), 12_100 + 30 * i);
+      w.users.submit(SimJobs.job(i, "daemon", 1, 1, 0), 12_100 + 30 * i);
     }
     w.run(12_000);
     assertEquals(12, w.starts());
@@ -299,12 +299,12 @@
       w.run(10);
     }
     for (int i = 0; i < 6; i++) {
-      w.submit(SimWorld.job(i, "batch", 1, 1, 100), 0);
+      w.users.submit(SimJobs.job(i, "batch", 1, 1, 100), 0);
     }
     // A report interval with its slack would be 3.4 s.
     w.run(800);
-    assertTrue(w.accepted.size() >= 3, "accepted " + w.accepted);
-    for (String id : w.accepted) {
+    assertTrue(w.users.accepted.size() >= 3, "accepted " + w.users.accepted);
+    for (String id : w.users.accepted) {
       assertEquals(1, w.placed("n0", id), id);
     }
   }
@@ -323,7 +323,7 @@
     SimWorld w = new SimWorld(ms + node.charAt(1), 9, 9);
     w.run(8000);
     for (int i = 0; i < 18; i++) {
-      w.submit(SimWorld.job(i, "daemon", 1, 2, 0), 0);
+      w.users.submit(SimJobs.job(i, "daemon", 1, 2, 0), 0);
     }
     w.run(12_000);
     assertEquals(18, w.starts());
@@ -335,7 +335,7 @@
     assertEquals(List.of(), w.broken());
     assertEquals(18, w.starts(), "tasks were lost and started again");
     assertFalse(w.lost, "machines were taken for silent");
-    assertEquals(0, w.deleted, "machines were given up");
+    assertEquals(0, w.cloud.deleted, "machines were given up");
     assertEquals(1.0, w.metric(node, "wickdrift.loop.pauses"));
   }
 
@@ -350,7 +350,7 @@
     SimWorld w = new SimWorld(seed, 12, 12);
     w.run(8000);
     for (int i = 0; i < 16; i++) {
-      w.submit(SimWorld.job(i, "batch", 1, 2, 300), 0);
+      w.users.submit(SimJobs.job(i, "batch", 1, 2, 300), 0);
     }
     w.run(9000);
     assertEquals(16, w.starts());
@@ -419,7 +419,7 @@
     SimWorld w = new SimWorld(131, 9, 9);
     w.run(8000);
     for (int i = 0; i < 18; i++) {
-      w.submit(SimWorld.job(i, "daemon", 1, 2, 0), 0);
+      w.users.submit(SimJobs.job(i, "daemon", 1, 2, 0), 0);
     }
     w.run(12_000);
     assertEquals(18, w.starts());
@@ -433,7 +433,7 @@
     assertEquals(List.of(), w.broken());
     assertEquals(18, w.starts(), "tasks were lost and started again");
     assertFalse(w.lost, "machines were taken for silent");
-    assertEquals(0, w.deleted, "machines were given up");
+    assertEquals(0, w.cloud.deleted, "machines were given up");
   }
 
   @ParameterizedTest
@@ -457,16 +457,16 @@
   void aGangTakesItsMachinesFromGuestsAtOnce() {
     SimWorld w = new SimWorld(171, 8, 8, 3, 10_000);
     w.run(8000);
-    Map<String, Object> guests = SimWorld.job(1, "batch", 200, 1, 1000);
+    Map<String, Object> guests = SimJobs.job(1, "batch", 200, 1, 1000);
     guests.put("rank", "idle");
     guests.put("checkpointEveryS", 10.0);
     guests.put("flushS", 1.0);
-    w.submit(guests, 0);
+    w.users.submit(guests, 0);
     w.run(12_000);
     assertEquals(32, w.starts());
-    Map<String, Object> gang = SimWorld.job(2, "ensemble", 4, 4, 100);
+    Map<String, Object> gang = SimJobs.job(2, "ensemble", 4, 4, 100);
     gang.put("rank", "urgent");
-    w.submit(gang, 0);
+    w.users.submit(gang, 0);
     w.run(6000);
     assertEquals(4, w.placed("n0", "req-000002"));
     w.run(20_000);
@@ -483,7 +483,7 @@
   void aMachineReturnedTwiceIsNotRecordedForEver(boolean timersFirst) {
     SimWorld w = new SimWorld(181, 8, 8);
     w.run(8000);
-    while (w.deleted == 0) {
+    while (w.cloud.deleted == 0) {
       w.run(1);
     }
     w.freeze("n0", 8000, timersFirst);
@@ -502,15 +502,15 @@
   void anArrayOfVeryManyTasksIsWrittenInBatches() {
     SimWorld w = new SimWorld(191, 12, 12, 3, 10_000);
     w.run(8000);
-    Map<String, Object> array = SimWorld.job(1, "batch", 10_000, 0, 2);
+    Map<String, Object> array = SimJobs.job(1, "batch", 10_000, 0, 2);
     array.put("rank", "idle");
     array.put("cores", 0.25);
     array.put("memoryGb", 0.5);
     int before = w.state().commits();
-    w.submit(array, 0);
+    w.users.submit(array, 0);
     w.run(6000);
-    w.submit(SimWorld.job(2, "daemon", 2, 1, 0), 0);
-    w.submit(SimWorld.job(3, "batch", 4, 2, 5), 0);
+    w.users.submit(SimJobs.job(2, "daemon", 2, 1, 0), 0);
+    w.users.submit(SimJobs.job(3, "batch", 4, 2, 5), 0);
     w.run(4000);
     assertEquals(2, w.placed("n0", "req-000002"));
     w.run(15_000);
@@ -529,13 +529,13 @@
   void whoseAimIsShortStopsOthersSooner() {
     SimWorld w = new SimWorld(172, 4, 4, 3, 10_000);
     w.run(8000);
-    w.submit(SimWorld.job(1, "batch", 40, 1, 1000), 0);
+    w.users.submit(SimJobs.job(1, "batch", 40, 1, 1000), 0);
     w.run(12_000);
     assertEquals(16, w.starts());
-    Map<String, Object> swift = SimWorld.job(2, "daemon", 1, 1, 0);
+    Map<String, Object> swift = SimJobs.job(2, "daemon", 1, 1, 0);
     swift.put("jobclass", "swift");
     swift.put("rank", "production");
-    w.submit(swift, 0);
+    w.users.submit(swift, 0);
     // Others wait for 20 s before they stop what is no guest's; the worker's reports take most of
     // this.
     w.run(5000);
@@ -551,9 +551,9 @@
     SimWorld w = new SimWorld(173, 2, 2, 3, 10_000);
     w.run(8000);
     w.workers().get(0).slowFetchMs = 75_000;
-    Map<String, Object> gang = SimWorld.job(1, "ensemble", 2, 4, 5);
+    Map<String, Object> gang = SimJobs.job(1, "ensemble", 2, 4, 5);
     gang.put("oneZone", false);
-    w.submit(gang, 0);
+    w.users.submit(gang, 0);
     w.run(110_000);
     assertEquals("done", w.lastTold("req-000001"));
     assertEquals(List.of(), w.broken());
@@ -563,9 +563,9 @@
   @Test
   void fromNothingRentingBeginsAtOnce() {
     SimWorld w = new SimWorld(151, 0, 20);
-    w.clock.after(1300, () -> w.submit(SimWorld.job(1, "batch", 4, 1, 10), 0));
+    w.clock.after(1300, () -> w.users.submit(SimJobs.job(1, "batch", 4, 1, 10), 0));
     w.run(3000);
-    assertTrue(w.rented > 0, "nothing was rented");
+    assertTrue(w.cloud.rented > 0, "nothing was rented");
   }
 
   /** Where machines run, none are rented while it is written that they do. */
@@ -576,31 +576,31 @@
     w.state().slowWrites(600);
     for (int i = 0; i < 40; i++) {
       int n = i;
-      w.clock.after(700, () -> w.submit(SimWorld.job(n, "batch", 15, 1, 10), 0));
+      w.clock.after(700, () -> w.users.submit(SimJobs.job(n, "batch", 15, 1, 10), 0));
     }
     w.run(15_000);
-    assertTrue(w.rented < 165, "rented " + w.rented);
+    assertTrue(w.cloud.rented < 165, "rented " + w.cloud.rented);
   }
 
   /** What waits does not wait for machines that may never come, nor are those rented for ever. */
   @Test
   void machinesThatNeverComeUpAreReplaced() {
     SimWorld w = new SimWorld(153, 0, 30);
-    w.duds = 2;
-    w.submit(SimWorld.job(1, "batch", 8, 1, 60), 0);
+    w.cloud.duds = 2;
+    w.users.submit(SimJobs.job(1, "batch", 8, 1, 60), 0);
     w.run(24_000);
     assertEquals(8, w.starts());
-    w.duds = 1000;
+    w.cloud.duds = 1000;
     for (int i = 2; i < 12; i++) {
-      w.submit(SimWorld.job(i, "batch", 8, 1, 1), 0);
+      w.users.submit(SimJobs.job(i, "batch", 8, 1, 1), 0);
     }
     w.run(12_000);
     // Twenty machines' worth waits.
-    assertTrue(w.rented <= 4 + 20 + 3, "rented " + w.rented);
-    w.duds = 0;
+    assertTrue(w.cloud.rented <= 4 + 20 + 3, "rented " + w.cloud.rented);
+    w.cloud.duds = 0;
     w.run(200_000);
     assertEquals(List.of(), w.broken());
-    assertTrue(w.fleet() <= 2, "left: " + w.fleet());
+    assertTrue(w.cloud.fleet() <= 2, "left: " + w.cloud.fleet());
   }
 
   /** Up before the answer that rented them, late, or never; lists old, and older than the last. */
@@ -608,10 +608,10 @@
   @ValueSource(longs = {161, 162, 163})
   void bootsAndListsAsTheyCome(long seed) {
     SimWorld w = new SimWorld(seed, 2, 30);
-    w.listLagMs = 2000;
+    w.cloud.listLagMs = 2000;
     List<String> finite = load(w, 40, seed);
     for (int t = 5000; t < 60_000; t += 11_000) {
-      w.clock.after(t, () -> w.duds = 2);
+      w.clock.after(t, () -> w.cloud.duds = 2);
     }
     w.run(420_000);
     check(w, finite);
@@ -621,7 +621,7 @@
   private static double lookedAPlacement(int machines) {
     SimWorld w = new SimWorld(101, machines, machines, 5, 10_000);
     w.run(8000);
-    w.submitMixed(101, 5);
+    w.users.submitMixed(101, 5);
     w.clock.after(9000, () -> w.crash("n3", 5000));
     w.run(60_000);
     assertEquals(List.of(), w.broken());
@@ -659,18 +659,22 @@
   @CsvSource({"3, 201", "5, 201", "3, 202", "5, 202", "5, 203", "3, 205", "5, 205"})
   void submissionsAtOnceKeepToTheLimitOfWrites(int controllers, long seed) {
     SimWorld w =
-        new SimWorld(seed, 40, 40, "a".repeat(controllers), 10_000, UnaryOperator.identity());
+        new SimWorld(
+            new SimSetup(seed, 40, 40)
+                .controllers("a".repeat(controllers))
+                .gpusMax(10_000)
+                .defaultTuning());
     w.run(8000);
     for (int i = 0; i < 800; i++) {
       int n = i;
-      w.clock.after(i * 2000 / 800, () -> w.submit(SimWorld.job(n, "batch", 1, 0.1, 5), 0));
+      w.clock.after(i * 2000 / 800, () -> w.users.submit(SimJobs.job(n, "batch", 1, 0.1, 5), 0));
     }
     w.run(5000);
-    assertTrue(w.accepted.size() > 150, "accepted " + w.accepted.size());
-    assertTrue(w.accepted.size() < 800, "no queue, so nothing is shown");
+    assertTrue(w.users.accepted.size() > 150, "accepted " + w.users.accepted.size());
+    assertTrue(w.users.accepted.size() < 800, "no queue, so nothing is shown");
     assertTrue(w.starts() > 50, "started " + w.starts());
     w.run(60_000);
-    assertEquals(800, w.accepted.size());
+    assertEquals(800, w.users.accepted.size());
     assertEquals(0, w.state().overWritten());
     assertEquals(List.of(), w.broken());
   }
@@ -686,7 +690,7 @@
     SimWorld w = new SimWorld(seed, 16, 24, "aab", 60);
     w.run(8000);
     for (int i = 0; i < 12; i++) {
-      w.submit(SimWorld.job(i, "daemon", 2, 1, 0), 0);
+      w.users.submit(SimJobs.job(i, "daemon", 2, 1, 0), 0);
     }
     w.run(12_000);
     assertEquals(24, w.starts());
@@ -697,7 +701,7 @@
     assertEquals(List.of(), w.broken());
     assertEquals(0, w.killedByLease());
     assertEquals(24, w.starts());
-    assertEquals(0, w.deleted, "machines behind the cut were deleted");
+    assertEquals(0, w.cloud.deleted, "machines behind the cut were deleted");
   }
 
   /** Where the cut zone's controller ends too, its tasks do, and are started elsewhere in time. */
--- /dev/null
+++ b/src/test/java/wickdrift/sim/FaultRun.java
@@ -0,0 +1,280 @@
+package wickdrift.sim;
+
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.TreeSet;
+import java.util.function.IntFunction;
+
+/** One run of fault scenarios in a simulated world: its jobs, and what scripts are written with. */
+final class FaultRun {
+  /** Jobs that each run has. */
+  static final int JOBS = 30;
+
+  /** Numbers from here on are of jobs that a scenario submits beside those. */
+  static final int MORE = 100;
+
+  private static final long FAULTS_OVER_MS = 130_000;
+  private static final long CALM_MS = 250_000;
+
+  final SimWorld world;
+  final Random random;
+
+  /** Whether the combination of faults took place. */
+  boolean reached;
+
+  private final TreeSet<String> submitted = new TreeSet<>();
+
+  FaultRun(SimWorld world, Random random) {
+    this.world = world;
+    this.random = random;
+  }
+
+  /** The world of scenarios that need no other. */
+  static SimSetup setup(long seed) {
+    return new SimSetup(seed, 12, 30).controllers("aab");
+  }
+
+  static String id(int number) {
+    return String.format("req-%06d", number);
+  }
+
+  /** Plays the scenarios at once, and asserts what must hold in the end. */
+  void play(IntFunction<FaultScenario> about, List<FaultScenario> scenarios) {
+    for (int i = 0; i < JOBS; i++) {
+      Map<String, Object> job = job(about.apply(i), i);
+      at(8000 + random.nextInt(12_000), () -> submit(job, 0));
+    }
+    scenarios.forEach(s -> s.script.accept(this));
+    at(
+        FAULTS_OVER_MS,
+        () -> {
+          world.net.copies = null;
+          world.rules.calmSinceMs = world.clock.nowMs();
+        });
+    world.run(FAULTS_OVER_MS + CALM_MS);
+    List<String> finite = new ArrayList<>();
+    for (String id : submitted) {
+      if (!world.users.asked.contains(id)) {
+        finite.add(id);
+        continue;
+      }
+      String last = world.lastTold(id);
+      assertTrue("withdrawn".equals(last) || "done".equals(last), id + " is " + last);
+    }
+    ClusterTest.check(world, finite);
+  }
+
+  /** The shape of the i-th job, which the scenarios choose by what they are about. */
+  private Map<String, Object> job(FaultScenario about, int i) {
+    double seconds = 15 + random.nextInt(25);
+    boolean isLong = about == FaultScenario.A_LEADER_ENDS_AND_MACHINES_DO_NOT_HEAR_THE_NEXT;
+    String shape = i % 5 == 4 ? "ensemble" : "batch";
+    int tasks = shape.equals("ensemble") ? 1 + i % 2 : 1 + i % 3;
+    Map<String, Object> job = SimJobs.job(i, shape, tasks, 1, isLong ? 70 : seconds);
+    if (about == FaultScenario.JOBS_OF_ONE_ZONE_LOSE_MACHINES) {
+      if (i % 2 == 0) {
+        job.put("region", i % 4 == 0 ? "a" : "b");
+      } else {
+        job.put("oneZone", true);
+      }
+    }
+    if (about == FaultScenario.MORE_WORK_THAN_ROOM) {
+      job.put("gpus", 2.0);
+      job.put("rank", i % 4 == 0 ? "urgent" : i % 4 == 1 ? "idle" : "standard");
+    }
+    if (about == FaultScenario.EVERY_TEAM_AT_ITS_LIMIT_MACHINES_OF_CANCELLED_JOBS_AWAY) {
+      job.put("owner", i % 2 == 0 ? "vision" : "sound");
+      job.put("gpus", 2.0);
+    }
+    return job;
+  }
+
+  // ---- jobs ----
+
+  void submit(Map<String, Object> job, long cancelAfterMs) {
+    submitted.add((String) job.get("ref"));
+    world.users.submit(job, cancelAfterMs);
+  }
+
+  /** Small jobs of both teams, beside those of every run. */
+  void submitMore(int count, long fromMs, int spanMs) {
+    for (int i = 0; i < count; i++) {
+      Map<String, Object> job =
+          SimJobs.job(MORE + i, "batch", 1 + i % 2, 1, 8 + random.nextInt(20));
+      job.put("owner", i % 2 == 0 ? "vision" : "sound");
+      at(fromMs + random.nextInt(spanMs), () -> submit(job, 0));
+    }
+  }
+
+  /** Users cancel so many running jobs at this moment, each at another controller. */
+  void cancelRunning(int count) {
+    int left = count;
+    for (String id : cancellable()) {
+      if (left > 0 && world.isOn(id + "/0")) {
+        world.users.withdraw(id, world.nodes.get(left-- % world.nodes.size()));
+      }
+    }
+  }
+
+  /** Users cancel the jobs that were accepted last, whether they run or not. */
+  void cancelNewest(int count) {
+    List<String> all = cancellable();
+    for (int i = Math.max(0, all.size() - count); i < all.size(); i++) {
+      world.users.withdraw(all.get(i), world.nodes.get(i % world.nodes.size()));
+    }
+  }
+
+  /** Users cancel running jobs whose machines hang, or lose the network, at that moment. */
+  void cancelBehindFaults(int count, boolean hang, long forMs) {
+    int left = count;
+    for (String id : cancellable()) {
+      String machine = world.rules.machineOf(id + "/0");
+      if (left == 0 || machine == null) {
+        continue;
+      }
+      left--;
+      if (hang) {
+        world.hangMachine(indexOf(machine), forMs);
+      } else {
+        world.cutMachine(indexOf(machine), left % 2 == 0);
+      }
+      world.users.withdraw(id, world.nodes.get(left % world.nodes.size()));
+    }
+    if (!hang) {
+      at(forMs, world::healMachines);
+    }
+  }
+
+  private int indexOf(String machine) {
+    List<SimWorker> all = world.workers();
+    for (int i = 0; i < all.size(); i++) {
+      if (all.get(i).name.equals(machine)) {
+        return i;
+      }
+    }
+    throw new AssertionError("no machine " + machine);
+  }
+
+  /** A third of the jobs may be cancelled; the others must be done in the end. */
+  private List<String> cancellable() {
+    List<String> out = new ArrayList<>();
+    int i = 0;
+    for (String id : submitted) {
+      boolean mayBe = i++ % 3 == 0;
+      if (mayBe && world.users.accepted.contains(id) && !world.users.asked.contains(id)) {
+        out.add(id);
+      }
+    }
+    return out;
+  }
+
+  /** Jobs of which users were told that they are cancelled. */
+  long cancelled() {
+    return submitted.stream().filter(world.rules::toldWithdrawn).count();
+  }
+
+  /** Whether a team's tasks hold its whole limit, but for less than a task. */
+  boolean atLimit(String team) {
+    double held = world.workers().stream().mapToDouble(m -> m.gpusOf(team)).sum();
+    return held > world.setup.limitOf(team) - 2;
+  }
+
+  // ---- controllers ----
+
+  /** So long from now; in a script, from the start. */
+  void at(long ms, Runnable action) {
+    world.clock.after(ms, action);
+  }
+
+  String leader() {
+    return world.nodes.stream()
+        .filter(n -> world.alive(n) && world.tables(n).view() != null)
+        .max((a, b) -> Long.compare(world.epoch(a), world.epoch(b)))
+        .map(n -> world.tables(n).view().leader())
+        .orElse(world.nodes.get(0));
+  }
+
+  /** The newest epoch that any controller knows. */
+  long epoch() {
+    return world.nodes.stream().filter(world::alive).mapToLong(this::epochOf).max().orElse(0);
+  }
+
+  /** The epoch that a controller knows; 0: none. */
+  long epochOf(String node) {
+    return world.tables(node).view() == null ? 0 : world.epoch(node);
+  }
+
+  /** The leader ends and is back soon, or stands still until it was deposed. */
+  void endLeader(boolean pause) {
+    if (pause) {
+      world.freeze(leader(), 9000, random.nextBoolean());
+    } else {
+      world.crash(leader(), 300 + random.nextInt(3000));
+    }
+  }
+
+  /** A controller's work goes to others: it crashes, leaves in order, or stands still. */
+  void handOver(String node, int how) {
+    if (!world.alive(node)) {
+      return;
+    }
+    switch (how % 3) {
+      case 0 -> world.crash(node, 300 + random.nextInt(4000));
+      case 1 -> world.restart(node, 3000, 300);
+      default -> world.freeze(node, 9000, random.nextBoolean());
+    }
+  }
+
+  // ---- machines ----
+
+  void cut(int machines, boolean hold, long forMs) {
+    for (int m = 0; m < machines; m++) {
+      world.cutMachine(m, hold);
+    }
+    at(forMs, world::healMachines);
+  }
+
+  void killMachines(int count) {
+    for (int i = 0; i < count; i++) {
+      world.killMachine(i);
+    }
+  }
+
+  /** Calls back when a machine has come up, no more often than every so often. */
+  void whenMachinesComeUp(long fromMs, long untilMs, long everyMs, Runnable action) {
+    int[] known = {world.workers().size()};
+    long[] last = {Long.MIN_VALUE / 2};
+    for (long t = fromMs; t < untilMs; t += 20) {
+      at(
+          t,
+          () -> {
+            boolean more = world.workers().size() > known[0];
+            known[0] = world.workers().size();
+            if (more && world.clock.nowMs() - last[0] >= everyMs) {
+              last[0] = world.clock.nowMs();
+              action.run();
+            }
+          });
+    }
+  }
+
+  /** Copies of reports that were kept reach every controller as a new leader begins. */
+  void releaseCopiesAtEachNewLeader(long fromMs, long untilMs) {
+    String[] last = new String[1];
+    for (long t = fromMs; t < untilMs; t += 4) {
+      at(
+          t,
+          () -> {
+            String now = leader();
+            if (last[0] != null && !now.equals(last[0])) {
+              world.net.releaseCopies(world.nodes);
+            }
+            last[0] = now;
+          });
+    }
+  }
+}
--- a/src/test/java/wickdrift/sim/Hold.java
+++ b/src/test/java/wickdrift/sim/Hold.java
@@ -53,7 +53,7 @@
     int next = 0;
     for (int j = 0; j < JOBS; j++) {
       int size = j == 0 ? tasks / 2 : j < JOBS - 1 ? tasks / 2 / (JOBS - 1) : tasks - next;
-      Map<String, Object> job = SimWorld.job(j, "batch", size, 1, 60);
+      Map<String, Object> job = SimJobs.job(j, "batch", size, 1, 60);
       put(
           all,
           Job.key((String) job.get("ref")),
--- a/src/test/java/wickdrift/sim/JudgeTest.java
+++ b/src/test/java/wickdrift/sim/JudgeTest.java
@@ -29,6 +29,9 @@
     DONE_TOO_EARLY("not_done " + JOB),
     DONE_AND_RUNS_AGAIN("went_back " + JOB),
     WITHDRAWN_BY_NOBODY("went_back " + JOB),
+    WITHDRAWN_AND_DONE("went_back " + JOB + " from withdrawn to done"),
+    DONE_AND_PENDING_AT_ANOTHER("went_back " + JOB + " from done to pending"),
+    TAKEN_AGAIN("accepted_again " + JOB),
     UNKNOWN("forgotten " + JOB),
     NO_ANSWER("forgotten " + JOB + ": no question"),
     WAITS_BESIDE_ROOM("passed_over " + JOB);
@@ -88,14 +91,30 @@
       case BEFORE_WHAT_IT_AWAITS -> run(w, 0, JOB + "/0", 1);
       case DONE_TOO_EARLY -> w.rules.told(JOB, "done", w.clock.nowMs());
       case DONE_AND_RUNS_AGAIN -> {
-        w.asked.add(JOB);
+        w.users.asked.add(JOB);
         w.rules.told(JOB, "withdrawn", w.clock.nowMs());
         w.rules.told(JOB, "running", w.clock.nowMs());
       }
+      case WITHDRAWN_AND_DONE -> {
+        w.users.asked.add(JOB);
+        w.rules.told(JOB, "withdrawn", w.clock.nowMs());
+        w.rules.told(JOB, "done", w.clock.nowMs());
+      }
+      case DONE_AND_PENDING_AT_ANOTHER -> {
+        for (int i = 0; i < 3; i++) {
+          run(w, i, JOB + "/" + i, 1);
+        }
+        w.rules.told(JOB, "done", w.clock.nowMs());
+        w.rules.told(JOB, "pending", w.clock.nowMs());
+      }
+      case TAKEN_AGAIN -> {
+        w.rules.accepted(JOB);
+        w.rules.acceptedAgain(JOB, w.clock.nowMs());
+      }
       case WITHDRAWN_BY_NOBODY -> w.rules.told(JOB, "withdrawn", w.clock.nowMs());
       case UNKNOWN -> w.rules.told(JOB, null, w.clock.nowMs());
       case NO_ANSWER, WAITS_BESIDE_ROOM -> {
-        w.accepted.add(JOB);
+        w.users.accepted.add(JOB);
         w.rules.calmSinceMs = w.clock.nowMs();
       }
       default -> throw new AssertionError(d);
@@ -108,11 +127,11 @@
     w.nodes.forEach(w::kill);
     // Its controllers being gone, the workers' leases would end all.
     w.workersKeepTheirLeases = true;
-    Map<String, Object> job = SimWorld.job(1, "batch", 3, 4, 500);
+    Map<String, Object> job = SimJobs.job(1, "batch", 3, 4, 500);
     job.put("oneZone", true);
     job.put("awaits", List.of(OTHER));
-    w.describe(SimWorld.job(2, "batch", 1, 1, 1));
-    w.describe(job);
+    w.users.describe(SimJobs.job(2, "batch", 1, 1, 1));
+    w.users.describe(job);
     w.run(2000);
     return w;
   }
@@ -132,6 +151,20 @@
         w.broken().stream().anyMatch(b -> b.contains(d.called)), d + " is called " + w.broken());
   }
 
+  /** An answer to a question that was put before the newer one came is not older than known. */
+  @Test
+  void whatWasAskedBeforeMayBeOlder() {
+    SimWorld w = world();
+    w.users.asked.add(JOB);
+    long before = w.clock.nowMs();
+    w.run(10);
+    w.rules.accepted(JOB);
+    w.rules.told(JOB, "withdrawn", before + 5);
+    w.rules.told(JOB, "running", before);
+    w.rules.acceptedAgain(JOB, before);
+    assertEquals(List.of(), w.broken());
+  }
+
   /** And where nothing is wrong it says nothing. */
   @Test
   void nothingIsCalledWrong() {
--- a/src/test/java/wickdrift/sim/LargestTest.java
+++ b/src/test/java/wickdrift/sim/LargestTest.java
@@ -38,13 +38,13 @@
       int n = i;
       Map<String, Object> job =
           beside.equals("gangs")
-              ? SimWorld.job(n, "ensemble", 1 + n % 2, 4, 8 + n % 9)
-              : SimWorld.job(n, "batch", 2 + n % 3, 1, 8 + n % 9);
-      w.clock.after(400_000L * i / small, () -> w.submit(job, 0));
+              ? SimJobs.job(n, "ensemble", 1 + n % 2, 4, 8 + n % 9)
+              : SimJobs.job(n, "batch", 2 + n % 3, 1, 8 + n % 9);
+      w.clock.after(400_000L * i / small, () -> w.users.submit(job, 0));
     }
     w.run(60_000);
     double gpus = shape.equals("ensemble") ? 4 : 1;
-    w.submit(SimWorld.job(9000, shape, tasks, gpus, shape.equals("daemon") ? 0 : 10), 0);
+    w.users.submit(SimJobs.job(9000, shape, tasks, gpus, shape.equals("daemon") ? 0 : 10), 0);
     switch (trouble) {
       case "leader crashes" -> {
         for (int k = 0; k < 3; k++) {
--- a/src/test/java/wickdrift/sim/Loopback.java
+++ b/src/test/java/wickdrift/sim/Loopback.java
@@ -242,7 +242,8 @@
             String shape = i < 8 ? "daemon" : i % 3 == 0 ? "ensemble" : "batch";
             world.clock.after(
                 i < 8 ? 0 : (long) (forMs * (double) i / jobs),
-                () -> world.submit(SimWorld.job(n, shape, 1 + n % 3, 1 + n % 2, 2 + n % 12), 0));
+                () ->
+                    world.users.submit(SimJobs.job(n, shape, 1 + n % 3, 1 + n % 2, 2 + n % 12), 0));
           }
           watchReplicas();
           return null;
@@ -337,7 +338,7 @@
         lostReplicaS,
         replicaS,
         100 * lostReplicaS / replicaS,
-        world.refusedSubmissions,
+        world.users.refusedSubmissions,
         ask(world::killedByLease),
         kills,
         world.starts());
@@ -355,12 +356,12 @@
           world.state().fall(2, 4, 40);
           for (int i = 0; i < 12 * 4; i++) {
             String shape = i % 4 == 2 ? "ensemble" : "batch";
-            Map<String, Object> job = SimWorld.job(CHAINS + i, shape, 1 + i % 3, 1, 3);
+            Map<String, Object> job = SimJobs.job(CHAINS + i, shape, 1 + i % 3, 1, 3);
             if (i % 4 > 0) {
-              SimWorld.awaiting(job, CHAINS + i - 1);
+              SimJobs.awaiting(job, CHAINS + i - 1);
             }
             long off = i == 0 ? 500 : 0;
-            world.clock.after(2500L * (i / 4), () -> world.submitChained(job, off));
+            world.clock.after(2500L * (i / 4), () -> world.users.submitChained(job, off));
           }
           return null;
         });
@@ -392,7 +393,7 @@
         });
     start("n1", old);
     rest(12_000);
-    byte[] job = ask(() -> world.describe(SimWorld.job(900, "batch", 1, 1, 2)));
+    byte[] job = ask(() -> world.users.describe(SimJobs.job(900, "batch", 1, 1, 2)));
     Map<String, Integer> got = new TreeMap<>();
     got.put("up", status("n1", "GET", "/up", null));
     got.put("submit", status("n1", "POST", "/api/jobs", job));
--- a/src/test/java/wickdrift/sim/OperatorTest.java
+++ b/src/test/java/wickdrift/sim/OperatorTest.java
@@ -75,7 +75,8 @@
       int n = i;
       String shape = i % 8 == 0 ? "daemon" : i % 5 < 2 ? "ensemble" : "batch";
       w.clock.after(
-          i * 700, () -> w.submit(SimWorld.job(n, shape, 1 + n % 4, 1 + n % 2, 5 + n % 25), 0));
+          i * 700,
+          () -> w.users.submit(SimJobs.job(n, shape, 1 + n % 4, 1 + n % 2, 5 + n % 25), 0));
     }
     w.run(25_000);
   }
@@ -132,7 +133,7 @@
     Golden g = Golden.read(build);
     SimWorld w = new SimWorld(501, 4, 30, "aab", 40);
     w.nodes.forEach(w::kill);
-    w.machineNumber = 1000;
+    w.cloud.machineNumber = 1000;
     Map<String, Object> records = new TreeMap<>();
     g.all.forEach((k, i) -> records.put(k, i.value()));
     // The members' leases have ended.
@@ -142,7 +143,7 @@
     for (Map.Entry<String, Object> e : records.entrySet()) {
       if (e.getKey().startsWith("w/j/")) {
         Doc spec = Doc.of(Doc.of(e.getValue()).raw("spec"));
-        w.describe(new TreeMap<>(spec.without()));
+        w.users.describe(new TreeMap<>(spec.without()));
         if (!spec.text("shape").equals("daemon") && !Doc.of(e.getValue()).flag("off")) {
           open.add(spec.text("ref"));
         }
@@ -262,7 +263,7 @@
     for (int stop = 0; !whole; stop++) {
       SimWorld w = new SimWorld(514, 4, 30, "aab", 40);
       w.nodes.forEach(w::kill);
-      w.machineNumber = 1000;
+      w.cloud.machineNumber = 1000;
       int[] left = {stop};
       Store failing =
           (method, path, body) -> {
@@ -302,7 +303,7 @@
     for (Map.Entry<String, Records.Item> e : r.all().entrySet()) {
       if (e.getKey().startsWith("w/j/")) {
         Doc spec = Doc.of(Doc.of(e.getValue().value()).raw("spec"));
-        w.describe(new TreeMap<>(spec.without()));
+        w.users.describe(new TreeMap<>(spec.without()));
         open++;
       }
     }
--- a/src/test/java/wickdrift/sim/PipelineTest.java
+++ b/src/test/java/wickdrift/sim/PipelineTest.java
@@ -54,10 +54,10 @@
   /** A job of a graph: its shape and team vary with its number. */
   private static Map<String, Object> stage(int n, int... awaits) {
     String shape = n % 5 == 3 ? "ensemble" : "batch";
-    Map<String, Object> m = SimWorld.job(n, shape, 1 + n % 3, n % 2, 2 + n % 4);
+    Map<String, Object> m = SimJobs.job(n, shape, 1 + n % 3, n % 2, 2 + n % 4);
     m.put("owner", n % 7 == 0 ? "sound" : "vision");
     m.put("rank", awaits.length > 0 && n % 3 == 0 ? "urgent" : "idle");
-    return awaits.length == 0 ? m : SimWorld.awaiting(m, awaits);
+    return awaits.length == 0 ? m : SimJobs.awaiting(m, awaits);
   }
 
   /** Graphs by name, as "job: jobs that it awaits". */
@@ -80,7 +80,7 @@
       long off = r.nextInt(12) == 0 ? 100 + r.nextInt(12_000) : 0;
       // Some are submitted when all that they await is over.
       long late = awaits.length > 0 && r.nextInt(8) == 0 ? 25_000 : 0;
-      w.clock.after(late, () -> w.submitChained(stage(n, awaits), off));
+      w.clock.after(late, () -> w.users.submitChained(stage(n, awaits), off));
     }
   }
 
@@ -88,7 +88,7 @@
   private static void check(SimWorld w) {
     assertEquals(List.of(), w.broken());
     Map<String, String> expected = new HashMap<>();
-    for (String id : new TreeSet<>(w.accepted)) {
+    for (String id : new TreeSet<>(w.users.accepted)) {
       assertEquals(expect(w, id, expected), w.lastTold(id), id);
     }
     assertTrue(w.starts() > 0, "nothing ran");
@@ -235,7 +235,7 @@
   // ---- acceptance ----
 
   private static int submit(SimWorld w, String node, Map<String, Object> job) {
-    Answer a = w.ask(node, "POST", "/api/jobs", w.describe(job));
+    Answer a = w.users.ask(node, "POST", "/api/jobs", w.users.describe(job));
     return a == null ? 0 : a.status();
   }
 
@@ -244,7 +244,7 @@
     SimWorld w = world(760);
     w.run(8000);
     assertEquals(201, submit(w, "n0", stage(1)));
-    assertEquals(201, submit(w, "n1", SimWorld.job(2, "daemon", 1, 1, 0)));
+    assertEquals(201, submit(w, "n1", SimJobs.job(2, "daemon", 1, 1, 0)));
     assertEquals(201, submit(w, "n1", stage(3, 1, 1)), "named twice, accepted by another");
     assertEquals(422, submit(w, "n0", stage(4, 999)), "never accepted");
     assertEquals(422, submit(w, "n2", stage(4, 1, 999)), "one of two never accepted");
@@ -257,7 +257,7 @@
     w.run(8000);
     assertEquals(201, submit(w, "n2", stage(7, 1, 3)));
     assertEquals(200, submit(w, "n0", stage(7, 1, 3)), "a retry");
-    assertEquals(200, w.ask("n0", "POST", "/api/jobs/" + id(2) + "/withdraw", null).status());
+    assertEquals(200, w.users.ask("n0", "POST", "/api/jobs/" + id(2) + "/withdraw", null).status());
     w.run(20_000);
     assertEquals(201, submit(w, "n1", stage(8, 2)), "withdrawn already");
     assertEquals("withdrawn", phase(w, "n0", 8));
@@ -288,7 +288,7 @@
         what.equals("text")
             ? value
             : what.equals("number") ? 7 : what.equals("odd id") ? List.of(value) : List.of(1));
-    assertEquals(400, w.ask("n0", "POST", "/api/jobs", Pack.encode(job)).status());
+    assertEquals(400, w.users.ask("n0", "POST", "/api/jobs", Pack.encode(job)).status());
   }
 
   /** Before all have the new build nothing is written that the old one would read and run. */
@@ -319,14 +319,14 @@
     w.run(8000);
     int[] names = IntStream.range(100, 400).toArray();
     for (int n : names) {
-      Map<String, Object> job = SimWorld.job(n, "batch", 1, 0, 1 + n % 20);
+      Map<String, Object> job = SimJobs.job(n, "batch", 1, 0, 1 + n % 20);
       job.put("cores", 0.25);
-      w.clock.after((n - 100) * 60L, () -> w.submit(job, 0));
+      w.clock.after((n - 100) * 60L, () -> w.users.submit(job, 0));
     }
     w.run(20_000);
     w.state().fall(2, 4, 40);
-    w.submitChained(SimWorld.awaiting(SimWorld.job(900, "batch", 2, 1, 2), names), 0);
-    w.submitChained(SimWorld.awaiting(SimWorld.job(901, "batch", 2, 1, 2), 900), 0);
+    w.users.submitChained(SimJobs.awaiting(SimJobs.job(900, "batch", 2, 1, 2), names), 0);
+    w.users.submitChained(SimJobs.awaiting(SimJobs.job(901, "batch", 2, 1, 2), 900), 0);
     w.run(9000);
     w.nodes.forEach(n -> w.crash(n, 300));
     w.run(150_000);
@@ -337,7 +337,7 @@
   }
 
   private static String phase(SimWorld w, String node, int job) {
-    return phase(w.ask(node, "GET", "/api/jobs/" + id(job), null));
+    return phase(w.users.ask(node, "GET", "/api/jobs/" + id(job), null));
   }
 
   private static String phase(Answer a) {
@@ -358,13 +358,13 @@
     SimWorld w = world(770 + trouble);
     w.run(8000);
     for (int n = 0; n < 100; n++) {
-      Map<String, Object> job = SimWorld.job(n, "batch", 1, 0, 30);
-      w.submitChained(n == 0 ? job : SimWorld.awaiting(job, n - 1), 0);
+      Map<String, Object> job = SimJobs.job(n, "batch", 1, 0, 30);
+      w.users.submitChained(n == 0 ? job : SimJobs.awaiting(job, n - 1), 0);
     }
     w.run(25_000);
-    assertEquals(100, w.accepted.size());
-    w.asked.add(id(0));
-    Answer a = w.ask("n0", "POST", "/api/jobs/" + id(0) + "/withdraw", null);
+    assertEquals(100, w.users.accepted.size());
+    w.users.asked.add(id(0));
+    Answer a = w.users.ask("n0", "POST", "/api/jobs/" + id(0) + "/withdraw", null);
     assertEquals(200, a.status());
     w.rules.withdrawn(id(0));
     switch (trouble) {
@@ -394,17 +394,17 @@
   void whoHasJustStartedSaysNothingOlder() {
     SimWorld w = world(775);
     w.run(8000);
-    w.submit(SimWorld.job(1, "batch", 1, 1, 60), 0);
-    w.submitChained(stage(2, 1), 0);
-    w.submitChained(stage(3, 2), 0);
+    w.users.submit(SimJobs.job(1, "batch", 1, 1, 60), 0);
+    w.users.submitChained(stage(2, 1), 0);
+    w.users.submitChained(stage(3, 2), 0);
     w.run(4000);
     // The ends of those after it are never written.
     w.state().fate =
         (from, d) -> endsOne(d, id(2), id(3)) ? SimState.Fate.LOST : SimState.Fate.APPLIED;
     for (int n = 1; n < 4; n++) {
-      w.asked.add(id(n));
+      w.users.asked.add(id(n));
     }
-    assertEquals(200, w.ask("n0", "POST", "/api/jobs/" + id(1) + "/withdraw", null).status());
+    assertEquals(200, w.users.ask("n0", "POST", "/api/jobs/" + id(1) + "/withdraw", null).status());
     w.rules.withdrawn(id(1));
     assertEquals("withdrawn", phase(w, "n1", 3));
     w.run(10_000);
@@ -414,7 +414,7 @@
     w.state().slowFinalsMs = 8000;
     w.crash("n2", 300);
     w.run(3000);
-    Answer a = w.ask("n2", "GET", "/api/jobs/" + id(3), null);
+    Answer a = w.users.ask("n2", "GET", "/api/jobs/" + id(3), null);
     assertTrue(a.status() == 503 || "withdrawn".equals(phase(a)), "older than what was told");
     w.run(8000);
     assertEquals("withdrawn", phase(w, "n2", 3));
@@ -445,18 +445,18 @@
   void whatWaitsForOthersIsInNobodysWay() {
     SimWorld w = world(780);
     w.run(8000);
-    w.submit(SimWorld.job(1, "batch", 1, 1, 60), 0);
+    w.users.submit(SimJobs.job(1, "batch", 1, 1, 60), 0);
     w.run(2000);
     for (int n = 2; n < 12; n++) {
       // More than the limit, and than all machines, were they to start.
-      w.submitChained(SimWorld.awaiting(SimWorld.job(n, "ensemble", 12, 4, 5), 1), 0);
+      w.users.submitChained(SimJobs.awaiting(SimJobs.job(n, "ensemble", 12, 4, 5), 1), 0);
     }
     w.run(12_000);
-    int fleet = w.fleet();
-    w.submit(SimWorld.job(30, "batch", 8, 1, 3), 0);
+    int fleet = w.cloud.fleet();
+    w.users.submit(SimJobs.job(30, "batch", 8, 1, 3), 0);
     w.run(12_000);
     assertEquals("done", phase(w, "n0", 30));
-    assertEquals(fleet, w.fleet());
+    assertEquals(fleet, w.cloud.fleet());
     assertEquals("pending", phase(w, "n1", 2));
   }
 
@@ -467,17 +467,17 @@
   void rankIsCarriedBack() {
     SimWorld w = new SimWorld(781, 2, 2, "aaa", 60);
     w.run(8000);
-    w.submit(SimWorld.job(1, "batch", 8, 1, 12), 0);
+    w.users.submit(SimJobs.job(1, "batch", 8, 1, 12), 0);
     w.run(4000);
     // Sixteen ordinary tasks wait; then comes a chain whose last job is urgent.
-    w.submit(SimWorld.job(2, "batch", 16, 1, 20), 0);
+    w.users.submit(SimJobs.job(2, "batch", 16, 1, 20), 0);
     w.run(1000);
-    Map<String, Object> first = SimWorld.job(3, "batch", 2, 1, 1);
+    Map<String, Object> first = SimJobs.job(3, "batch", 2, 1, 1);
     first.put("rank", "idle");
-    w.submit(first, 0);
-    Map<String, Object> last = SimWorld.awaiting(SimWorld.job(4, "batch", 1, 1, 1), 3);
+    w.users.submit(first, 0);
+    Map<String, Object> last = SimJobs.awaiting(SimJobs.job(4, "batch", 1, 1, 1), 3);
     last.put("rank", "urgent");
-    w.submitChained(last, 0);
+    w.users.submitChained(last, 0);
     w.run(13_000);
     assertEquals("done", phase(w, "n0", 3), "the first was served as the last");
     assertEquals(List.of(), w.broken());
@@ -494,14 +494,15 @@
   @ParameterizedTest
   @CsvSource({"aaaabbb, false", "aaaabbb, true", "aabb, true", "aaaaabbbb, false"})
   void aFullViewOutlivesTheFall(String zones, boolean fallsFirst) {
-    SimWorld w = new SimWorld(790 + zones.length(), 10, 30, zones, 60, t -> t.withLog(2, 900), 8);
+    SimWorld w =
+        new SimWorld(new SimSetup(790 + zones.length(), 10, 30).controllers(zones).txnOps(8));
     w.restartAll(OLD, SMALLER);
     w.run(10_000);
     int members = w.tables("n0").view().members().size();
     assertEquals(Math.min(7, zones.length()), members);
     for (int i = 0; i < 20; i++) {
       int n = i;
-      w.clock.after(2000L * i, () -> w.submit(SimWorld.job(n, "batch", 3, 1, 4), 0));
+      w.clock.after(2000L * i, () -> w.users.submit(SimJobs.job(n, "batch", 3, 1, 4), 0));
     }
     if (fallsFirst) {
       w.state().fall(2, 4, 40);
@@ -551,8 +552,8 @@
     SimWorld w = world(810);
     w.run(8000);
     for (int n = 0; n < 10; n++) {
-      Map<String, Object> job = SimWorld.job(n, "batch", 1, 1, 2);
-      w.submitChained(n == 0 ? job : SimWorld.awaiting(job, n - 1), 0);
+      Map<String, Object> job = SimJobs.job(n, "batch", 1, 1, 2);
+      w.users.submitChained(n == 0 ? job : SimJobs.awaiting(job, n - 1), 0);
     }
     w.run(60_000);
     Tables t = w.tables("n0");
--- a/src/test/java/wickdrift/sim/ReturnsTest.java
+++ b/src/test/java/wickdrift/sim/ReturnsTest.java
@@ -147,7 +147,7 @@
   void comesBackAtOnce(Row row, int backMs) {
     SimWorld w = new SimWorld(31 + backMs, 14, 20);
     Random r = new Random(backMs);
-    List<String> finite = w.submitSmall(r, 4000, 30_000, 5000, n -> n % 2 == 0 ? 5 : 6);
+    List<String> finite = w.users.submitSmall(r, 4000, 30_000, 5000, n -> n % 2 == 0 ? 5 : 6);
     row.trouble.accept(w, backMs);
     w.run(240_000);
     assertEquals(0, w.full);
--- a/src/test/java/wickdrift/sim/RolloutTest.java
+++ b/src/test/java/wickdrift/sim/RolloutTest.java
@@ -42,7 +42,7 @@
    * A world whose controllers are all of the build that knows no levels, with jobs of all shapes.
    */
   private static SimWorld old(long seed, String zones) {
-    SimWorld w = new SimWorld(seed, 8, 30, zones, 40, t -> t.withLog(2, 900));
+    SimWorld w = new SimWorld(seed, 8, 30, zones, 40);
     // They were started in the constructor, but nothing has run yet.
     for (String n : w.nodes) {
       w.kill(n);
@@ -63,8 +63,8 @@
       w.clock.after(
           w.random.nextInt((int) forMs),
           () ->
-              w.submit(
-                  SimWorld.job(n, shape, Math.min(tasks, 3), 1 + n % 2, 3 + n % 15),
+              w.users.submit(
+                  SimJobs.job(n, shape, Math.min(tasks, 3), 1 + n % 2, 3 + n % 15),
                   off ? 9000 : 0));
       if (i % 10 != 0 && !off) {
         finite.add(String.format("req-%06d", n));
@@ -328,7 +328,7 @@
           return SimState.Fate.APPLIED;
         };
     for (int i = 0; i < 12; i++) {
-      w.submit(SimWorld.job(i, "batch", 2, 1, 20), 0);
+      w.users.submit(SimJobs.job(i, "batch", 2, 1, 20), 0);
     }
     while (held[0] == null) {
       w.run(50);
@@ -388,8 +388,9 @@
     assertFalse(w.tables("n0").members().containsKey("n1"));
     for (String path : List.of("GET /up", "POST /api/jobs", "GET /api/jobs/req-000001")) {
       String[] p = path.split(" ");
-      byte[] body = p[0].equals("POST") ? w.describe(SimWorld.job(900, "batch", 1, 1, 5)) : null;
-      assertEquals(503, w.ask("n1", p[0], p[1], body).status(), path);
+      byte[] body =
+          p[0].equals("POST") ? w.users.describe(SimJobs.job(900, "batch", 1, 1, 5)) : null;
+      assertEquals(503, w.users.ask("n1", p[0], p[1], body).status(), path);
     }
     assertNotEquals(200, w.report("n1", "i-000000", 1) == null ? 0 : 503);
     w.run(120_000);
@@ -499,7 +500,7 @@
     w.tables("n0").parts().keySet().forEach(n -> all.put(n, true));
     for (String n : all.keySet()) {
       Part p = w.tables("n0").part(n);
-      sum += first.contains(n) ? w.gpusMax / first.size() : 0;
+      sum += first.contains(n) ? w.setup.gpusMax() / first.size() : 0;
       sum += p == null ? 0 : p.shares().getOrDefault("vision", Part.Share.NONE).gpus();
     }
     return sum;
@@ -520,11 +521,11 @@
   })
   void controllersAreAddedRemovedAndRenamed(String zones, String before, String after)
       throws BadMessage {
-    SimWorld w = new SimWorld(390, 10, 20, zones, 12, t -> t.withLog(2, 900));
+    SimWorld w = new SimWorld(390, 10, 20, zones, 12);
     List<String> finite = new ArrayList<>();
     for (int i = 0; i < 80; i++) {
       int n = i;
-      w.clock.after(i * 800, () -> w.submit(SimWorld.job(n, "batch", 3, 1, 6), 0));
+      w.clock.after(i * 800, () -> w.users.submit(SimJobs.job(n, "batch", 3, 1, 6), 0));
       finite.add(String.format("req-%06d", i));
     }
     w.run(10_000);
@@ -553,12 +554,12 @@
     w.run(120_000);
     check(w, finite);
     if (then.contains("n0")) {
-      assertEquals(w.gpusMax, shares(w), 1e-6);
+      assertEquals(w.setup.gpusMax(), shares(w), 1e-6);
     }
     // All of the limit is used, whoever had a share of it before.
-    w.submit(SimWorld.job(900, "batch", 24, 1, 40), 0);
+    w.users.submit(SimJobs.job(900, "batch", 24, 1, 40), 0);
     w.run(25_000);
-    assertEquals((int) w.gpusMax, w.placed(then.get(0), "req-000900"));
+    assertEquals((int) w.setup.gpusMax(), w.placed(then.get(0), "req-000900"));
     assertEquals(List.of(), w.broken());
   }
 
@@ -631,7 +632,7 @@
       assertNotNull(w.tables(n).barred(), n);
       assertTrue(w.tables(n).barred().contains(key), w.tables(n).barred());
     }
-    w.submit(SimWorld.job(1, "batch", 2, 1, 5), 0);
+    w.users.submit(SimJobs.job(1, "batch", 2, 1, 5), 0);
     w.run(3000);
     assertEquals(0, w.starts());
     w.state().force(key, was);
@@ -655,7 +656,7 @@
     }
     SimWorld w = new SimWorld(401, 6, 20);
     w.run(8000);
-    w.submit(SimWorld.job(1, "batch", 2, 1, 20), 0);
+    w.users.submit(SimJobs.job(1, "batch", 2, 1, 20), 0);
     w.run(4000);
     String key = "w/l/n9/0000000001";
     w.state().force(key, Form.wrap(2, Map.of("g", List.of(List.of(0L, List.of(entry))))));
@@ -679,7 +680,7 @@
     SimWorld w = new SimWorld(404, 6, 20, "aaa", 60);
     w.run(8000);
     for (int i = 0; i < 40; i++) {
-      w.submit(SimWorld.job(i, i % 3 == 0 ? "daemon" : "batch", 3, 1, 4), 0);
+      w.users.submit(SimJobs.job(i, i % 3 == 0 ? "daemon" : "batch", 3, 1, 4), 0);
       w.run(900);
     }
     String key = w.state().keys().stream().filter(Job::isChunk).findFirst().orElseThrow();
@@ -701,7 +702,7 @@
     SimWorld w = new SimWorld(402, 6, 20);
     w.run(8000);
     w.state().force("w/m/n8", Map.of("inc", "x", "zone", "a", "least", 3L, "most", 2L));
-    w.submit(SimWorld.job(1, "batch", 2, 1, 5), 0);
+    w.users.submit(SimJobs.job(1, "batch", 2, 1, 5), 0);
     w.run(30_000);
     assertFalse(w.tables("n0").view().members().containsKey("n8"));
     assertEquals("done", w.lastTold("req-000001"));
@@ -712,7 +713,7 @@
   void whatANewerWriterAddedSurvives() throws BadMessage {
     SimWorld w = new SimWorld(403, 6, 20);
     w.run(8000);
-    w.submit(SimWorld.job(1, "daemon", 2, 1, 0), 12_000);
+    w.users.submit(SimJobs.job(1, "daemon", 2, 1, 0), 12_000);
     w.run(5000);
     for (String key : List.of(View.KEY, "w/p/n0", "w/j/req-000001", "w/c/1", "w/c/word")) {
       Object v = w.state().value(key);
@@ -756,7 +757,7 @@
       SimWorld w = new SimWorld(410, 8, 20, "aaa", 60);
       w.run(10_000);
       for (int i = 0; i < 30; i++) {
-        w.submit(SimWorld.job(i, i % 3 == 0 ? "daemon" : "batch", 2, 1, 10), 0);
+        w.users.submit(SimJobs.job(i, i % 3 == 0 ? "daemon" : "batch", 2, 1, 10), 0);
       }
       w.run(1000);
       long epoch = w.epoch("n1");
@@ -826,7 +827,9 @@
   void moreControllersThanAViewHolds(int controllers, int txnOps) {
     SimWorld w =
         new SimWorld(
-            420, 8, 30, "a".repeat(controllers - 4) + "bbbb", 60, t -> t.withLog(2, 900), txnOps);
+            new SimSetup(420, 8, 30)
+                .controllers("a".repeat(controllers - 4) + "bbbb")
+                .txnOps(txnOps));
     List<String> finite = load(w, 60, 60_000);
     w.run(20_000);
     View v = w.tables("n0").view();
@@ -840,7 +843,7 @@
             .filter(n -> !v.members().containsKey(n))
             .findFirst()
             .orElse(members.get(2));
-    assertEquals(200, w.ask(spare, "GET", "/up", null).status());
+    assertEquals(200, w.users.ask(spare, "GET", "/up", null).status());
     w.kill(members.get(0));
     w.crash(members.get(1), 3000);
     w.run(15_000);
--- a/src/test/java/wickdrift/sim/ScaleTest.java
+++ b/src/test/java/wickdrift/sim/ScaleTest.java
@@ -7,7 +7,6 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.List;
-import java.util.function.UnaryOperator;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 import org.junit.jupiter.api.Test;
@@ -25,9 +24,14 @@
   }
 
   private static Cost cost(int machines) {
-    SimWorld w = new SimWorld(101, machines, machines, "aabba", 100_000, UnaryOperator.identity());
+    SimWorld w =
+        new SimWorld(
+            new SimSetup(101, machines, machines)
+                .controllers("aabba")
+                .gpusMax(100_000)
+                .defaultTuning());
     w.run(60_000);
-    w.submitMixed(101, 9);
+    w.users.submitMixed(101, 9);
     SimState s = w.state();
     double looked = w.total("wickdrift.rooms.looked");
     double placed = w.total("wickdrift.tasks.placed");
--- /dev/null
+++ b/src/test/java/wickdrift/sim/SimCloud.java
@@ -0,0 +1,194 @@
+package wickdrift.sim;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.function.Consumer;
+import wickdrift.protocol.BadMessage;
+import wickdrift.protocol.Doc;
+import wickdrift.transport.Caller.Answer;
+
+/** A stand-in for the cloud: rents machines, boots them, and lists them late. */
+final class SimCloud implements SimNet.Server {
+  private final SimWorld world;
+  private final int capacity;
+  private final TreeMap<String, SimWorker> machines = new TreeMap<>();
+  private final TreeMap<String, Host> hosts = new TreeMap<>();
+  private final Set<String> booting = new HashSet<>();
+  private final Map<String, List<String>> claims = new HashMap<>();
+
+  /** Of the next machine: a name is never used again, nor may one be that a stored state names. */
+  int machineNumber;
+
+  /** So many of the next machines never come up. */
+  int duds;
+
+  /** How long a rented machine takes to boot; 0: a few seconds, and some of them no time. */
+  long bootMs;
+
+  /** Every list is as old as this, or up to twice that, so that one may be older than the last. */
+  long listLagMs;
+
+  int rented;
+
+  int deleted;
+
+  /** A rented machine as the cloud knows it, from when to when. */
+  private static final class Host {
+    final String zone;
+    final boolean spot;
+    final long fromMs;
+    long upMs = Long.MAX_VALUE;
+    long goneMs = Long.MAX_VALUE;
+
+    Host(String zone, boolean spot, long fromMs) {
+      this.zone = zone;
+      this.spot = spot;
+      this.fromMs = fromMs;
+    }
+  }
+
+  SimCloud(SimWorld world, int capacity) {
+    this.world = world;
+    this.capacity = capacity;
+  }
+
+  /** Machines that are up before anything else is. */
+  void bootAtOnce(int count) {
+    for (int i = 0; i < count; i++) {
+      boot(SimWorld.ZONES.get(i % SimWorld.ZONES.size()), false, 0);
+    }
+  }
+
+  /** Those that are up, by name. */
+  List<SimWorker> workers() {
+    return new ArrayList<>(machines.values());
+  }
+
+  private String boot(String zone, boolean spot, long ms) {
+    String name = String.format("i-%06d", machineNumber++);
+    Host h = new Host(zone, spot, world.clock.nowMs());
+    hosts.put(name, h);
+    booting.add(name);
+    rented++;
+    if (duds > 0) {
+      duds--;
+      return name;
+    }
+    world.clock.after(
+        ms,
+        () -> {
+          if (booting.remove(name)) {
+            h.upMs = world.clock.nowMs();
+            machines.put(
+                name,
+                new SimWorker(
+                    world,
+                    name,
+                    "10.1.0." + name.substring(2) + ":1",
+                    zone,
+                    spot,
+                    world.random.nextLong()));
+          }
+        });
+    return name;
+  }
+
+  @Override
+  public void serve(String from, String method, String path, byte[] body, Consumer<Answer> done) {
+    try {
+      if (path.equals("/flavors")) {
+        done.accept(
+            SimState.answer(
+                200,
+                Map.of(
+                    "flavours",
+                    List.of(
+                        Map.of(
+                            "sku",
+                            "g4",
+                            "cores",
+                            SimWorld.CPUS,
+                            "gpus",
+                            SimWorld.GPUS,
+                            "memoryGb",
+                            SimWorld.MEMORY_GB,
+                            "rate",
+                            10.0,
+                            "lowPrice",
+                            4.0,
+                            "bootS",
+                            5.0,
+                            "regions",
+                            SimWorld.ZONES)))));
+      } else if (path.equals("/hosts/delete")) {
+        for (String n : Doc.parse(body).texts("hosts")) {
+          deleted++;
+          booting.remove(n);
+          if (hosts.containsKey(n) && hosts.get(n).goneMs == Long.MAX_VALUE) {
+            hosts.get(n).goneMs = world.clock.nowMs();
+          }
+          SimWorker w = machines.remove(n);
+          if (w != null) {
+            w.die();
+          }
+        }
+        done.accept(SimState.answer(200, Map.of()));
+      } else if (path.equals("/hosts")) {
+        Doc d = Doc.parse(body);
+        List<String> names = claims.get(d.text("claim"));
+        if (names == null) {
+          names = new ArrayList<>();
+          for (int i = 0;
+              i < d.count("count") && machines.size() + booting.size() < capacity;
+              i++) {
+            // Some are up, and report, before whoever rented them has read the answer.
+            boolean atOnce = world.random.nextInt(5) == 0 || bootMs > 0;
+            long ms = atOnce ? 1 + bootMs : 3000 + world.random.nextInt(4000);
+            names.add(boot(d.text("region"), d.flag("reclaimable"), ms));
+          }
+          if (names.isEmpty()) {
+            done.accept(SimState.answer(503, Map.of("error", "no capacity")));
+            return;
+          }
+          claims.put(d.text("claim"), names);
+        }
+        done.accept(SimState.answer(200, Map.of("hosts", names)));
+      } else {
+        List<Object> list = new ArrayList<>();
+        long at = world.clock.nowMs() - (long) (listLagMs * (1 + world.random.nextDouble()));
+        hosts.forEach(
+            (n, h) -> {
+              if (h.fromMs <= at && at < h.goneMs) {
+                list.add(
+                    Map.of(
+                        "ref",
+                        n,
+                        "flavour",
+                        "g4",
+                        "region",
+                        h.zone,
+                        "reclaimable",
+                        h.spot,
+                        "phase",
+                        at < h.upMs ? "starting" : "running",
+                        "ageS",
+                        (at - h.fromMs) / 1000.0));
+              }
+            });
+        done.accept(SimState.answer(200, Map.of("hosts", list, "truncated", false)));
+      }
+    } catch (BadMessage e) {
+      done.accept(SimState.answer(400, Map.of("error", e.getMessage())));
+    }
+  }
+
+  /** How many machines there are, those that have not come up too. */
+  public int fleet() {
+    return machines.size() + booting.size();
+  }
+}
--- a/src/test/java/wickdrift/sim/SimNet.java
+++ b/src/test/java/wickdrift/sim/SimNet.java
@@ -37,6 +37,27 @@
 
   Copies copies;
 
+  /**
+   * A share of the requests to a path is held up on its way and arrives once, so much later; nobody
+   * gets an answer.
+   */
+  record Delay(String path, double share, long fromMs, long toMs) {}
+
+  Delay delay;
+
+  /** Requests that arrived late by {@link #delay}. */
+  int delayed;
+
+  /** Of this share of the reports a copy is kept until somebody releases it. */
+  double keepShare;
+
+  /** Copies that were released. */
+  int released;
+
+  private record Kept(String from, String path, byte[] body) {}
+
+  private final List<Kept> kept = new ArrayList<>();
+
   /** Hosts that are real processes, by name: how to call them. */
   final Map<String, Caller> outside = new HashMap<>();
 
@@ -101,6 +122,47 @@
     }
   }
 
+  private void keep(String from, String path, byte[] body) {
+    if (keepShare > 0 && path.equals("/hello") && random.nextDouble() < keepShare) {
+      kept.add(new Kept(from, path, body));
+    }
+  }
+
+  /** Every copy that was kept arrives at each of these hosts. */
+  void releaseCopies(List<String> hosts) {
+    for (Kept k : kept) {
+      for (String host : hosts) {
+        released++;
+        clock.after(
+            delay(),
+            () -> {
+              Server s = servers.get(host);
+              if (s != null) {
+                s.serve(k.from, "POST", k.path, k.body, a -> {});
+              }
+            });
+      }
+    }
+    kept.clear();
+  }
+
+  private boolean holdUp(String from, String address, String method, String path, byte[] body) {
+    if (delay == null || !path.equals(delay.path) || random.nextDouble() >= delay.share) {
+      return false;
+    }
+    long ms = delay.fromMs + (long) (random.nextDouble() * (delay.toMs - delay.fromMs));
+    clock.after(
+        ms,
+        () -> {
+          Server s = servers.get(address);
+          if (s != null && !cuts.contains(link(from, address))) {
+            delayed++;
+            s.serve(from, method, path, body, a -> {});
+          }
+        });
+    return true;
+  }
+
   private void send(String from, String to, Runnable arrive) {
     if (deaf.contains(to)) {
       return;
@@ -131,6 +193,10 @@
         return;
       }
       copy(from, method, path, body);
+      keep(from, path, body);
+      if (holdUp(from, address, method, path, body)) {
+        return;
+      }
       send(
           from,
           address,
--- a/src/test/java/wickdrift/sim/SimRules.java
+++ b/src/test/java/wickdrift/sim/SimRules.java
@@ -15,6 +15,7 @@
   private final Set<String> doneTasks = new HashSet<>();
   private final Map<String, Long> withdrawnAt = new HashMap<>();
   private final Map<String, String> told = new HashMap<>();
+  private final Map<String, Long> acceptedAt = new HashMap<>();
   private final Map<String, Long> finalAt = new HashMap<>();
   final List<String> broken = new ArrayList<>();
   int starts;
@@ -68,7 +69,7 @@
         sameZone += o.zone().equals(t.zone()) ? 1 : 0;
       }
     }
-    if (gpus > world.gpusMax) {
+    if (overLimit(t.spec.team(), gpus)) {
       broke("quota " + t.spec.team() + " " + gpus);
     }
     if (t.spec.oneZone() && zones.size() > 1 || t.spec.spread() && sameZone > t.spec.zoneLimit()) {
@@ -76,6 +77,11 @@
     }
   }
 
+  private boolean overLimit(String team, double gpus) {
+    double most = world.setup.limitOf(team);
+    return most > 0 && gpus > most;
+  }
+
   void left(SimWorker.Task t) {
     Long off = withdrawnAt.get(job(t.id));
     if (off != null && world.clock.nowMs() - off > world.cancelMs) {
@@ -85,7 +91,27 @@
   }
 
   void done(SimWorker.Task t) {
-    doneTasks.add(t.id);
+    if (doneTasks.add(t.id) && allDone(job(t.id))) {
+      world.users.ended(job(t.id));
+    }
+  }
+
+  /** A job that a user knew to be accepted was taken as a new one. */
+  void acceptedAgain(String job, long askedMs) {
+    Long accepted = acceptedAt.get(job);
+    if (accepted != null && askedMs >= accepted) {
+      broke("accepted_again " + job);
+    }
+  }
+
+  /** A user was told that a job is accepted. */
+  void accepted(String job) {
+    acceptedAt.putIfAbsent(job, world.clock.nowMs());
+  }
+
+  /** Whether a user was told that a job is done or cancelled. */
+  boolean isFinal(String job) {
+    return finalAt.containsKey(job);
   }
 
   void withdrawn(String job) {
@@ -118,7 +144,7 @@
     boolean over = phase.equals("done") || phase.equals("withdrawn");
     boolean asked = false;
     for (String u : upstream(job)) {
-      asked |= withdrawnAt.containsKey(u) || world.asked.contains(u);
+      asked |= withdrawnAt.containsKey(u) || world.users.asked.contains(u);
       Long off = withdrawnAt.get(u);
       if (!over && off != null && askedMs - off > world.cancelMs) {
         broke("orphaned " + job + " by " + u);
@@ -172,6 +198,11 @@
     return on.containsKey(task) ? on.get(task).zone() : null;
   }
 
+  /** The machine that a task is on, or null. */
+  String machineOf(String task) {
+    return on.containsKey(task) ? on.get(task).machine() : null;
+  }
+
   boolean isOn(String task) {
     return on.containsKey(task);
   }
@@ -179,7 +210,7 @@
   void tick() {
     long now = world.clock.nowMs();
     if (now - FORGOTTEN_MS > calmSinceMs) {
-      for (String job : world.accepted) {
+      for (String job : world.users.accepted) {
         if (now - answered.getOrDefault(job, calmSinceMs) > FORGOTTEN_MS) {
           broke("forgotten " + job + ": no question is answered");
           answered.put(job, now);
@@ -187,7 +218,7 @@
       }
     }
     if (now > calmSinceMs) {
-      for (String job : world.accepted) {
+      for (String job : world.users.accepted) {
         if (!couldRunMore(job)) {
           passedOverSince.remove(job);
         } else if (now - passedOverSince.computeIfAbsent(job, k -> now) > PASSED_OVER_MS) {
@@ -209,7 +240,7 @@
   /** Whether a job has a task that waits though machines have room and its team may have it. */
   private boolean couldRunMore(String job) {
     JobSpec spec = world.specs.get(job);
-    if (upstream(job).stream().anyMatch(u -> world.asked.contains(u))
+    if (upstream(job).stream().anyMatch(u -> world.users.asked.contains(u))
         || !spec.awaits().stream().allMatch(this::allDone)) {
       return false;
     }
@@ -239,6 +270,6 @@
         spec.oneZone()
             ? room.values().stream().mapToInt(n -> n).max().orElse(0)
             : room.values().stream().mapToInt(n -> n).sum();
-    return most >= wanted && held + wanted * spec.gpus() <= world.gpusMax;
+    return most >= wanted && !overLimit(spec.team(), held + wanted * spec.gpus());
   }
 }
--- a/src/test/java/wickdrift/sim/SimState.java
+++ b/src/test/java/wickdrift/sim/SimState.java
@@ -79,6 +79,9 @@
   /** Transactions that were carried out late, after their sender had given up. */
   int lateWrites;
 
+  /** Transactions that were carried out and not answered. */
+  int answersLost;
+
   private double lateShare;
   private long lateMs;
   private Random late;
@@ -150,6 +153,19 @@
     late = new Random(seed);
   }
 
+  /** Of a share of the transactions, carried out at once, only the answer is lost. */
+  void loseAnswers(double share, long seed) {
+    Random lost = new Random(seed);
+    fate =
+        (from, d) -> {
+          if (lost.nextDouble() >= share) {
+            return Fate.APPLIED;
+          }
+          answersLost++;
+          return Fate.UNANSWERED;
+        };
+  }
+
   /** Every transaction is applied so much later. */
   public void slowWrites(long ms) {
     slowWritesMs = ms;
--- a/src/test/java/wickdrift/sim/SimWorld.java
+++ b/src/test/java/wickdrift/sim/SimWorld.java
@@ -11,9 +11,7 @@
 import java.util.Map;
 import java.util.Random;
 import java.util.Set;
-import java.util.TreeMap;
 import java.util.function.Consumer;
-import java.util.function.IntToDoubleFunction;
 import java.util.function.Predicate;
 import java.util.function.ToDoubleFunction;
 import java.util.function.UnaryOperator;
@@ -44,25 +42,22 @@
   static final double MEMORY_GB = 128;
   static final String STATE = "10.2.0.1:1";
   static final String CLOUD = "10.2.0.2:1";
-  private static final List<String> ZONES = List.of("a", "b");
+  static final List<String> ZONES = List.of("a", "b");
 
   final SimClock clock = new SimClock();
   final Random random;
   final SimNet net;
   final SimState state;
   final SimRules rules;
+  final SimUsers users;
+  final SimCloud cloud;
+  final SimSetup setup;
   final Map<String, JobSpec> specs = new HashMap<>();
-  final Set<String> asked = new HashSet<>();
   final long leaseMs = 16_000;
   final long reportMs = 2_500;
   final long cancelMs = 36_000;
   int refusals;
 
-  /** Answers to submissions that sent the user away for now, and submissions without an answer. */
-  int refusedSubmissions;
-
-  int deleted;
-
   /** Whether a machine was ever recorded as silent. */
   boolean lost;
 
@@ -72,8 +67,6 @@
   /** The addresses of the nodes; here a node's address is its name. */
   final List<String> nodes = new ArrayList<>();
 
-  final double gpusMax;
-
   /** For tests that have no controllers. */
   boolean workersKeepTheirLeases;
 
@@ -83,44 +76,10 @@
   /** What a worker says that its address is. */
   UnaryOperator<String> published = a -> a;
 
-  private final String controllerZones;
-  private final UnaryOperator<Tuning> tuning;
-
   private final Map<String, Node> running = new HashMap<>();
-  private final TreeMap<String, SimWorker> machines = new TreeMap<>();
-  private final TreeMap<String, Host> hosts = new TreeMap<>();
-  private final Set<String> booting = new HashSet<>();
-  private final Map<String, List<String>> claims = new HashMap<>();
-  private int capacity;
-
-  /** Of the next machine: a name is never used again, nor may one be that a stored state names. */
-  int machineNumber;
 
   private int incarnations;
 
-  /** A rented machine as the cloud knows it, from when to when. */
-  private static final class Host {
-    final String zone;
-    final boolean spot;
-    final long fromMs;
-    long upMs = Long.MAX_VALUE;
-    long goneMs = Long.MAX_VALUE;
-
-    Host(String zone, boolean spot, long fromMs) {
-      this.zone = zone;
-      this.spot = spot;
-      this.fromMs = fromMs;
-    }
-  }
-
-  /** So many of the next machines never come up. */
-  int duds;
-
-  /** Every list is as old as this, or up to twice that, so that one may be older than the last. */
-  long listLagMs;
-
-  int rented;
-
   private static final class Node {
     boolean alive = true;
     boolean frozen;
@@ -146,7 +105,7 @@
   }
 
   public SimWorld(long seed, int machinesAtStart, int capacity) {
-    this(seed, machinesAtStart, capacity, 3, 60);
+    this(new SimSetup(seed, machinesAtStart, capacity));
   }
 
   public SimWorld(long seed, int machinesAtStart, int capacity, int controllers, double gpusMax) {
@@ -158,62 +117,24 @@
    */
   public SimWorld(
       long seed, int machinesAtStart, int capacity, String controllers, double gpusMax) {
-    this(seed, machinesAtStart, capacity, controllers, gpusMax, t -> t.withLog(2, 900));
-  }
-
-  SimWorld(
-      long seed,
-      int machinesAtStart,
-      int capacity,
-      String controllers,
-      double gpusMax,
-      UnaryOperator<Tuning> tuning) {
-    this(seed, machinesAtStart, capacity, controllers, gpusMax, tuning, 0);
+    this(new SimSetup(seed, machinesAtStart, capacity).controllers(controllers).gpusMax(gpusMax));
   }
 
-  /**
-   * @param txnOps changes a transaction may hold; 0: enough for all controllers, 8 at least
-   */
-  SimWorld(
-      long seed,
-      int machinesAtStart,
-      int capacity,
-      String controllers,
-      double gpusMax,
-      UnaryOperator<Tuning> tuning,
-      int txnOps) {
-    this(seed, machinesAtStart, capacity, controllers, gpusMax, tuning, txnOps, SimState.WRITES);
-  }
-
-  /**
-   * @param writeRps changes that the state service takes a second
-   */
-  SimWorld(
-      long seed,
-      int machinesAtStart,
-      int capacity,
-      String controllers,
-      double gpusMax,
-      UnaryOperator<Tuning> tuning,
-      int txnOps,
-      double writeRps) {
-    this.gpusMax = gpusMax;
-    this.tuning = tuning;
-    this.controllerZones = controllers;
-    for (int i = 0; i < controllers.length(); i++) {
+  SimWorld(SimSetup setup) {
+    this.setup = setup;
+    for (int i = 0; i < setup.controllers().length(); i++) {
       nodes.add("n" + i);
     }
-    this.random = new Random(seed);
-    this.capacity = capacity;
+    random = new Random(setup.seed());
     net = new SimNet(clock, random);
-    state = new SimState(clock, writeRps);
-    state.txnOps = txnOps > 0 ? txnOps : Math.max(8, controllers.length() + 1);
+    state = new SimState(clock, setup.writeRps());
+    state.txnOps = setup.txnOps() > 0 ? setup.txnOps() : Math.max(8, nodes.size() + 1);
     rules = new SimRules(this);
+    users = new SimUsers(this);
+    cloud = new SimCloud(this, setup.capacity());
     net.listen(STATE, state);
-    net.listen(CLOUD, this::cloud);
-    for (int i = 0; i < machinesAtStart; i++) {
-      boot(ZONES.get(i % 2), false, 0);
-    }
+    net.listen(CLOUD, cloud);
+    cloud.bootAtOnce(setup.machines());
     nodes.forEach(this::startNode);
     tick();
   }
@@ -316,7 +237,7 @@
   }
 
   private String zone(String node) {
-    return "" + controllerZones.charAt(number(node) % controllerZones.length());
+    return "" + setup.controllers().charAt(number(node) % setup.controllers().length());
   }
 
   private static int number(String node) {
@@ -351,6 +272,7 @@
         gpus_max = %s
         [[cluster.teams]]
         name = "sound"
+        gpus_max = %s
         [[cluster.objectives]]
         kind = "wait"
         class = "swift"
@@ -377,7 +299,8 @@
             .formatted(
                 stateAddress,
                 names.size(),
-                gpusMax,
+                setup.gpusMax(),
+                setup.soundGpusMax(),
                 state.writeRpsAtFirst,
                 state.txnOpsAtFirst(),
                 next));
@@ -432,7 +355,7 @@
     n.controller =
         new Controller(
             s,
-            tuning.apply(Tuning.defaults(s)),
+            setup.tuning().apply(Tuning.defaults(s)),
             timers,
             caller(name, n),
             peers,
@@ -584,7 +507,7 @@
 
   /** Cuts a zone off from everything, its one controller and its workers with it, or heals it. */
   public void cutZone(String node, boolean cut) {
-    String zone = "" + controllerZones.charAt(nodes.indexOf(node));
+    String zone = "" + setup.controllers().charAt(nodes.indexOf(node));
     cutOff(node, w -> w.zone.equals(zone), cut);
   }
 
@@ -621,17 +544,17 @@
   }
 
   public List<SimWorker> workers() {
-    return new ArrayList<>(machines.values());
+    return cloud.workers();
   }
 
   public void cutMachine(int i, boolean hold) {
-    SimWorker w = workers().get(i % machines.size());
+    SimWorker w = workers().get(i % cloud.workers().size());
     nodes.forEach(n -> net.cut(n, w.address, hold));
   }
 
   /** All controllers but one reach the machine again. */
   public void healMachine(int i, String but) {
-    SimWorker w = workers().get(i % machines.size());
+    SimWorker w = workers().get(i % cloud.workers().size());
     nodes.stream().filter(n -> !n.equals(but)).forEach(n -> net.heal(n, w.address));
   }
 
@@ -642,325 +565,18 @@
   }
 
   public void killMachine(int i) {
-    SimWorker w = workers().get(i % machines.size());
+    SimWorker w = workers().get(i % cloud.workers().size());
     w.die();
   }
 
   public void hangMachine(int i, long forMs) {
-    SimWorker w = workers().get(i % machines.size());
+    SimWorker w = workers().get(i % cloud.workers().size());
     w.hang(true);
     clock.after(forMs, () -> w.hang(false));
   }
 
   public void sicken(int i) {
-    workers().get(i % machines.size()).sick = true;
-  }
-
-  // ---- the cloud ----
-
-  private String boot(String zone, boolean spot, long ms) {
-    String name = String.format("i-%06d", machineNumber++);
-    Host h = new Host(zone, spot, clock.nowMs());
-    hosts.put(name, h);
-    booting.add(name);
-    rented++;
-    if (duds > 0) {
-      duds--;
-      return name;
-    }
-    clock.after(
-        ms,
-        () -> {
-          if (booting.remove(name)) {
-            h.upMs = clock.nowMs();
-            machines.put(
-                name,
-                new SimWorker(
-                    this,
-                    name,
-                    "10.1.0." + name.substring(2) + ":1",
-                    zone,
-                    spot,
-                    random.nextLong()));
-          }
-        });
-    return name;
-  }
-
-  private void cloud(String from, String method, String path, byte[] body, Consumer<Answer> done) {
-    try {
-      if (path.equals("/flavors")) {
-        done.accept(
-            SimState.answer(
-                200,
-                Map.of(
-                    "flavours",
-                    List.of(
-                        Map.of(
-                            "sku",
-                            "g4",
-                            "cores",
-                            CPUS,
-                            "gpus",
-                            GPUS,
-                            "memoryGb",
-                            MEMORY_GB,
-                            "rate",
-                            10.0,
-                            "lowPrice",
-                            4.0,
-                            "bootS",
-                            5.0,
-                            "regions",
-                            ZONES)))));
-      } else if (path.equals("/hosts/delete")) {
-        for (String n : Doc.parse(body).texts("hosts")) {
-          deleted++;
-          booting.remove(n);
-          if (hosts.containsKey(n) && hosts.get(n).goneMs == Long.MAX_VALUE) {
-            hosts.get(n).goneMs = clock.nowMs();
-          }
-          SimWorker w = machines.remove(n);
-          if (w != null) {
-            w.die();
-          }
-        }
-        done.accept(SimState.answer(200, Map.of()));
-      } else if (path.equals("/hosts")) {
-        Doc d = Doc.parse(body);
-        List<String> names = claims.get(d.text("claim"));
-        if (names == null) {
-          names = new ArrayList<>();
-          for (int i = 0;
-              i < d.count("count") && machines.size() + booting.size() < capacity;
-              i++) {
-            // Some are up, and report, before whoever rented them has read the answer.
-            long ms = random.nextInt(5) == 0 ? 1 : 3000 + random.nextInt(4000);
-            names.add(boot(d.text("region"), d.flag("reclaimable"), ms));
-          }
-          if (names.isEmpty()) {
-            done.accept(SimState.answer(503, Map.of("error", "no capacity")));
-            return;
-          }
-          claims.put(d.text("claim"), names);
-        }
-        done.accept(SimState.answer(200, Map.of("hosts", names)));
-      } else {
-        List<Object> list = new ArrayList<>();
-        long at = clock.nowMs() - (long) (listLagMs * (1 + random.nextDouble()));
-        hosts.forEach(
-            (n, h) -> {
-              if (h.fromMs <= at && at < h.goneMs) {
-                list.add(
-                    Map.of(
-                        "ref",
-                        n,
-                        "flavour",
-                        "g4",
-                        "region",
-                        h.zone,
-                        "reclaimable",
-                        h.spot,
-                        "phase",
-                        at < h.upMs ? "starting" : "running",
-                        "ageS",
-                        (at - h.fromMs) / 1000.0));
-              }
-            });
-        done.accept(SimState.answer(200, Map.of("hosts", list, "truncated", false)));
-      }
-    } catch (BadMessage e) {
-      done.accept(SimState.answer(400, Map.of("error", e.getMessage())));
-    }
-  }
-
-  // ---- users ----
-
-  public static Map<String, Object> job(
-      int number, String shape, int tasks, double gpus, double seconds) {
-    Map<String, Object> m = new LinkedHashMap<>();
-    m.put("ref", String.format("req-%06d", number));
-    m.put("jobclass", shape);
-    m.put("owner", "vision");
-    m.put("shape", shape);
-    m.put("rank", "standard");
-    m.put("shards", tasks);
-    m.put("cores", 4.0);
-    m.put("gpus", gpus);
-    m.put("memoryGb", 16.0);
-    m.put("bundle", "img");
-    m.put("pullGb", 1.0);
-    m.put("oneZone", shape.equals("ensemble"));
-    m.put("apart", shape.equals("daemon"));
-    m.put("reclaimable", true);
-    m.put("expectS", seconds);
-    m.put("checkpointEveryS", 0.0);
-    m.put("flushS", 0.0);
-    return m;
-  }
-
-  /** The same, awaiting others. */
-  public static Map<String, Object> awaiting(Map<String, Object> job, int... others) {
-    List<String> ids = new ArrayList<>();
-    for (int o : others) {
-      ids.add(String.format("req-%06d", o));
-    }
-    job.put("awaits", ids);
-    return job;
-  }
-
-  /** Submits once all that it awaits are accepted, as users do. */
-  public void submitChained(Map<String, Object> job, long withdrawAfterMs) {
-    Object awaits = job.getOrDefault("awaits", List.of());
-    if (accepted.containsAll((List<?>) awaits)) {
-      submit(job, withdrawAfterMs);
-    } else {
-      clock.after(100, () -> submitChained(job, withdrawAfterMs));
-    }
-  }
-
-  /** Tells the workers of a job: users hand them its description themselves. */
-  public byte[] describe(Map<String, Object> job) {
-    byte[] body = Pack.encode(job);
-    try {
-      specs.put((String) job.get("ref"), JobSpec.parse(Doc.parse(body)));
-    } catch (BadMessage e) {
-      throw new AssertionError(e);
-    }
-    return body;
-  }
-
-  /** Submits with retries, then polls until the job is over. */
-  public void submit(Map<String, Object> job, long withdrawAfterMs) {
-    String id = (String) job.get("ref");
-    byte[] body = describe(job);
-    trySubmit(id, body, withdrawAfterMs);
-  }
-
-  private String anyNode() {
-    return nodes.get(random.nextInt(nodes.size()));
-  }
-
-  private void trySubmit(String id, byte[] body, long withdrawAfterMs) {
-    net.caller("user", () -> true)
-        .call(
-            anyNode(),
-            "POST",
-            "/api/jobs",
-            body,
-            5000,
-            a -> {
-              if (a.status() == 200 || a.status() == 201) {
-                accepted.add(id);
-                clock.after(5000, () -> poll(id));
-                if (withdrawAfterMs > 0) {
-                  clock.after(withdrawAfterMs, () -> withdraw(id));
-                }
-              } else if (a.status() == 400 || a.status() == 422) {
-                rules.broken.add("refused " + id + " with " + a.status());
-              } else {
-                refusedSubmissions++;
-                clock.after(1000, () -> trySubmit(id, body, withdrawAfterMs));
-              }
-            });
-  }
-
-  public final Set<String> accepted = new HashSet<>();
-
-  private final Map<String, Long> firstAsked = new HashMap<>();
-
-  /** The longest that a user waited for the word that a job is withdrawn. */
-  long slowestWordMs;
-
-  /** A user repeats a submission, whatever has become of it. */
-  void submitAgain(String id, Map<String, Object> job) {
-    long asked = clock.nowMs();
-    net.caller("user", () -> true)
-        .call(
-            anyNode(),
-            "POST",
-            "/api/jobs",
-            Pack.encode(job),
-            5000,
-            a -> {
-              if (a.status() == 200) {
-                rules.told(id, phase(a), asked);
-              } else if (a.status() == 400 || a.status() == 422 || a.status() == 404) {
-                rules.told(id, null, asked);
-              }
-            });
-  }
-
-  /** One poll by itself. */
-  public void poll(String node, String id, long timeoutMs, Consumer<Answer> done) {
-    net.caller("user", () -> true).call(node, "GET", "/api/jobs/" + id, null, timeoutMs, done);
-  }
-
-  private void poll(String id) {
-    long asked = clock.nowMs();
-    net.caller("user", () -> true)
-        .call(
-            anyNode(),
-            "GET",
-            "/api/jobs/" + id,
-            null,
-            2000,
-            a -> {
-              if (a.status() == 200) {
-                rules.told(id, phase(a), asked);
-              } else if (a.status() == 404) {
-                rules.told(id, null, asked);
-              }
-              clock.after(5000, () -> poll(id));
-            });
-  }
-
-  private static String phase(Answer a) {
-    try {
-      return Doc.parse(a.body()).text("phase");
-    } catch (BadMessage e) {
-      throw new AssertionError(e);
-    }
-  }
-
-  private void withdraw(String id) {
-    withdraw(id, anyNode());
-  }
-
-  /** A user calls a job off, at this node first, until one answers. */
-  void withdraw(String id, String node) {
-    asked.add(id);
-    long asked = clock.nowMs();
-    firstAsked.putIfAbsent(id, asked);
-    net.caller("user", () -> true)
-        .call(
-            node,
-            "POST",
-            "/api/jobs/" + id + "/withdraw",
-            null,
-            5000,
-            a -> {
-              if (a.status() == 200) {
-                String p = phase(a);
-                if (p.equals("withdrawn")) {
-                  rules.withdrawn(id);
-                  slowestWordMs = Math.max(slowestWordMs, clock.nowMs() - firstAsked.get(id));
-                }
-                rules.told(id, p, asked);
-              } else if (a.status() == 404) {
-                rules.told(id, null, asked);
-              } else {
-                clock.after(1000, () -> withdraw(id));
-              }
-            });
-  }
-
-  /** One request as it is, for tests of single answers; null if none comes within five seconds. */
-  public Answer ask(String node, String method, String path, byte[] body) {
-    Answer[] got = new Answer[1];
-    net.caller("user", () -> true).call(node, method, path, body, 5000, a -> got[0] = a);
-    run(5001);
-    return got[0];
+    workers().get(i % cloud.workers().size()).sick = true;
   }
 
   public String lastTold(String id) {
@@ -1021,54 +637,6 @@
     return nodes.stream().mapToDouble(n -> metric(n, name)).sum();
   }
 
-  /** Submits 240 jobs of all shapes within 20 seconds; arrays have so many tasks. */
-  public void submitMixed(long seed, int arrayTasks) {
-    Random r = new Random(seed);
-    for (int i = 0; i < 240; i++) {
-      int n = i;
-      String shape = i % 4 == 0 ? "ensemble" : i % 4 == 1 ? "daemon" : "batch";
-      int tasks = i % 4 < 2 ? 2 : arrayTasks;
-      clock.after(
-          r.nextInt(20_000), () -> submit(job(n, shape, tasks, n % 4 == 0 ? 4 : 1, 5 + n % 9), 0));
-    }
-  }
-
-  /**
-   * Submits 60 small jobs of all shapes, of which some are withdrawn.
-   *
-   * @param fromMs when the first may come, within so many milliseconds the last
-   * @param offMs within so long a withdrawal comes
-   * @param seconds a job runs, by its number
-   * @return those that must be done in the end
-   */
-  List<String> submitSmall(
-      Random r, int fromMs, int spanMs, int offMs, IntToDoubleFunction seconds) {
-    List<String> finite = new ArrayList<>();
-    for (int i = 0; i < 60; i++) {
-      int n = i;
-      int kind = r.nextInt(10);
-      int tasks = 1 + r.nextInt(4);
-      boolean off = kind > 7 && r.nextBoolean();
-      long offAfter = off ? 500 + r.nextInt(offMs) : 0;
-      String shape = kind < 2 ? "daemon" : kind < 5 ? "ensemble" : "batch";
-      int most = kind < 2 ? 2 : kind < 5 ? 3 : 4;
-      double run = kind < 2 ? 0 : seconds.applyAsDouble(n);
-      double gpus = shape.equals("ensemble") ? 2 : 1;
-      clock.after(
-          fromMs + r.nextInt(spanMs),
-          () -> submit(job(n, shape, Math.min(tasks, most), gpus, run), offAfter));
-      if (kind >= 2 && !off) {
-        finite.add(String.format("req-%06d", n));
-      }
-    }
-    return finite;
-  }
-
-  /** How many machines there are, those that have not come up too. */
-  public int fleet() {
-    return machines.size() + booting.size();
-  }
-
   public int starts() {
     return rules.starts;
   }
--- a/src/test/java/wickdrift/sim/TakesTest.java
+++ b/src/test/java/wickdrift/sim/TakesTest.java
@@ -5,7 +5,6 @@
 
 import java.util.List;
 import java.util.Random;
-import java.util.function.UnaryOperator;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
@@ -21,19 +20,22 @@
 class TakesTest {
   private static SimWorld world(long seed, int machines, String controllers, double writeRps) {
     return new SimWorld(
-        seed, machines, machines, controllers, 1e6, UnaryOperator.identity(), 8, writeRps);
+        new SimSetup(seed, machines, machines)
+            .controllers(controllers)
+            .gpusMax(1e6)
+            .defaultTuning()
+            .txnOps(8)
+            .writeRps(writeRps));
   }
 
   /** Services over two zones, gangs of whole machines and arrays, all at once. */
   private static void burst(SimWorld w, int jobs) {
     for (int i = 0; i < jobs; i++) {
       int kind = i % 5;
-      w.submit(
+      w.users.submit(
           kind < 2
-              ? SimWorld.job(i, "daemon", 2, 1, 0)
-              : kind < 4
-                  ? SimWorld.job(i, "ensemble", 2, 4, 60)
-                  : SimWorld.job(i, "batch", 4, 1, 20),
+              ? SimJobs.job(i, "daemon", 2, 1, 0)
+              : kind < 4 ? SimJobs.job(i, "ensemble", 2, 4, 60) : SimJobs.job(i, "batch", 4, 1, 20),
           0);
     }
   }
@@ -94,12 +96,12 @@
       w.clock.after(
           r.nextInt(12_000),
           () ->
-              w.submit(
+              w.users.submit(
                   kind == 0
-                      ? SimWorld.job(n, "daemon", 2, 1, 0)
+                      ? SimJobs.job(n, "daemon", 2, 1, 0)
                       : kind == 1
-                          ? SimWorld.job(n, "ensemble", 2, 4, 4)
-                          : SimWorld.job(n, "batch", 3, 1, 3),
+                          ? SimJobs.job(n, "ensemble", 2, 4, 4)
+                          : SimJobs.job(n, "batch", 3, 1, 3),
                   kind == 0 ? 15_000 : 0));
     }
     w.run(60_000);
--- a/src/test/java/wickdrift/sim/UnlistedTest.java
+++ b/src/test/java/wickdrift/sim/UnlistedTest.java
@@ -182,7 +182,7 @@
       w.restartAll(new Range(1, 3), "");
     }
     Random r = new Random(seed);
-    List<String> finite = w.submitSmall(r, 6000, 40_000, 15_000, n -> 4 + n % 9);
+    List<String> finite = w.users.submitSmall(r, 6000, 40_000, 15_000, n -> 4 + n % 9);
     unlisted(w, u, r);
     beside(w, b);
     at(
@@ -193,7 +193,7 @@
           w.rules.calmSinceMs = w.clock.nowMs();
         });
     w.run(300_000);
-    int rented = w.rented;
+    int rented = w.cloud.rented;
     ClusterTest.check(w, finite);
     // No storm: at most as many as could be there at once came anew.
     assertTrue(rented <= 12 + 30, "rented " + rented);
@@ -232,7 +232,7 @@
     // More than the others hold, all the time.
     for (int i = 0; i < 60; i++) {
       int n = i;
-      at(w, 300L * i, () -> w.submit(SimWorld.job(n, "batch", 1, 1, 12), 0));
+      at(w, 300L * i, () -> w.users.submit(SimJobs.job(n, "batch", 1, 1, 12), 0));
     }
     w.run(45_000);
     assertTrue(before[0] >= 0, "it was never found deaf");
@@ -263,7 +263,7 @@
     int[] given = new int[1];
     for (int i = 0; i < 60; i++) {
       int n = i;
-      at(w, 300L * i, () -> w.submit(SimWorld.job(n, "batch", 1, 1, 12), 0));
+      at(w, 300L * i, () -> w.users.submit(SimJobs.job(n, "batch", 1, 1, 12), 0));
     }
     // The lease, and a second to notice and write it.
     for (int t = 0; t < 40; t++) {
@@ -288,7 +288,7 @@
   void aCopyBringsNoMachineToLife() {
     SimWorld w = new SimWorld(991, 1, 1, "aaa", 60);
     w.run(10_000);
-    w.submit(SimWorld.job(1, "batch", 12, 1, 10), 0);
+    w.users.submit(SimJobs.job(1, "batch", 12, 1, 10), 0);
     for (int k = 0; k < 3; k++) {
       w.nodes.forEach(n -> w.report(n, "i-000777", 0));
       w.run(2000);
@@ -313,7 +313,7 @@
     SimWorld w = new SimWorld(992, 3, 3, "aaa", 60);
     w.net.copies = new SimNet.Copies("/hello", 1.0, 60_000, w.nodes);
     w.run(10_000);
-    w.submit(SimWorld.job(1, "batch", 12, 1, 100), 0);
+    w.users.submit(SimJobs.job(1, "batch", 12, 1, 100), 0);
     w.run(20_000);
     SimWorker m = w.workers().get(0);
     String owner = w.owner("n0", m.name);
@@ -345,7 +345,7 @@
     w.crash("n2", 30_000);
     w.run(10_000);
     for (int i = 0; i < 4; i++) {
-      w.submit(SimWorld.job(i, "daemon", 2, 1, 0), 0);
+      w.users.submit(SimJobs.job(i, "daemon", 2, 1, 0), 0);
     }
     w.run(10_000);
     assertEquals(8, w.starts());
@@ -373,7 +373,7 @@
   void aMachineThatIsBackAtOnceWorksOn() {
     SimWorld w = new SimWorld(993, 2, 2, "aaa", 60);
     w.run(10_000);
-    w.submit(SimWorld.job(1, "batch", 8, 1, 30), 0);
+    w.users.submit(SimJobs.job(1, "batch", 8, 1, 30), 0);
     w.run(12_000);
     w.workers().get(0).restart();
     w.run(9000);
@@ -383,7 +383,7 @@
       on += w.isOn("req-000001/" + i) ? 1 : 0;
     }
     assertEquals(8, on);
-    assertEquals(2, w.rented);
+    assertEquals(2, w.cloud.rented);
     w.run(90_000);
     assertEquals(List.of(), w.broken());
     assertEquals("done", w.lastTold("req-000001"));
