A transaction whose answer is lost is settled from the tables; submissions overtake and are sent again

Cause: with answers of the state service lost, or transactions held up, a node waited 1.5 s for each, one batch of submissions and one transaction of its work at a time; users got 503 and came again a second or more later, and placements stood.

Change: the watch shows when a key that an open transaction is conditional on has changed. Then it was carried out or never will be; if its answer does not come within 100 ms more it is called settled, and the tables decide (placements go on without a fence, withdrawals look again, submissions are answered by the record that is there). A batch of submissions that is not answered within 250 ms no longer holds up the next (four at most), and after 700 ms it is sent again: both are conditional on the job's absence, so one of them is carried out.

--- a/src/main/java/wickdrift/bookkeeping/Ledger.java
+++ b/src/main/java/wickdrift/bookkeeping/Ledger.java
@@ -1,6 +1,7 @@
 package wickdrift.bookkeeping;
 
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
@@ -25,6 +26,13 @@
   public static final String PREFIX = "w/";
 
   private static final long CALL_MS = 1500;
+
+  /** After that a user's transaction counts as unanswered: sent again it can't do harm. */
+  private static final long USER_COMMIT_MS = 700;
+
+  /** The answer of a transaction that shows in the tables comes within this time, or is lost. */
+  private static final long ANSWER_LOST_MS = 100;
+
   private static final long HOLD_MS = 10_000;
   private static final int PAGE = 400;
 
@@ -65,7 +73,60 @@
     UNKNOWN
   }
 
-  public record Result(Outcome outcome, long rev, Set<String> failed, boolean noLease) {}
+  /**
+   * @param rev for OK and FAILED the store's revision then; for a settled UNKNOWN, one that holds
+   *     what settled it
+   * @param settled of UNKNOWN: a key that it depends on has changed, so that it was carried out by
+   *     {@code rev} or never will be
+   */
+  public record Result(
+      Outcome outcome, long rev, Set<String> failed, boolean noLease, boolean settled) {
+    private Result(Outcome outcome, long rev, Set<String> failed, boolean noLease) {
+      this(outcome, rev, failed, noLease, false);
+    }
+  }
+
+  /** A transaction that is out: who waits for its outcome is told once. */
+  private final class Outstanding {
+    private final Txn txn;
+    private final Consumer<Result> done;
+    private boolean over;
+    private boolean seen;
+    private boolean settled;
+
+    Outstanding(Txn txn, Consumer<Result> done) {
+      this.txn = txn;
+      this.done = done;
+      txn.conditions().keySet().forEach(k -> outstanding.put(k, this));
+    }
+
+    void finish(Result r) {
+      if (!over) {
+        over = true;
+        txn.conditions().keySet().forEach(k -> outstanding.remove(k, this));
+        done.accept(r);
+      }
+    }
+
+    /**
+     * A key that it depends on has changed. By itself most likely: the answer is given a moment,
+     * then it counts as lost.
+     */
+    void changed(Change c) {
+      long expected = txn.conditions().get(c.key());
+      if (c.stamp() <= expected) {
+        return;
+      }
+      // One that must not be there may vanish again; a stamp never comes back.
+      settled |= expected > 0;
+      if (!seen) {
+        seen = true;
+        timers.after(
+            ANSWER_LOST_MS,
+            () -> finish(new Result(Outcome.UNKNOWN, rev, Set.of(), false, settled)));
+      }
+    }
+  }
 
   /** One key's state: value null when it is gone, else as it is stored, in whatever form. */
   public record Change(String key, Object value, long stamp) {}
@@ -137,6 +198,9 @@
   private List<Waiter> waiters = new ArrayList<>();
   private final List<RevWaiter> revWaiters = new ArrayList<>();
 
+  /** Transactions that are out, by the keys that they depend on; of several the last. */
+  private final Map<String, Outstanding> outstanding = new HashMap<>();
+
   private record Waiter(Consumer<Boolean> done, long deadlineMs) {}
 
   private record RevWaiter(long rev, Runnable done) {}
@@ -428,6 +492,12 @@
     }
     applier.apply(news, newRev);
     rev = Math.max(rev, newRev);
+    for (Change c : news) {
+      Outstanding out = outstanding.get(c.key());
+      if (out != null) {
+        out.changed(c);
+      }
+    }
     if (phase == Phase.FOLLOWING) {
       if (!news.isEmpty()) {
         applier.applied();
@@ -645,7 +715,9 @@
     }
     nextWindow();
     window += n;
-    call("POST", "/commit", Pack.encode(txn.toWire()), CALL_MS, a -> done.accept(result(txn, a)));
+    Outstanding out = new Outstanding(txn, done);
+    long waitMs = rank == Rank.USER ? USER_COMMIT_MS : CALL_MS;
+    call("POST", "/commit", Pack.encode(txn.toWire()), waitMs, a -> out.finish(result(txn, a)));
   }
 
   /** Counted each time, and told once a cause. */
--- a/src/main/java/wickdrift/coordination/Admission.java
+++ b/src/main/java/wickdrift/coordination/Admission.java
@@ -41,6 +41,12 @@
   /** A user tries for a minute: nobody is sent away for a large part of that. */
   private static final int COME_AGAIN_MOST_S = 8;
 
+  /** A batch that is not answered by then no longer holds up the next one. */
+  private static final long OVERTAKE_MS = 250;
+
+  /** So many batches may be out at once. */
+  private static final int BATCHES_MOST = 4;
+
   /** Of a job's record, besides what was submitted. */
   private static final int RECORD_BYTES = 160;
 
@@ -64,6 +70,11 @@
   private final Bucket reads;
   private long shed;
   private boolean busy;
+
+  /** Batches that are out, and the newest of them. */
+  private int batchesOut;
+
+  private long newestBatch;
   private BooleanSupplier leaving = () -> false;
 
   public Admission(
@@ -103,7 +114,7 @@
 
   /** Whether no submission waits for its answer. */
   public boolean idle() {
-    return !busy && queue.isEmpty();
+    return !busy && batchesOut == 0 && queue.isEmpty();
   }
 
   private static void later(Exchange x) {
@@ -291,7 +302,12 @@
     Txn txn = new Txn();
     put(txn, s.spec, more, new Promised());
     ledger.commit(
-        txn, Ledger.Rank.USER, r -> accepted(r, Map.of(s.spec.id(), new ArrayList<>(List.of(s)))));
+        txn,
+        Ledger.Rank.USER,
+        r -> {
+          busy = false;
+          accepted(r, Map.of(s.spec.id(), new ArrayList<>(List.of(s))));
+        });
   }
 
   private void put(Txn txn, JobSpec spec, Overflow more, Promised together) {
@@ -387,7 +403,26 @@
       pump();
       return;
     }
-    ledger.commit(txn, Ledger.Rank.USER, r -> accepted(r, batch));
+    batchesOut++;
+    long number = ++newestBatch;
+    ledger.commit(
+        txn,
+        Ledger.Rank.USER,
+        r -> {
+          batchesOut--;
+          // One that was overtaken holds up nobody any more.
+          busy &= number != newestBatch;
+          accepted(r, batch);
+        });
+    timers.after(OVERTAKE_MS, () -> overtake(number));
+  }
+
+  /** Lets the next batch go, where this one's answer is late or lost. */
+  private void overtake(long number) {
+    if (busy && number == newestBatch && batchesOut > 0 && batchesOut < BATCHES_MOST) {
+      busy = false;
+      pump();
+    }
   }
 
   private void refuse(Submission s, int status, String why) {
@@ -415,7 +450,6 @@
   }
 
   private void accepted(Ledger.Result r, Map<String, List<Submission>> batch) {
-    busy = false;
     switch (r.outcome()) {
       case OK ->
           batch.forEach(
@@ -436,11 +470,7 @@
               });
       case REFUSED -> {
         if (ledger.reachable()) {
-          // Back where they were: the oldest is not to give up for those that came later.
-          List<Submission> again = new ArrayList<>();
-          batch.values().forEach(again::addAll);
-          Collections.reverse(again);
-          again.forEach(s -> queue.back(s.spec, s));
+          putBack(batch);
           busy = true;
           timers.after(
               RETRY_MS,
@@ -452,11 +482,27 @@
         }
         batch.values().forEach(l -> l.forEach(s -> later(s.exchange)));
       }
-      case UNKNOWN -> batch.values().forEach(l -> l.forEach(s -> later(s.exchange)));
+      // Sent again: who finds a job's record there answers by it, and of two that are carried out
+      // only one finds it absent.
+      case UNKNOWN -> {
+        if (ledger.reachable()) {
+          putBack(batch);
+        } else {
+          batch.values().forEach(l -> l.forEach(s -> later(s.exchange)));
+        }
+      }
     }
     pump();
   }
 
+  /** Back where they were: the oldest is not to give up for those that came later. */
+  private void putBack(Map<String, List<Submission>> batch) {
+    List<Submission> again = new ArrayList<>();
+    batch.values().forEach(again::addAll);
+    Collections.reverse(again);
+    again.forEach(s -> queue.back(s.spec, s));
+  }
+
   /**
    * The part with most free room for it; gangs and what is large against a part go to the leader.
    */
@@ -705,7 +751,13 @@
                 later(x);
               }
             }
-            case UNKNOWN -> later(x);
+            case UNKNOWN -> {
+              if (r.settled()) {
+                withdraw(x, job.id(), tries - 1);
+              } else {
+                later(x);
+              }
+            }
           }
         });
   }
--- a/src/main/java/wickdrift/coordination/Scribe.java
+++ b/src/main/java/wickdrift/coordination/Scribe.java
@@ -333,7 +333,9 @@
       }
       case REFUSED -> timers.after(REFUSED_MS + spread(), this::ready);
       case UNKNOWN -> {
-        if (places) {
+        if (r.settled()) {
+          ledger.whenAt(r.rev(), this::ready);
+        } else if (places) {
           phase = Phase.FENCING;
           fence();
         } else {
@@ -371,7 +373,8 @@
               txn,
               Ledger.Rank.AUTHORITY,
               r -> {
-                if (r.outcome() == Ledger.Outcome.OK) {
+                // Whoever has rewritten it, the placement can't follow any more.
+                if (r.outcome() == Ledger.Outcome.OK || r.settled()) {
                   ledger.whenAt(r.rev(), this::ready);
                 } else {
                   timers.after(REFUSED_MS, this::fence);
