Any transaction counts as unanswered after 0.7 s

With transactions held up (two to twelve seconds) a node's work stood 1.5 s for each and as long again for its fence. Answers come within 10 ms, now and then within some hundred.

--- a/src/main/java/wickdrift/bookkeeping/Ledger.java
+++ b/src/main/java/wickdrift/bookkeeping/Ledger.java
@@ -27,8 +27,8 @@
 
   private static final long CALL_MS = 1500;
 
-  /** After that a user's transaction counts as unanswered: sent again it can't do harm. */
-  private static final long USER_COMMIT_MS = 700;
+  /** After that a transaction counts as unanswered: one that is sent again can't do harm. */
+  private static final long COMMIT_MS = 700;
 
   /** The answer of a transaction that shows in the tables comes within this time, or is lost. */
   private static final long ANSWER_LOST_MS = 100;
@@ -716,8 +716,7 @@
     nextWindow();
     window += n;
     Outstanding out = new Outstanding(txn, done);
-    long waitMs = rank == Rank.USER ? USER_COMMIT_MS : CALL_MS;
-    call("POST", "/commit", Pack.encode(txn.toWire()), waitMs, a -> out.finish(result(txn, a)));
+    call("POST", "/commit", Pack.encode(txn.toWire()), COMMIT_MS, a -> out.finish(result(txn, a)));
   }
 
   /** Counted each time, and told once a cause. */
