--- a/src/main/java/wickdrift/coordination/Reporting.java
+++ b/src/main/java/wickdrift/coordination/Reporting.java
@@ -548,7 +548,8 @@
    * Whether a worker takes orders from this node alone, and nothing of a job that this node knows
    * to be withdrawn can begin there any more. It has shown this view's epoch, so it drops what any
    * earlier owner says; no run of the job is under way to it, and what it has of the job is past
-   * its fetch. Once so, it stays so: a later view's owner has read of the withdrawal.
+   * its fetch. Once so, it stays so: a later view's owner has read of the withdrawal. Where a lease
+   * that nobody renews would outlast a cancellation, nothing of the job may be left at all.
    */
   public boolean obeys(Machine m, String job) {
     View v = tables.view();
@@ -569,7 +570,8 @@
     }
     for (Report.Entry e : r.tasks()) {
       boolean again = e.phase() == Report.Phase.EXITED && waits(m, e) > 0;
-      if (e.job().equals(job) && (e.phase() == Report.Phase.FETCHING || again)) {
+      boolean mayOutlast = !tuning.leaseEndsInTime() && e.phase() != Report.Phase.EXITED;
+      if (e.job().equals(job) && (e.phase() == Report.Phase.FETCHING || again || mayOutlast)) {
         return false;
       }
     }
--- a/src/main/java/wickdrift/coordination/Tuning.java
+++ b/src/main/java/wickdrift/coordination/Tuning.java
@@ -5,6 +5,9 @@
 /**
  * The operators' own settings, all with defaults that derive from what the platform hands over.
  * Those that the design marks "ours" are here.
+ *
+ * @param leaseEndsInTime whether a worker's lease that nobody renews ends sooner than a cancelled
+ *     task must be gone
  */
 public record Tuning(
     long memberLeaseMs,
@@ -15,6 +18,7 @@
     long quietMs,
     long lostMs,
     long lapseMs,
+    boolean leaseEndsInTime,
     long overdueMs,
     long settleMs,
     long handoverMs,
@@ -53,6 +57,8 @@
         Math.min(lease / 2, 2 * (report * 5 / 4) + SLACK_MS),
         lease,
         (long) (lease * (1 + DRIFT)) + SLACK_MS,
+        // Reports are late now and then, and a worker looks at its lease now and then.
+        lease * (1 + DRIFT) + SLACK_MS + report < cancel,
         // A little more than half of the time for a cancellation, and, if that leaves time for a
         // deletion or two, no sooner than a silent worker's lease ends by itself.
         (long) Math.max(cancel * 0.55, Math.min(lease + 1000, cancel * 0.7)),
@@ -85,6 +91,7 @@
         quietMs,
         lostMs,
         lapseMs,
+        leaseEndsInTime,
         overdueMs,
         settleMs,
         handoverMs,
--- a/src/test/java/wickdrift/sim/CancellationTest.java
+++ b/src/test/java/wickdrift/sim/CancellationTest.java
@@ -13,6 +13,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.Arguments;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.MethodSource;
 import org.junit.jupiter.params.provider.ValueSource;
 import wickdrift.protocol.BadMessage;
@@ -25,7 +26,7 @@
  * may stay; workers go on reporting to whom they reported before.
  */
 class CancellationTest {
-  private static final int JOBS = 24;
+  static final int JOBS = 24;
   private static final long REFUSED_AT_MS = 24_000;
 
   /** Whom the state service refuses alone. */
@@ -66,7 +67,7 @@
                         b -> Arrays.stream(When.values()).map(when -> Arguments.of(r, b, when))));
   }
 
-  private static String id(int i) {
+  static String id(int i) {
     return String.format("req-%06d", i);
   }
 
@@ -86,7 +87,7 @@
   }
 
   /** Jobs run, some on machines of every controller: of these seeds the first of which it holds. */
-  private static SimWorld running(long seed, double seconds) {
+  static SimWorld running(long seed, double seconds) {
     for (long s = seed; s < seed + 100_000; s += 1000) {
       SimWorld w = new SimWorld(s, 14, 22, "aab", 60);
       w.run(8000);
@@ -101,11 +102,11 @@
     throw new AssertionError("nothing runs at some controller, whatever the seed");
   }
 
-  private static int number(SimWorld w, String node) {
+  static int number(SimWorld w, String node) {
     return w.tables(node).roster().number(node);
   }
 
-  private static String other(SimWorld w, String than, String and) {
+  static String other(SimWorld w, String than, String and) {
     return w.nodes.stream().filter(n -> !n.equals(than) && !n.equals(and)).findFirst().get();
   }
 
@@ -233,6 +234,42 @@
                     .map(ms -> Arguments.of(hang, ms)));
   }
 
+  /**
+   * A worker's lease outlasts the time that a cancelled task has, and its machine hangs, or is cut
+   * off, with the task on it, and the cloud, which could delete it, is away: the word comes only
+   * once nothing is left there.
+   */
+  @ParameterizedTest(name = "cancel_s {0}, hangs: {1}")
+  @CsvSource({"9, true", "9, false", "14, true", "14, false", "16, true", "16, false"})
+  void aLeaseThatOutlastsACancellation(double cancelS, boolean hang) {
+    SimWorld w =
+        new SimWorld(
+            new SimSetup(4990 + (long) cancelS, 14, 22).controllers("aab").cancelS(cancelS));
+    w.run(8000);
+    for (int i = 0; i < JOBS; i++) {
+      w.users.submit(job(i, "batch", 1 + i % 2, 200), 0);
+    }
+    w.run(14_000);
+    w.nodes.forEach(n -> w.net.cut(n, SimWorld.CLOUD, false));
+    for (int m = 0; m < 7; m++) {
+      if (hang) {
+        w.hangMachine(m, 15_500);
+      } else {
+        w.cutMachine(m, true);
+      }
+    }
+    for (int i = 0; i < JOBS; i++) {
+      String id = id(i);
+      w.clock.after(20L * i, () -> w.users.withdraw(id, w.nodes.get(id.charAt(9) % 3)));
+    }
+    w.clock.after(15_500, w::healMachines);
+    w.run(100_000);
+    for (int i = 0; i < JOBS; i++) {
+      assertEquals("withdrawn", w.lastTold(id(i)));
+    }
+    ClusterTest.check(w, List.of());
+  }
+
   /** An owner that the state service refuses and a peer tells stops what is called off at once. */
   @Test
   void anOwnerThatIsToldStopsAtOnce() {
--- a/src/test/java/wickdrift/sim/SimSetup.java
+++ b/src/test/java/wickdrift/sim/SimSetup.java
@@ -3,82 +3,123 @@
 import java.util.function.UnaryOperator;
 import wickdrift.coordination.Tuning;
 
-/**
- * What a simulated world is made of.
- *
- * @param machines that are up at the start
- * @param capacity machines that can be had in all
- * @param controllers the zone of each, a letter
- * @param gpusMax the limit of the team vision
- * @param soundGpusMax the limit of the team sound; 0: none
- * @param txnOps changes a transaction may hold; 0: enough for all controllers, 8 at least
- * @param writeRps changes that the state service takes a second
- */
-record SimSetup(
-    long seed,
-    int machines,
-    int capacity,
-    String controllers,
-    double gpusMax,
-    double soundGpusMax,
-    UnaryOperator<Tuning> tuning,
-    int txnOps,
-    double writeRps) {
+/** What a simulated world is made of: set before it is made, and not changed after. */
+final class SimSetup {
+  private final long seed;
+  private int machines;
+  private int capacity;
+  private String controllers = "aaa";
+  private double gpusMax = 60;
+  private double soundGpusMax;
+  private double cancelS = 36;
+  private UnaryOperator<Tuning> tuning = t -> t.withLog(2, 900);
+  private int txnOps;
+  private double writeRps = SimState.WRITES;
+
+  /**
+   * @param machines that are up at the start
+   * @param capacity machines that can be had in all
+   */
   SimSetup(long seed, int machines, int capacity) {
-    this(seed, machines, capacity, "aaa", 60, 0, t -> t.withLog(2, 900), 0, SimState.WRITES);
+    this.seed = seed;
+    this.machines = machines;
+    this.capacity = capacity;
+  }
+
+  long seed() {
+    return seed;
+  }
+
+  int machines() {
+    return machines;
   }
 
   SimSetup machines(int atStart) {
-    return new SimSetup(
-        seed, atStart, capacity, controllers, gpusMax, soundGpusMax, tuning, txnOps, writeRps);
+    machines = atStart;
+    return this;
+  }
+
+  int capacity() {
+    return capacity;
   }
 
   SimSetup capacity(int most) {
-    return new SimSetup(
-        seed, machines, most, controllers, gpusMax, soundGpusMax, tuning, txnOps, writeRps);
+    capacity = most;
+    return this;
+  }
+
+  /** The zone of each controller, a letter. */
+  String controllers() {
+    return controllers;
   }
 
   SimSetup controllers(String zones) {
-    return new SimSetup(
-        seed, machines, capacity, zones, gpusMax, soundGpusMax, tuning, txnOps, writeRps);
+    controllers = zones;
+    return this;
+  }
+
+  /** The limit of the team vision. */
+  double gpusMax() {
+    return gpusMax;
   }
 
   SimSetup gpusMax(double gpus) {
-    return new SimSetup(
-        seed, machines, capacity, controllers, gpus, soundGpusMax, tuning, txnOps, writeRps);
+    gpusMax = gpus;
+    return this;
+  }
+
+  /** The limit of the team sound; 0: none. */
+  double soundGpusMax() {
+    return soundGpusMax;
   }
 
   SimSetup soundGpusMax(double gpus) {
-    return new SimSetup(
-        seed, machines, capacity, controllers, gpusMax, gpus, tuning, txnOps, writeRps);
+    soundGpusMax = gpus;
+    return this;
+  }
+
+  /** The limit of a team; 0: none. */
+  double limitOf(String team) {
+    return team.equals("sound") ? soundGpusMax : gpusMax;
+  }
+
+  /** Within how long a cancelled task must be gone. */
+  double cancelS() {
+    return cancelS;
+  }
+
+  SimSetup cancelS(double seconds) {
+    cancelS = seconds;
+    return this;
+  }
+
+  UnaryOperator<Tuning> tuning() {
+    return tuning;
   }
 
   /** With the settings that a controller has by itself, in place of small logs. */
   SimSetup defaultTuning() {
-    return new SimSetup(
-        seed,
-        machines,
-        capacity,
-        controllers,
-        gpusMax,
-        soundGpusMax,
-        UnaryOperator.identity(),
-        txnOps,
-        writeRps);
+    tuning = UnaryOperator.identity();
+    return this;
+  }
+
+  /** Changes a transaction may hold; 0: enough for all controllers, 8 at least. */
+  int txnOps() {
+    return txnOps;
   }
 
   SimSetup txnOps(int ops) {
-    return new SimSetup(
-        seed, machines, capacity, controllers, gpusMax, soundGpusMax, tuning, ops, writeRps);
+    txnOps = ops;
+    return this;
   }
 
-  SimSetup writeRps(double rps) {
-    return new SimSetup(
-        seed, machines, capacity, controllers, gpusMax, soundGpusMax, tuning, txnOps, rps);
+  /** Changes that the state service takes a second. */
+  double writeRps() {
+    return writeRps;
   }
 
-  /** The limit of a team; 0: none. */
-  double limitOf(String team) {
-    return team.equals("sound") ? soundGpusMax : gpusMax;
+  SimSetup writeRps(double perSecond) {
+    writeRps = perSecond;
+    return this;
   }
 }
--- a/src/test/java/wickdrift/sim/SimWorker.java
+++ b/src/test/java/wickdrift/sim/SimWorker.java
@@ -134,6 +134,11 @@
     leaseStart = clock.nowMs();
   }
 
+  /** Whether a task here has given up waiting for the rest of its gang. */
+  boolean gaveUpWaiting() {
+    return tasks.values().stream().anyMatch(t -> "alone".equals(t.why));
+  }
+
   boolean empty() {
     return tasks.isEmpty();
   }
--- a/src/test/java/wickdrift/sim/SimWorld.java
+++ b/src/test/java/wickdrift/sim/SimWorld.java
@@ -55,7 +55,7 @@
   final Map<String, JobSpec> specs = new HashMap<>();
   final long leaseMs = 16_000;
   final long reportMs = 2_500;
-  final long cancelMs = 36_000;
+  final long cancelMs;
   int refusals;
 
   /** Whether a machine was ever recorded as silent. */
@@ -122,6 +122,7 @@
 
   SimWorld(SimSetup setup) {
     this.setup = setup;
+    cancelMs = (long) (setup.cancelS() * 1000);
     for (int i = 0; i < setup.controllers().length(); i++) {
       nodes.add("n" + i);
     }
@@ -283,7 +284,7 @@
         lease_s = 16.0
         gang_wait_s = 30.0
         gang_peer_s = 5.0
-        cancel_s = 36.0
+        cancel_s = %s
         [cluster.state]
         rps = 250.0
         write_rps = %s
@@ -301,6 +302,7 @@
                 names.size(),
                 setup.gpusMax(),
                 setup.soundGpusMax(),
+                setup.cancelS(),
                 state.writeRpsAtFirst,
                 state.txnOpsAtFirst(),
                 next));
