--- a/src/main/java/wickdrift/bookkeeping/Chains.java
+++ b/src/main/java/wickdrift/bookkeeping/DependencyGraph.java
@@ -26,20 +26,20 @@
  * <p>A job can name only jobs that were accepted before it, so there is no cycle; the ends of what
  * propagates here rely on that.
  */
-public final class Chains {
-  private static final Logger LOG = LoggerFactory.getLogger(Chains.class);
+public final class DependencyGraph {
+  private static final Logger LOG = LoggerFactory.getLogger(DependencyGraph.class);
 
   /** Far above any chain: who comes here has found a cycle, which can't be. */
   private static final int MOST_STEPS = 1_000_000;
 
   private final Function<String, Job> unfinished;
-  private final Function<String, Ended> remembered;
+  private final Function<String, TerminalState> remembered;
 
   /** By an awaited job, those that await it. */
   private final Map<String, Set<Job>> after = new HashMap<>();
 
   /** How those ended that an unfinished job awaits. */
-  private final Map<String, Ended> ends = new HashMap<>();
+  private final Map<String, TerminalState> ends = new HashMap<>();
 
   /** Awaited jobs that are over, of which it is not known here how they ended. */
   private final TreeSet<String> unknown = new TreeSet<>();
@@ -48,7 +48,7 @@
    * @param unfinished a job of the tables, or null
    * @param remembered how a job ended, if that is known here, or null
    */
-  Chains(Function<String, Job> unfinished, Function<String, Ended> remembered) {
+  DependencyGraph(Function<String, Job> unfinished, Function<String, TerminalState> remembered) {
     this.unfinished = unfinished;
     this.remembered = remembered;
   }
@@ -89,7 +89,7 @@
   }
 
   /** It is known how a job ended. */
-  void ended(String id, Ended how) {
+  void ended(String id, TerminalState how) {
     unknown.remove(id);
     if (after.containsKey(id) && ends.put(id, how) == null) {
       List.copyOf(after(id)).forEach(this::settle);
@@ -124,7 +124,7 @@
       long ready = 0;
       Job.Stage now = complete(j) ? Job.Stage.READY : Job.Stage.UNCLEAR;
       for (String a : j.awaits()) {
-        Ended e = end(a);
+        TerminalState e = end(a);
         Job x = e == null ? unfinished.apply(a) : null;
         if (e != null ? !e.done() : x != null && x.withdrawn()) {
           now = Job.Stage.WITHDRAWN;
@@ -156,8 +156,8 @@
     return j.overflow() == null || !j.awaits().isEmpty();
   }
 
-  private Ended end(String id) {
-    Ended e = ends.get(id);
+  private TerminalState end(String id) {
+    TerminalState e = ends.get(id);
     if (e == null && (e = remembered.apply(id)) != null) {
       ends.put(id, e);
       unknown.remove(id);
--- a/src/main/java/wickdrift/bookkeeping/Job.java
+++ b/src/main/java/wickdrift/bookkeeping/Job.java
@@ -13,9 +13,9 @@
 import java.util.function.IntFunction;
 import wickdrift.bookkeeping.level.Form;
 import wickdrift.protocol.BadMessage;
-import wickdrift.protocol.Doc;
+import wickdrift.protocol.Document;
 import wickdrift.protocol.JobSpec;
-import wickdrift.protocol.Pack;
+import wickdrift.protocol.MessageCodec;
 import wickdrift.protocol.Report;
 
 /** One unfinished job: what was submitted, and its tasks, in chunks that are stored together. */
@@ -24,8 +24,8 @@
   public static final int CHUNK = 64;
 
   /**
-   * How a job stands to those that it awaits, as {@link Chains} draws it. It goes from the top
-   * down, and the last two are final.
+   * How a job stands to those that it awaits, as {@link DependencyGraph} draws it. It goes from the
+   * top down, and the last two are final.
    */
   public enum Stage {
     /** What became of one that it awaits is not known here yet. */
@@ -207,12 +207,12 @@
    * What stands in a job's place when it is over, since {@link
    * wickdrift.bookkeeping.level.Gate#AWAITS}, until its end is moved to its lasting place.
    */
-  public static Map<String, Object> overToStore(Ended how) {
+  public static Map<String, Object> overToStore(TerminalState how) {
     return new LinkedHashMap<>(Map.of("over", how.toStore(true)));
   }
 
-  void record(Doc d, long newStamp) throws BadMessage {
-    Doc s = Doc.of(d.raw("spec"));
+  void record(Document d, long newStamp) throws BadMessage {
+    Document s = Document.of(d.raw("spec"));
     specExtra = JobSpec.unknownFields(s);
     if (spec == null) {
       spec = JobSpec.parse(s);
@@ -319,7 +319,7 @@
       int chunk, long rev, IntFunction<TaskState> states, int form, int valueBytes) {
     Map<String, Object> m = encodeChunk(chunk, rev, states);
     Object value = Form.wrap(form, m);
-    if (form < Form.NUMBERED || Pack.jsonSize(value) <= valueBytes) {
+    if (form < Form.NUMBERED || MessageCodec.jsonSize(value) <= valueBytes) {
       return value;
     }
     List<Object> machines = new ArrayList<>();
@@ -365,7 +365,7 @@
     return out;
   }
 
-  private static List<?> liveOf(Doc d) throws BadMessage {
+  private static List<?> liveOf(Document d) throws BadMessage {
     List<?> l = d.list("live");
     if (l.size() == 2 && l.get(0) instanceof List<?> machines && l.get(1) instanceof String text) {
       List<List<Object>> out = lists(text, 5);
@@ -381,13 +381,13 @@
     return l;
   }
 
-  private static List<?> triedOf(Doc d) throws BadMessage {
+  private static List<?> triedOf(Document d) throws BadMessage {
     List<?> l = d.list("tried");
     return l.size() == 1 && l.get(0) instanceof String text ? lists(text, 2) : l;
   }
 
   /** A chunk was stored, or deleted: those who follow the logs know its content already. */
-  void chunkStored(int chunk, Doc d, long newStamp) throws BadMessage {
+  void chunkStored(int chunk, Document d, long newStamp) throws BadMessage {
     if (chunk < 0 || chunk >= chunkStamps.length) {
       throw new BadMessage("no such chunk");
     }
@@ -402,7 +402,7 @@
 
   /** Takes over a chunk's tasks as they are stored. */
   void restoreChunk(
-      int chunk, Doc d, long newStamp, java.util.function.Function<String, Machine> find)
+      int chunk, Document d, long newStamp, java.util.function.Function<String, Machine> find)
       throws BadMessage {
     chunkStored(chunk, d, newStamp);
     int from = chunk * CHUNK;
--- a/src/main/java/wickdrift/bookkeeping/Finals.java
+++ b/src/main/java/wickdrift/bookkeeping/JobHistory.java
@@ -8,7 +8,7 @@
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import wickdrift.protocol.BadMessage;
-import wickdrift.protocol.Doc;
+import wickdrift.protocol.Document;
 import wickdrift.transport.Timers;
 
 /**
@@ -16,8 +16,8 @@
  * ids are near each other: one read brings a run of keys. A question that comes while a read is out
  * waits for the next one, for the one that is out may be older than the question.
  */
-public final class Finals {
-  private static final Logger LOG = LoggerFactory.getLogger(Finals.class);
+public final class JobHistory {
+  private static final Logger LOG = LoggerFactory.getLogger(JobHistory.class);
   private static final int PAGE = 100;
   private static final long AGAIN_MS = 500;
   private static final String PREFIX = Job.finalKey("");
@@ -39,7 +39,7 @@
   private boolean armed;
   private long reads;
 
-  public Finals(Timers timers, Ledger ledger, Tables tables) {
+  public JobHistory(Timers timers, Ledger ledger, Tables tables) {
     this.timers = timers;
     this.ledger = ledger;
     this.tables = tables;
@@ -61,7 +61,7 @@
     if (ledger.phase() != Ledger.Phase.FOLLOWING || armed) {
       return;
     }
-    for (String id : tables.chains().unknown()) {
+    for (String id : tables.dependencies().unknown()) {
       next.computeIfAbsent(id, k -> new ArrayList<>());
     }
     pump();
@@ -73,7 +73,8 @@
     }
     // The chains' questions are put again with each change; some were answered meanwhile.
     next.entrySet()
-        .removeIf(e -> e.getValue().isEmpty() && !tables.chains().unknown().contains(e.getKey()));
+        .removeIf(
+            e -> e.getValue().isEmpty() && !tables.dependencies().unknown().contains(e.getKey()));
     if (!next.isEmpty()) {
       TreeMap<String, List<Consumer<Answer>>> open = next;
       next = new TreeMap<>();
@@ -118,7 +119,7 @@
         continue;
       }
       try {
-        tables.rememberFinished(last, Ended.parse(Doc.of(c.value())));
+        tables.rememberFinished(last, TerminalState.parse(Document.of(c.value())));
         open.remove(last);
         asking.forEach(a -> a.accept(Answer.OVER));
       } catch (BadMessage e) {
@@ -132,7 +133,7 @@
         l.truncated() && last != null ? open.headMap(last, true) : open;
     for (String id : List.copyOf(absent.keySet())) {
       List<Consumer<Answer>> asking = open.remove(id);
-      if (asking.isEmpty() && tables.chains().unknown().contains(id)) {
+      if (asking.isEmpty() && tables.dependencies().unknown().contains(id)) {
         // Accepted, and neither unfinished nor over: only a table that lags, or lost state.
         LOG.debug("{} is awaited, and is neither unfinished nor over", id);
         again();
--- a/src/main/java/wickdrift/bookkeeping/Ledger.java
+++ b/src/main/java/wickdrift/bookkeeping/Ledger.java
@@ -10,8 +10,8 @@
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import wickdrift.protocol.BadMessage;
-import wickdrift.protocol.Doc;
-import wickdrift.protocol.Pack;
+import wickdrift.protocol.Document;
+import wickdrift.protocol.MessageCodec;
 import wickdrift.transport.Caller;
 import wickdrift.transport.Timers;
 
@@ -401,7 +401,7 @@
             return;
           }
           try {
-            Doc d = Doc.parse(a.body());
+            Document d = Document.parse(a.body());
             long r = Math.min(minRev, d.count("ledgerRev"));
             Listed l = listed(d);
             got.addAll(l.entries);
@@ -473,9 +473,9 @@
     List<Change> news = new ArrayList<>();
     long newRev;
     try {
-      Doc d = Doc.parse(body);
+      Document d = Document.parse(body);
       newRev = d.count("ledgerRev");
-      for (Doc e : d.docs("news")) {
+      for (Document e : d.docs("news")) {
         long stamp = e.count("stamp");
         String written = e.textOrNull("write");
         if (stamp <= rev) {
@@ -618,7 +618,7 @@
   }
 
   /** Reads one key: an empty value with {@code ok} means it is not there. */
-  public record Read(boolean ok, Doc value, long stamp) {}
+  public record Read(boolean ok, Document value, long stamp) {}
 
   public void read(String key, Consumer<Read> done) {
     call(
@@ -631,8 +631,8 @@
             if (a.status() == 404) {
               done.accept(new Read(true, null, 0));
             } else if (a.status() == 200) {
-              Doc d = Doc.parse(a.body());
-              done.accept(new Read(true, Doc.of(d.raw("v")), d.count("stamp")));
+              Document d = Document.parse(a.body());
+              done.accept(new Read(true, Document.of(d.raw("v")), d.count("stamp")));
             } else {
               done.accept(new Read(false, null, 0));
             }
@@ -659,7 +659,7 @@
         CALL_MS,
         a -> {
           try {
-            done.accept(a.status() == 200 ? listed(Doc.parse(a.body())) : null);
+            done.accept(a.status() == 200 ? listed(Document.parse(a.body())) : null);
           } catch (BadMessage e) {
             malformed("list", e);
             done.accept(null);
@@ -667,9 +667,9 @@
         });
   }
 
-  private static Listed listed(Doc d) throws BadMessage {
+  private static Listed listed(Document d) throws BadMessage {
     List<Change> got = new ArrayList<>();
-    for (Doc e : d.docs("entries")) {
+    for (Document e : d.docs("entries")) {
       got.add(new Change(e.text("key"), e.raw("v"), e.count("stamp")));
     }
     return new Listed(got, d.flag("truncated", false));
@@ -716,7 +716,12 @@
     nextWindow();
     window += n;
     Outstanding out = new Outstanding(txn, done);
-    call("POST", "/commit", Pack.encode(txn.toWire()), COMMIT_MS, a -> out.finish(result(txn, a)));
+    call(
+        "POST",
+        "/commit",
+        MessageCodec.encode(txn.toWire()),
+        COMMIT_MS,
+        a -> out.finish(result(txn, a)));
   }
 
   /** Counted each time, and told once a cause. */
@@ -731,10 +736,11 @@
     try {
       switch (a.status()) {
         case 200:
-          return new Result(Outcome.OK, Doc.parse(a.body()).count("ledgerRev"), Set.of(), false);
+          return new Result(
+              Outcome.OK, Document.parse(a.body()).count("ledgerRev"), Set.of(), false);
         case 409:
           failedByCondition++;
-          Doc d = Doc.parse(a.body());
+          Document d = Document.parse(a.body());
           return new Result(
               Outcome.FAILED, d.count("ledgerRev"), new HashSet<>(d.texts("failed")), false);
         case 429:
@@ -744,7 +750,7 @@
           limits.refusedForRate();
           return new Result(Outcome.REFUSED, 0, Set.of(), false);
         case 400:
-          String why = String.valueOf(Doc.parse(a.body()).raw("error"));
+          String why = String.valueOf(Document.parse(a.body()).raw("error"));
           boolean lease = why.contains("lease");
           if (!lease) {
             // The next draft is smaller, if the limits have fallen; if not, it is told once.
@@ -770,11 +776,11 @@
     call(
         "POST",
         "/grants",
-        Pack.encode(Map.of("lifeMs", lifeMs)),
+        MessageCodec.encode(Map.of("lifeMs", lifeMs)),
         CALL_MS,
         a -> {
           try {
-            done.accept(a.status() == 200 ? Doc.parse(a.body()).count("tether") : 0L);
+            done.accept(a.status() == 200 ? Document.parse(a.body()).count("tether") : 0L);
           } catch (BadMessage e) {
             malformed("grant", e);
             done.accept(0L);
@@ -786,7 +792,7 @@
     call(
         "POST",
         "/grants/" + tether + "/extend",
-        Pack.encode(Map.of()),
+        MessageCodec.encode(Map.of()),
         CALL_MS,
         a -> done.accept(a.status()));
   }
--- a/src/main/java/wickdrift/bookkeeping/Overflow.java
+++ b/src/main/java/wickdrift/bookkeeping/Overflow.java
@@ -7,7 +7,7 @@
 import java.util.TreeMap;
 import java.util.zip.CRC32;
 import wickdrift.protocol.BadMessage;
-import wickdrift.protocol.Doc;
+import wickdrift.protocol.Document;
 
 /**
  * The names of awaited jobs that a job's own record has no room for, in records {@code
@@ -89,7 +89,7 @@
   }
 
   /** The names of one record. */
-  static List<String> names(Doc d) throws BadMessage {
+  static List<String> names(Document d) throws BadMessage {
     return List.copyOf(d.texts("names"));
   }
 }
--- a/src/main/java/wickdrift/bookkeeping/Page.java
+++ b/src/main/java/wickdrift/bookkeeping/Page.java
@@ -7,8 +7,8 @@
 import java.util.function.BiPredicate;
 import wickdrift.bookkeeping.level.Form;
 import wickdrift.protocol.BadMessage;
-import wickdrift.protocol.Doc;
-import wickdrift.protocol.Pack;
+import wickdrift.protocol.Document;
+import wickdrift.protocol.MessageCodec;
 
 /**
  * A page of a node's log: what its transactions changed about tasks and machines, in one record
@@ -69,7 +69,7 @@
   }
 
   public static Page parse(String key, Object value, long stamp) throws BadMessage {
-    Doc d = Form.read(value, Form.NUMBERED);
+    Document d = Form.read(value, Form.NUMBERED);
     List<Run> runs = new ArrayList<>();
     for (Object o : d.list(RUNS)) {
       if (!(o instanceof List<?> l)
@@ -81,7 +81,7 @@
       runs.add(new Run(rev == 0 ? stamp : rev, entries));
     }
     int form = Form.of(value);
-    int bytes = Pack.jsonSize(value);
+    int bytes = MessageCodec.jsonSize(value);
     return new Page(node(key), number(key), stamp, runs, bytes, form, d.without(RUNS));
   }
 
--- a/src/main/java/wickdrift/bookkeeping/Part.java
+++ b/src/main/java/wickdrift/bookkeeping/Partition.java
@@ -6,7 +6,7 @@
 import java.util.Map;
 import wickdrift.bookkeeping.level.Form;
 import wickdrift.protocol.BadMessage;
-import wickdrift.protocol.Doc;
+import wickdrift.protocol.Document;
 
 /**
  * A member's part. Each transaction that places is conditional on this record's stamp, so whoever
@@ -21,7 +21,7 @@
  *     away, so that all together sum to nothing whatever the limit is
  * @param extra fields that this build does not know; they survive a rewriting
  */
-public record Part(
+public record Partition(
     long epoch,
     List<String> taken,
     Map<String, Share> shares,
@@ -45,32 +45,32 @@
     }
   }
 
-  public static Part fresh(long epoch, int form) {
-    return new Part(epoch, List.of(), Map.of(), 0, form, Map.of());
+  public static Partition fresh(long epoch, int form) {
+    return new Partition(epoch, List.of(), Map.of(), 0, form, Map.of());
   }
 
   public static String key(String node) {
     return "w/p/" + node;
   }
 
-  public Part with(List<String> nowTaken) {
-    return new Part(epoch, nowTaken, shares, stamp, form, extra);
+  public Partition with(List<String> nowTaken) {
+    return new Partition(epoch, nowTaken, shares, stamp, form, extra);
   }
 
   /** In a new view nothing is taken; the shares stay, for attempts count against them. */
-  public Part inEpoch(long next) {
-    return new Part(next, List.of(), shares, stamp, form, extra);
+  public Partition inEpoch(long next) {
+    return new Partition(next, List.of(), shares, stamp, form, extra);
   }
 
   /** In another form, with the shares as that form tells them. */
-  public Part inForm(int other, Map<String, Share> told) {
-    return new Part(epoch, taken, told, stamp, other, extra);
+  public Partition inForm(int other, Map<String, Share> told) {
+    return new Partition(epoch, taken, told, stamp, other, extra);
   }
 
-  public Part with(String team, Share share) {
+  public Partition with(String team, Share share) {
     Map<String, Share> s = new LinkedHashMap<>(shares);
     s.put(team, share);
-    return new Part(epoch, taken, s, stamp, form, extra);
+    return new Partition(epoch, taken, s, stamp, form, extra);
   }
 
   public Object toStore() {
@@ -83,8 +83,8 @@
     return Form.wrap(form, m);
   }
 
-  public static Part parse(Object value, long stamp) throws BadMessage {
-    Doc d = Form.read(value, Form.NUMBERED);
+  public static Partition parse(Object value, long stamp) throws BadMessage {
+    Document d = Form.read(value, Form.NUMBERED);
     Map<String, Share> shares = new LinkedHashMap<>();
     if (d.raw("shares") instanceof Map<?, ?> m) {
       for (Map.Entry<?, ?> e : m.entrySet()) {
@@ -97,7 +97,7 @@
         shares.put((String) e.getKey(), new Share(cpus.doubleValue(), gpus.doubleValue()));
       }
     }
-    return new Part(
+    return new Partition(
         d.count("epoch"),
         List.copyOf(d.texts("taken")),
         shares,
--- a/src/main/java/wickdrift/bookkeeping/Tables.java
+++ b/src/main/java/wickdrift/bookkeeping/Tables.java
@@ -17,10 +17,10 @@
 import wickdrift.bookkeeping.level.Announcement;
 import wickdrift.bookkeeping.level.Form;
 import wickdrift.bookkeeping.level.Gate;
+import wickdrift.bookkeeping.level.NodeRegistry;
 import wickdrift.bookkeeping.level.Range;
-import wickdrift.bookkeeping.level.Roster;
 import wickdrift.protocol.BadMessage;
-import wickdrift.protocol.Doc;
+import wickdrift.protocol.Document;
 
 /** All that is durable, as of the ledger's revision. Changed by the ledger's changes alone. */
 public final class Tables implements Ledger.Applier {
@@ -37,12 +37,12 @@
 
   private final Map<String, Job> jobs = new LinkedHashMap<>();
   private final TreeMap<String, Machine> machines = new TreeMap<>();
-  private final Map<String, Part> parts = new HashMap<>();
+  private final Map<String, Partition> parts = new HashMap<>();
   private final Map<String, String> members = new TreeMap<>();
   private final Map<String, String> memberZones = new TreeMap<>();
   private final Map<String, Long> memberStamps = new HashMap<>();
   private final Map<String, Range> memberLevels = new HashMap<>();
-  private final Roster roster;
+  private final NodeRegistry registry;
   private final Range levels;
 
   /** What can't be read, by key, and why. While there is any nothing is decided. */
@@ -63,20 +63,20 @@
   private final Map<String, Shelf> shelves = new HashMap<>();
   private long appliedRev;
   private final TreeSet<String> orphans = new TreeSet<>();
-  private final Map<String, Ended> finished =
+  private final Map<String, TerminalState> finished =
       new LinkedHashMap<>(256, 0.75f, true) {
         @Override
-        protected boolean removeEldestEntry(Map.Entry<String, Ended> eldest) {
+        protected boolean removeEldestEntry(Map.Entry<String, TerminalState> eldest) {
           return size() > FINISHED_KEPT;
         }
       };
-  private final Chains chains = new Chains(jobs::get, this::finished);
+  private final DependencyGraph dependencies = new DependencyGraph(jobs::get, this::finished);
 
   /** Jobs that are over and whose end stands in their own record still, with its stamp. */
   private final Map<String, Over> over = new LinkedHashMap<>();
 
   /** How a job ended, and the stamp of the record that says so. */
-  public record Over(Ended how, long stamp) {}
+  public record Over(TerminalState how, long stamp) {}
 
   /** Names of awaited jobs, by record, until their job has them all. */
   private final TreeMap<String, List<String>> names = new TreeMap<>();
@@ -103,7 +103,7 @@
    * @param onApplied called after each run of changes
    */
   public Tables(List<String> names, Range levels, Runnable onApplied) {
-    this.roster = new Roster(names);
+    this.registry = new NodeRegistry(names);
     this.levels = levels;
     this.onApplied = onApplied;
   }
@@ -111,8 +111,8 @@
   // ---- what this build understands ----
 
   /** The controllers' numbers, the levels that they speak, and what operators said of them. */
-  public Roster roster() {
-    return roster;
+  public NodeRegistry registry() {
+    return registry;
   }
 
   /** The level in force, as of the tables' revision. */
@@ -252,11 +252,11 @@
         name, k -> new Machine(k, machineNumbers++, changedMachines::add));
   }
 
-  public Part part(String node) {
+  public Partition part(String node) {
     return parts.get(node);
   }
 
-  public Map<String, Part> parts() {
+  public Map<String, Partition> parts() {
     return parts;
   }
 
@@ -265,12 +265,12 @@
    * was not written under this view marks nothing, and one that was never written is empty. Null
    * before that level, if it is not there.
    */
-  public Part partNow(String node) {
-    Part p = parts.get(node);
+  public Partition partNow(String node) {
+    Partition p = parts.get(node);
     if (!open(Gate.VIEWS)) {
       return p;
     }
-    Part is = p == null ? Part.fresh(view.epoch(), form()) : p;
+    Partition is = p == null ? Partition.fresh(view.epoch(), form()) : p;
     return is.epoch() == view.epoch() ? is : is.inEpoch(view.epoch());
   }
 
@@ -323,7 +323,7 @@
   }
 
   /** How a job ended, if it is remembered here. Final, so never out of date. */
-  public Ended finished(String id) {
+  public TerminalState finished(String id) {
     Over o = over.get(id);
     return o != null ? o.how : finished.get(id);
   }
@@ -365,21 +365,21 @@
     foretold.values().removeIf(told -> told <= rev);
   }
 
-  public void rememberFinished(String id, Ended how) {
+  public void rememberFinished(String id, TerminalState how) {
     finished.put(id, how);
-    chains.ended(id, how);
+    dependencies.ended(id, how);
   }
 
   /** Which jobs await which. */
-  public Chains chains() {
-    return chains;
+  public DependencyGraph dependencies() {
+    return dependencies;
   }
 
   @Override
   public void reset() {
     jobs.values().forEach(Job::drop);
     jobs.clear();
-    chains.reset();
+    dependencies.reset();
     names.clear();
     over.clear();
     machines.values().forEach(m -> m.restore(null));
@@ -392,7 +392,7 @@
     memberZones.clear();
     memberStamps.clear();
     memberLevels.clear();
-    roster.reset();
+    registry.reset();
     unreadable.clear();
     missed = false;
     oldForms.clear();
@@ -743,7 +743,7 @@
       orphans.add(j.overflow().key(k));
     }
     j.drop();
-    chains.left(j);
+    dependencies.left(j);
   }
 
   /** Gives a job the names that its own record has no room for, once all are there. */
@@ -790,13 +790,13 @@
       return;
     }
     String name = key.substring(4);
-    Doc d = c.value() == null ? null : Form.read(c.value(), formOf(key));
+    Document d = c.value() == null ? null : Form.read(c.value(), formOf(key));
     switch (key.charAt(2)) {
-      case 'c' -> roster.apply(name, d, c.stamp());
+      case 'c' -> registry.apply(name, d, c.stamp());
       case 'j' -> {
         over.remove(name);
         if (d != null && d.raw("over") != null) {
-          Ended how = Ended.parse(Doc.of(d.raw("over")));
+          TerminalState how = TerminalState.parse(Document.of(d.raw("over")));
           over.put(name, new Over(how, c.stamp()));
           rememberFinished(name, how);
           drop(jobs.remove(name));
@@ -812,12 +812,12 @@
               j.foretold();
             }
             gather(j);
-            chains.joined(j);
+            dependencies.joined(j);
           } else {
             boolean was = j.withdrawnItself();
             j.record(d, c.stamp());
             if (was != j.withdrawnItself()) {
-              chains.changed(j);
+              dependencies.changed(j);
             }
           }
         }
@@ -831,7 +831,7 @@
         names.put(key, Overflow.names(d));
         Job j = jobs.get(Overflow.job(key));
         if (j != null && j.overflow() != null && j.awaits().isEmpty() && gather(j)) {
-          chains.joined(j);
+          dependencies.joined(j);
         }
       }
       case 't' -> {
@@ -855,7 +855,7 @@
         if (c.value() == null) {
           parts.remove(name);
         } else {
-          parts.put(name, Part.parse(c.value(), c.stamp()));
+          parts.put(name, Partition.parse(c.value(), c.stamp()));
         }
         noteForm(c);
         remark();
@@ -863,7 +863,7 @@
       case 'm' -> member(name, c.value(), c.stamp());
       case 'd' -> {
         if (d != null) {
-          rememberFinished(name, Ended.parse(d));
+          rememberFinished(name, TerminalState.parse(d));
         }
       }
       default -> unknown(c);
@@ -885,7 +885,7 @@
     memberStamps.put(name, stamp);
     memberLevels.put(name, Range.FIRST);
     try {
-      Doc d = Form.read(value, Form.FIRST);
+      Document d = Form.read(value, Form.FIRST);
       String incarnation = d.text("inc");
       String zone = d.textOrNull("zone");
       memberLevels.put(name, Range.parse(d));
@@ -903,7 +903,7 @@
     return memberLevels;
   }
 
-  private void shelve(String shelf, Doc d, long stamp, boolean whole) throws BadMessage {
+  private void shelve(String shelf, Document d, long stamp, boolean whole) throws BadMessage {
     if (d == null) {
       shelves.remove(shelf);
       return;
--- a/src/main/java/wickdrift/bookkeeping/Ended.java
+++ b/src/main/java/wickdrift/bookkeeping/TerminalState.java
@@ -3,7 +3,7 @@
 import java.util.LinkedHashMap;
 import java.util.Map;
 import wickdrift.protocol.BadMessage;
-import wickdrift.protocol.Doc;
+import wickdrift.protocol.Document;
 
 /**
  * How a job ended, for ever: the value of {@code w/d/ID}.
@@ -12,7 +12,7 @@
  * @param tasks how many it had
  * @param atWallMs when, by the time of day of who wrote it; 0 where an older build did
  */
-public record Ended(String phase, long tasks, long atWallMs) {
+public record TerminalState(String phase, long tasks, long atWallMs) {
   public static final String DONE = "done";
   public static final String WITHDRAWN = "withdrawn";
 
@@ -33,7 +33,7 @@
     return m;
   }
 
-  public static Ended parse(Doc d) throws BadMessage {
-    return new Ended(d.text("phase"), d.count("tasks", 0), d.count("at", 0));
+  public static TerminalState parse(Document d) throws BadMessage {
+    return new TerminalState(d.text("phase"), d.count("tasks", 0), d.count("at", 0));
   }
 }
--- a/src/main/java/wickdrift/bookkeeping/Txn.java
+++ b/src/main/java/wickdrift/bookkeeping/Txn.java
@@ -4,7 +4,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import wickdrift.protocol.Pack;
+import wickdrift.protocol.MessageCodec;
 
 /** A transaction being put together: conditions on stamps, then writes and deletions. */
 public final class Txn {
@@ -69,7 +69,7 @@
     }
     for (Map.Entry<String, Map<String, Object>> e : then.entrySet()) {
       Object v = e.getValue().get("v");
-      if (v != null && Pack.jsonSize(v) > limits.valueBytes()) {
+      if (v != null && MessageCodec.jsonSize(v) > limits.valueBytes()) {
         return kind(e.getKey());
       }
     }
@@ -82,7 +82,7 @@
     int most = -1;
     for (Map.Entry<String, Map<String, Object>> e : then.entrySet()) {
       Object v = e.getValue().get("v");
-      int n = v == null ? 0 : Pack.jsonSize(v);
+      int n = v == null ? 0 : MessageCodec.jsonSize(v);
       if (n > most) {
         most = n;
         best = e.getKey();
--- a/src/main/java/wickdrift/bookkeeping/View.java
+++ b/src/main/java/wickdrift/bookkeeping/View.java
@@ -11,7 +11,7 @@
 import wickdrift.bookkeeping.level.Form;
 import wickdrift.bookkeeping.level.Gate;
 import wickdrift.protocol.BadMessage;
-import wickdrift.protocol.Doc;
+import wickdrift.protocol.Document;
 
 /**
  * Who holds authority: the epoch, the members with their incarnations, and the leader; and the
@@ -86,7 +86,7 @@
    * @throws BadMessage if it is malformed or of a form that this build does not read
    */
   public static View parse(Object value) throws BadMessage {
-    Doc d = Form.read(value, Form.NUMBERED);
+    Document d = Form.read(value, Form.NUMBERED);
     Map<String, String> zones = d.raw("zones") == null ? Map.of() : texts(d.raw("zones"));
     long level = d.count(LEVEL, 1);
     if (level < 1 || level > Integer.MAX_VALUE || Form.of(value) != Form.at((int) level)) {
@@ -104,7 +104,7 @@
 
   private static Map<String, String> texts(Object map) throws BadMessage {
     Map<String, String> out = new TreeMap<>();
-    Doc m = Doc.of(map);
+    Document m = Document.of(map);
     for (Object k : ((Map<?, ?>) m.rawMap()).keySet()) {
       out.put((String) k, m.text((String) k));
     }
--- a/src/main/java/wickdrift/bookkeeping/level/Announcement.java
+++ b/src/main/java/wickdrift/bookkeeping/level/Announcement.java
@@ -5,7 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import wickdrift.protocol.BadMessage;
-import wickdrift.protocol.Doc;
+import wickdrift.protocol.Document;
 
 /**
  * A controller's lasting record, under its number: its name, the levels that its build speaks, and
@@ -32,7 +32,7 @@
   }
 
   public static String key(int number) {
-    return Roster.PREFIX + number;
+    return NodeRegistry.PREFIX + number;
   }
 
   /** The same under other levels, or with other peers. */
@@ -48,7 +48,7 @@
     return m;
   }
 
-  static Announcement parse(String number, Doc d, long stamp) throws BadMessage {
+  static Announcement parse(String number, Document d, long stamp) throws BadMessage {
     int n = number(number);
     return new Announcement(
         n,
--- a/src/main/java/wickdrift/bookkeeping/level/Form.java
+++ b/src/main/java/wickdrift/bookkeeping/level/Form.java
@@ -3,7 +3,7 @@
 import java.util.List;
 import java.util.Map;
 import wickdrift.protocol.BadMessage;
-import wickdrift.protocol.Doc;
+import wickdrift.protocol.Document;
 
 /**
  * How a stored record says its form. Form 1 is the bare map that was there before there were forms;
@@ -58,11 +58,11 @@
    * @param most the newest form of its kind that this build reads
    * @throws BadMessage if the value is malformed, or of a newer form
    */
-  public static Doc read(Object value, int most) throws BadMessage {
+  public static Document read(Object value, int most) throws BadMessage {
     int form = of(value);
     if (form > most) {
       throw new BadMessage("form " + form + " is newer than this build, which reads up to " + most);
     }
-    return Doc.of(form == FIRST ? value : ((List<?>) value).get(1));
+    return Document.of(form == FIRST ? value : ((List<?>) value).get(1));
   }
 }
--- a/src/main/java/wickdrift/bookkeeping/level/Rise.java
+++ b/src/main/java/wickdrift/bookkeeping/level/LevelUpgrade.java
@@ -19,20 +19,24 @@
  * @param conditions the stamps of what this was drawn from, besides the view's and the members':
  *     the transaction that raises the level must be conditional on all of them
  */
-public record Rise(int level, List<String> waitsFor, Map<String, Long> conditions) {
+public record LevelUpgrade(int level, List<String> waitsFor, Map<String, Long> conditions) {
   /**
    * @param now the level in force
    * @param build what this build speaks
    * @param live the levels of each member that is there, announced with its lease
    * @param named the controllers that the asking controller's settings name
-   * @param roster the lasting records
+   * @param registry the lasting records
    */
-  public static Rise judge(
-      int now, Range build, Map<String, Range> live, Collection<String> named, Roster roster) {
-    Rise rise = step(now, build, live, named, roster);
+  public static LevelUpgrade judge(
+      int now,
+      Range build,
+      Map<String, Range> live,
+      Collection<String> named,
+      NodeRegistry registry) {
+    LevelUpgrade rise = step(now, build, live, named, registry);
     // Levels that change no form need no conversion of what is there: one change of view for all.
     while (rise.level() > now && !Gate.afterConversion(rise.level() + 1)) {
-      Rise further = step(rise.level(), build, live, named, roster);
+      LevelUpgrade further = step(rise.level(), build, live, named, registry);
       if (further.level() == rise.level()) {
         break;
       }
@@ -41,27 +45,31 @@
     return rise;
   }
 
-  private static Rise step(
-      int now, Range build, Map<String, Range> live, Collection<String> named, Roster roster) {
+  private static LevelUpgrade step(
+      int now,
+      Range build,
+      Map<String, Range> live,
+      Collection<String> named,
+      NodeRegistry registry) {
     int next = now + 1;
     if (next > build.most()) {
-      return new Rise(now, List.of(), Map.of());
+      return new LevelUpgrade(now, List.of(), Map.of());
     }
     List<String> waits = new ArrayList<>();
     Map<String, Long> conditions = new LinkedHashMap<>();
-    Word word = roster.word();
+    Word word = registry.word();
     conditions.put(Word.KEY, word.stamp());
     String holding = word.holdsBack(next);
     if (holding != null) {
       waits.add("gate " + holding + " is held back");
     }
-    if (now > 1 && Gate.afterConversion(next) && roster.doneLevel() < now) {
+    if (now > 1 && Gate.afterConversion(next) && registry.doneLevel() < now) {
       waits.add("records of a form older than level " + now + " are left");
     }
     TreeSet<String> all = new TreeSet<>(named);
     all.addAll(live.keySet());
     for (String name : live.keySet()) {
-      Announcement a = roster.announced(name);
+      Announcement a = registry.announced(name);
       // Whom a member's settings name may act too, once it is started.
       all.addAll(a == null ? List.of() : a.peers());
     }
@@ -72,7 +80,7 @@
           waits.add(name + " speaks levels " + r);
         }
       } else if (!word.without().contains(name)) {
-        Announcement a = roster.announced(name);
+        Announcement a = registry.announced(name);
         if (a == null) {
           waits.add(name + " is down and has announced nothing");
         } else if (!a.range().includes(next)) {
@@ -85,8 +93,8 @@
       }
     }
     return waits.isEmpty()
-        ? new Rise(next, List.of(), conditions)
-        : new Rise(now, List.copyOf(waits), Map.of());
+        ? new LevelUpgrade(next, List.of(), conditions)
+        : new LevelUpgrade(now, List.copyOf(waits), Map.of());
   }
 
   /** What keeps each of the gates of a build closed, by label; empty text for those open. */
--- a/src/main/java/wickdrift/bookkeeping/level/Roster.java
+++ b/src/main/java/wickdrift/bookkeeping/level/NodeRegistry.java
@@ -7,7 +7,7 @@
 import java.util.Map;
 import java.util.TreeMap;
 import wickdrift.protocol.BadMessage;
-import wickdrift.protocol.Doc;
+import wickdrift.protocol.Document;
 
 /**
  * The controllers' durable numbers. Builds that know no levels number controllers by their place in
@@ -15,7 +15,7 @@
  * is stored once ({@code w/c/list}) and its places are the first numbers for ever; a controller
  * that comes later takes the next number that no one ever had.
  */
-public final class Roster {
+public final class NodeRegistry {
   public static final String PREFIX = "w/c/";
   public static final String LIST = PREFIX + "list";
   public static final String DONE = PREFIX + "done";
@@ -34,7 +34,7 @@
    * @param settingsNames all controllers that the settings name, sorted: the list until one is
    *     stored
    */
-  public Roster(List<String> settingsNames) {
+  public NodeRegistry(List<String> settingsNames) {
     this.settingsNames = List.copyOf(settingsNames);
     reset();
   }
@@ -66,7 +66,7 @@
    * @param d null when it is gone
    * @throws BadMessage if it can't be read, or nobody here knows it; nothing has changed then
    */
-  public void apply(String name, Doc d, long stamp) throws BadMessage {
+  public void apply(String name, Document d, long stamp) throws BadMessage {
     switch (name) {
       case "list" -> {
         List<String> names = d == null ? null : List.copyOf(d.texts(NAMES));
--- a/src/main/java/wickdrift/bookkeeping/level/Range.java
+++ b/src/main/java/wickdrift/bookkeeping/level/Range.java
@@ -2,7 +2,7 @@
 
 import java.util.Map;
 import wickdrift.protocol.BadMessage;
-import wickdrift.protocol.Doc;
+import wickdrift.protocol.Document;
 
 /**
  * The levels of stored state that a build reads and writes, both ends included. A level is a
@@ -33,7 +33,7 @@
    *
    * @throws BadMessage if only one end is there, an end is out of range, or the range is empty
    */
-  public static Range parse(Doc d) throws BadMessage {
+  public static Range parse(Document d) throws BadMessage {
     if (d.raw(LEAST) == null && d.raw(MOST) == null) {
       return FIRST;
     }
--- a/src/main/java/wickdrift/bookkeeping/level/Word.java
+++ b/src/main/java/wickdrift/bookkeeping/level/Word.java
@@ -6,7 +6,7 @@
 import java.util.Map;
 import java.util.TreeSet;
 import wickdrift.protocol.BadMessage;
-import wickdrift.protocol.Doc;
+import wickdrift.protocol.Document;
 
 /**
  * What the operators have said about the levels, durably: gates that are held back, and controllers
@@ -16,7 +16,7 @@
  * @param without names of controllers
  */
 public record Word(List<String> held, List<String> without, long stamp, Map<String, Object> extra) {
-  public static final String KEY = Roster.PREFIX + "word";
+  public static final String KEY = NodeRegistry.PREFIX + "word";
   public static final Word NONE = new Word(List.of(), List.of(), 0, Map.of());
 
   public Map<String, Object> toStore() {
@@ -26,7 +26,7 @@
     return m;
   }
 
-  public static Word parse(Doc d, long stamp) throws BadMessage {
+  public static Word parse(Document d, long stamp) throws BadMessage {
     return new Word(
         List.copyOf(d.texts("held")),
         List.copyOf(d.texts("without")),
--- a/src/main/java/wickdrift/coordination/Admission.java
+++ b/src/main/java/wickdrift/coordination/Admission.java
@@ -10,20 +10,20 @@
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import wickdrift.bookkeeping.Bucket;
-import wickdrift.bookkeeping.Ended;
-import wickdrift.bookkeeping.Finals;
 import wickdrift.bookkeeping.Job;
+import wickdrift.bookkeeping.JobHistory;
 import wickdrift.bookkeeping.Ledger;
 import wickdrift.bookkeeping.Overflow;
 import wickdrift.bookkeeping.Tables;
+import wickdrift.bookkeeping.TerminalState;
 import wickdrift.bookkeeping.Txn;
 import wickdrift.bookkeeping.View;
 import wickdrift.bookkeeping.level.Gate;
-import wickdrift.daemon.Settings;
 import wickdrift.protocol.BadMessage;
-import wickdrift.protocol.Doc;
+import wickdrift.protocol.Document;
 import wickdrift.protocol.JobSpec;
-import wickdrift.protocol.Pack;
+import wickdrift.protocol.MessageCodec;
+import wickdrift.settings.Settings;
 import wickdrift.transport.Exchange;
 import wickdrift.transport.Timers;
 
@@ -55,14 +55,14 @@
   private final Timers timers;
   private final Ledger ledger;
   private final Tables tables;
-  private final Finals finals;
-  private final Board board;
+  private final JobHistory history;
+  private final SchedulingState scheduling;
   private final Types types;
   private final Settings settings;
   private final Tuning tuning;
-  private final Pulse pulse;
+  private final PauseDetector pauseDetector;
   private final Confirmations confirmations;
-  private final Door<Submission> queue = new Door<>(MAX_QUEUE);
+  private final AdmissionQueue<Submission> queue = new AdmissionQueue<>(MAX_QUEUE);
 
   /** By job, who waits for the read after the one that is out. */
   private final Map<String, List<Exchange>> lookUps = new HashMap<>();
@@ -81,22 +81,22 @@
       Timers timers,
       Ledger ledger,
       Tables tables,
-      Finals finals,
-      Board board,
+      JobHistory history,
+      SchedulingState scheduling,
       Types types,
       Settings settings,
       Tuning tuning,
-      Pulse pulse,
+      PauseDetector pauseDetector,
       Confirmations confirmations) {
     this.timers = timers;
     this.ledger = ledger;
     this.tables = tables;
-    this.finals = finals;
-    this.board = board;
+    this.history = history;
+    this.scheduling = scheduling;
     this.types = types;
     this.settings = settings;
     this.tuning = tuning;
-    this.pulse = pulse;
+    this.pauseDetector = pauseDetector;
     this.confirmations = confirmations;
     double share = settings.stateLimits().rps() / (settings.peers().size() + 1);
     this.reads = new Bucket(share * tuning.lookUpShare(), timers.nowMs());
@@ -140,7 +140,7 @@
     JobSpec spec;
     String lacks;
     try {
-      Doc d = Doc.parse(x.body());
+      Document d = Document.parse(x.body());
       spec = JobSpec.parse(d);
       lacks = JobSpec.lacks(d);
     } catch (BadMessage e) {
@@ -213,12 +213,12 @@
     String[] never = new String[1];
     boolean[] unsaid = new boolean[1];
     for (String id : unknown) {
-      finals.ask(
+      history.ask(
           id,
           a -> {
-            if (a == Finals.Answer.NONE) {
+            if (a == JobHistory.Answer.NONE) {
               unsaid[0] = true;
-            } else if (a == Finals.Answer.NOT_OVER
+            } else if (a == JobHistory.Answer.NOT_OVER
                 && tables.job(id) == null
                 && tables.finished(id) == null) {
               never[0] = id;
@@ -252,7 +252,7 @@
   /** Whether a job's record has no room for all names that it awaits. */
   private boolean overflows(JobSpec spec) {
     int most = ledger.limits().usedBytes() - RECORD_BYTES;
-    return !spec.awaits().isEmpty() && Pack.jsonSize(spec.toStore()) > most;
+    return !spec.awaits().isEmpty() && MessageCodec.jsonSize(spec.toStore()) > most;
   }
 
   /**
@@ -331,8 +331,8 @@
     if (n > s.zoneLimit() && (s.oneZone() || s.zone() != null || zonesOf(s) < 2)) {
       return "its tasks must be in several zones, and may be in one only";
     }
-    if (team.cpusMax() > 0 && n * s.cpus() > team.cpusMax() + Room.EPS
-        || team.gpusMax() > 0 && n * s.gpus() > team.gpusMax() + Room.EPS) {
+    if (team.cpusMax() > 0 && n * s.cpus() > team.cpusMax() + FreeCapacity.EPS
+        || team.gpusMax() > 0 && n * s.gpus() > team.gpusMax() + FreeCapacity.EPS) {
       return "more than the team's limit";
     }
     return null;
@@ -513,12 +513,12 @@
     if (s.shape() == JobSpec.Shape.GANG || manyZones) {
       return Job.LEADER;
     }
-    Rooms rooms = board.rooms();
+    CapacityIndex rooms = scheduling.rooms();
     // Room beside its image, if a part has enough of that for the whole job: elsewhere it would
     // wait for a fetch, which may take longer than its class has to start.
     // The one with most of it, counted far enough that several jobs at once do not meet there.
     String best = v.owner(s.id());
-    Promised waiting = board.queue().promised();
+    Promised waiting = scheduling.queue().promised();
     int enough = s.tasks() + BESIDE_MOST;
     int beside = Integer.MIN_VALUE;
     double free = Double.NEGATIVE_INFINITY;
@@ -533,7 +533,7 @@
         beside = n;
       }
       double f = rooms.free(s, part) - waiting.tasks(s, part) - together.tasks(s, part);
-      if (f > free + Room.EPS) {
+      if (f > free + FreeCapacity.EPS) {
         freest = part;
         free = f;
       }
@@ -577,7 +577,7 @@
    * submissions and withdrawals wait in the same line.
    */
   public void poll(Exchange x, String id) {
-    if (pulse.lateMs() > tuning.busyMs() && tables.finished(id) == null) {
+    if (pauseDetector.lateMs() > tuning.busyMs() && tables.finished(id) == null) {
       shed++;
       later(x);
     } else {
@@ -592,7 +592,7 @@
 
   /** Answers from tables that are no older than this request. */
   public void status(Exchange x, String id) {
-    Ended fin = tables.finished(id);
+    TerminalState fin = tables.finished(id);
     if (fin != null) {
       // Final: no node can have told anyone anything newer.
       answerFinal(x, id, fin);
@@ -675,14 +675,14 @@
         });
   }
 
-  private static void answerFinal(Exchange x, String id, Ended how) {
+  private static void answerFinal(Exchange x, String id, TerminalState how) {
     long done = how.done() ? how.tasks() : 0;
     x.reply(200, Map.of("ref", id, "phase", how.phase(), "done", done, "running", 0));
   }
 
-  private void answerFinal(Exchange x, String id, Doc value) {
+  private void answerFinal(Exchange x, String id, Document value) {
     try {
-      Ended how = Ended.parse(value);
+      TerminalState how = TerminalState.parse(value);
       tables.rememberFinished(id, how);
       answerFinal(x, id, how);
     } catch (BadMessage e) {
@@ -770,7 +770,7 @@
     confirmations.whenKept(
         id,
         kept -> {
-          Ended fin = tables.finished(id);
+          TerminalState fin = tables.finished(id);
           Job job = tables.job(id);
           if (fin != null) {
             answerFinal(x, id, fin);
@@ -778,7 +778,9 @@
             later(x);
           } else {
             int done = job == null ? 0 : job.done();
-            x.reply(200, Map.of("ref", id, "phase", Ended.WITHDRAWN, "done", done, "running", 0));
+            x.reply(
+                200,
+                Map.of("ref", id, "phase", TerminalState.WITHDRAWN, "done", done, "running", 0));
           }
         });
   }
--- a/src/main/java/wickdrift/coordination/Door.java
+++ b/src/main/java/wickdrift/coordination/AdmissionQueue.java
@@ -15,7 +15,7 @@
  *
  * @param <T> a submission
  */
-final class Door<T> {
+final class AdmissionQueue<T> {
   private record Key(String team, String jobClass, JobSpec.Priority rank) {}
 
   private static final class Line<T> {
@@ -34,7 +34,7 @@
   /**
    * @param most how many may wait
    */
-  Door(int most) {
+  AdmissionQueue(int most) {
     this.most = most;
   }
 
--- a/src/main/java/wickdrift/coordination/Rooms.java
+++ b/src/main/java/wickdrift/coordination/CapacityIndex.java
@@ -19,15 +19,15 @@
  * The machines that take tasks, kept in order so that no decision looks at all of them: by place
  * (part, type, zone, kind), in each place by load, and once more for each image.
  */
-final class Rooms {
+final class CapacityIndex {
   /** Machines that are alike but for what is on them. */
   static final class Cell {
     final String owner;
     final TypeInfo type;
     final String zone;
     final boolean spot;
-    private final ByLoad all = new ByLoad();
-    private final ByLoad fetching = new ByLoad();
+    private final LoadIndex all = new LoadIndex();
+    private final LoadIndex fetching = new LoadIndex();
     private final Map<String, Listed> images = new HashMap<>();
     private double freeCpus;
     private double freeGpus;
@@ -44,7 +44,7 @@
       return (s.spot() || !spot) && (s.zone() == null || s.zone().equals(zone)) && type.canHold(s);
     }
 
-    private void sum(Room r, int sign) {
+    private void sum(FreeCapacity r, int sign) {
       freeCpus += sign * r.freeCpus();
       freeGpus += sign * r.freeGpus();
       freeMemoryGb += sign * r.freeMemoryGb();
@@ -53,8 +53,8 @@
 
   /** A cell's machines that have an image, and those among them that fetch something. */
   private static final class Listed {
-    final ByLoad all = new ByLoad();
-    final ByLoad fetching = new ByLoad();
+    final LoadIndex all = new LoadIndex();
+    final LoadIndex fetching = new LoadIndex();
   }
 
   private static final Listed NOWHERE = new Listed();
@@ -69,8 +69,8 @@
 
   private final Map<Place, Cell> places = new HashMap<>();
   private final List<Cell> cells = new ArrayList<>();
-  private final Map<Machine, Room> byMachine = new LinkedHashMap<>();
-  private final Set<Room> dirty = new HashSet<>();
+  private final Map<Machine, FreeCapacity> byMachine = new LinkedHashMap<>();
+  private final Set<FreeCapacity> dirty = new HashSet<>();
 
   /** Rooms listed as fetching, by when that is taken to be over. */
   private final TreeSet<Fetch> fetches =
@@ -78,7 +78,7 @@
           Comparator.comparingLong(Fetch::untilMs)
               .thenComparingInt(f -> f.room.machine().number()));
 
-  private record Fetch(long untilMs, Room room) {}
+  private record Fetch(long untilMs, FreeCapacity room) {}
 
   private long version;
   private long looked;
@@ -92,7 +92,7 @@
     preferred = owners;
   }
 
-  private boolean isPreferred(Room r) {
+  private boolean isPreferred(FreeCapacity r) {
     return preferred.test(r.cell.owner);
   }
 
@@ -106,7 +106,7 @@
     return looked;
   }
 
-  Room of(Machine m) {
+  FreeCapacity of(Machine m) {
     return byMachine.get(m);
   }
 
@@ -129,7 +129,7 @@
 
   /** Lists the machine as it is now in the tables; true if it may have more room than before. */
   boolean put(Machine m, TypeInfo type, String owner, long nowMs) {
-    Room old = byMachine.get(m);
+    FreeCapacity old = byMachine.get(m);
     double before = Double.MAX_VALUE;
     int images = 0;
     if (old != null) {
@@ -139,7 +139,7 @@
       dirty.remove(old);
     }
     m.noteImages(nowMs, type.cacheGb());
-    Room r = old == null || old.type() != type ? new Room(m, type) : old;
+    FreeCapacity r = old == null || old.type() != type ? new FreeCapacity(m, type) : old;
     r.reset();
     byMachine.put(m, r);
     r.fetches(nowMs);
@@ -148,7 +148,7 @@
   }
 
   void remove(Machine m) {
-    Room r = byMachine.remove(m);
+    FreeCapacity r = byMachine.remove(m);
     if (r != null) {
       unlist(r);
       dirty.remove(r);
@@ -166,7 +166,7 @@
         });
   }
 
-  private void list(Room r, Cell c) {
+  private void list(FreeCapacity r, Cell c) {
     r.cell = c;
     c.all.add(r);
     c.sum(r, 1);
@@ -185,7 +185,7 @@
     }
   }
 
-  private void unlist(Room r) {
+  private void unlist(FreeCapacity r) {
     Cell c = r.cell;
     c.all.remove(r);
     c.sum(r, -1);
@@ -206,7 +206,7 @@
   }
 
   /** Books in the round of decisions under way. */
-  void book(Room r, JobSpec s) {
+  void book(FreeCapacity r, JobSpec s) {
     unlist(r);
     r.book(s);
     list(r, r.cell);
@@ -214,7 +214,7 @@
   }
 
   /** Undoes what was booked since the room looked like that. */
-  void restore(Room r, Room.Saved saved) {
+  void restore(FreeCapacity r, FreeCapacity.Saved saved) {
     unlist(r);
     r.restore(saved);
     list(r, r.cell);
@@ -222,7 +222,7 @@
 
   /** A new round starts from what is durable, and from the fetches that are not over yet. */
   void newRound(long nowMs) {
-    for (Room r : dirty) {
+    for (FreeCapacity r : dirty) {
       unlist(r);
       r.reset();
       r.fetches(nowMs);
@@ -230,7 +230,7 @@
     }
     dirty.clear();
     while (!fetches.isEmpty() && fetches.first().untilMs <= nowMs) {
-      Room r = fetches.first().room;
+      FreeCapacity r = fetches.first().room;
       unlist(r);
       r.fetches(nowMs);
       list(r, r.cell);
@@ -250,7 +250,7 @@
    * the half that is looked at first, those that have the task's image and are not too full for it.
    * So tasks of one image gather, and empty machines are left for gangs.
    */
-  Room choose(JobSpec s, Predicate<Cell> allowed) {
+  FreeCapacity choose(JobSpec s, Predicate<Cell> allowed) {
     List<Cell> eligible = new ArrayList<>();
     int n = 0;
     for (Cell c : cells) {
@@ -263,7 +263,7 @@
       return null;
     }
     int left = n - ((n + 1) / 2 - 1);
-    Room best = null;
+    FreeCapacity best = null;
     int to = eligible.size();
     while (to > 0 && left > 0) {
       int from = to - 1;
@@ -284,14 +284,14 @@
     return c.images.getOrDefault(s.image(), NOWHERE);
   }
 
-  private static ByLoad withImage(Cell c, JobSpec s) {
+  private static LoadIndex withImage(Cell c, JobSpec s) {
     return listed(c, s).all;
   }
 
   /**
    * The least loaded with room among the last {@code most} of some machines of equal capability.
    */
-  private Room inHalf(List<Cell> equals, int most, JobSpec s) {
+  private FreeCapacity inHalf(List<Cell> equals, int most, JobSpec s) {
     int size = 0;
     int images = 0;
     int rest = 0;
@@ -299,9 +299,9 @@
       double load = mostLoad(s, c.type);
       size += c.all.size();
       images += withImage(c, s).upTo(load);
-      rest += plain(c, s, load, ByLoad::upTo);
+      rest += plain(c, s, load, LoadIndex::upTo);
     }
-    Room best = null;
+    FreeCapacity best = null;
     int last = Math.min(most, size);
     int suited = Math.min(images, last);
     if (suited == images) {
@@ -322,7 +322,7 @@
   }
 
   private interface Count {
-    int of(ByLoad list, double load);
+    int of(LoadIndex list, double load);
   }
 
   /** Of some machines of a cell, those that neither have the image nor fetch another one. */
@@ -346,11 +346,11 @@
       start[i] = (image ? withImage(equals.get(i), s) : equals.get(i).all).upTo(most);
     }
     int left = k;
-    for (int level = ByLoad.level(most); level >= 0 && left > 0; level--) {
+    for (int level = LoadIndex.level(most); level >= 0 && left > 0; level--) {
       int at = level;
       for (int i = start.length - 1; i >= 0 && left > 0; i--) {
         Cell c = equals.get(i);
-        ByLoad list = image ? withImage(c, s) : c.all;
+        LoadIndex list = image ? withImage(c, s) : c.all;
         int counted =
             image ? list.atLevel(level, most) : plain(c, s, most, (l, load) -> l.atLevel(at, load));
         if (counted <= left) {
@@ -391,22 +391,22 @@
   }
 
   /** How many of a part of a cell's machines lie between two places of the cell. */
-  private static int between(ByLoad part, Cell c, int from, int to) {
+  private static int between(LoadIndex part, Cell c, int from, int to) {
     return place(part, c, to) - place(part, c, from);
   }
 
-  private static int place(ByLoad part, Cell c, int at) {
+  private static int place(LoadIndex part, Cell c, int at) {
     return at < c.all.size() ? part.search(c.all.get(at)) : part.size();
   }
 
   /** The least loaded that fits, from a place in the list on. */
-  private Room least(ByLoad list, int from, JobSpec s) {
+  private FreeCapacity least(LoadIndex list, int from, JobSpec s) {
     if (list.size() == 0) {
       return null;
     }
     double most = mostLoad(s, list.get(0).type());
     for (int i = from; i < list.size(); i++) {
-      Room r = list.get(i);
+      FreeCapacity r = list.get(i);
       looked++;
       if (r.load() > most) {
         return null;
@@ -430,14 +430,14 @@
     if (t.memoryGb() > 0) {
       share = Math.min(share, s.memoryGb() / t.memoryGb());
     }
-    return 1 - share + Room.EPS;
+    return 1 - share + FreeCapacity.EPS;
   }
 
-  private Room better(Room a, Room b, JobSpec s) {
+  private FreeCapacity better(FreeCapacity a, FreeCapacity b, JobSpec s) {
     if (a == null || b == null) {
       return a == null ? b : a;
     }
-    if (Math.abs(a.load() - b.load()) > Room.EPS) {
+    if (Math.abs(a.load() - b.load()) > FreeCapacity.EPS) {
       return a.load() < b.load() ? a : b;
     }
     if (a.hasImage(s) != b.hasImage(s)) {
@@ -447,8 +447,8 @@
   }
 
   /** Outside the half: one with the image, then the fullest, so that empty machines stay empty. */
-  private Room anyWithRoom(List<Cell> eligible, JobSpec s) {
-    Room best = null;
+  private FreeCapacity anyWithRoom(List<Cell> eligible, JobSpec s) {
+    FreeCapacity best = null;
     for (Cell c : eligible) {
       best = fuller(best, fullest(withImage(c, s), s));
     }
@@ -461,17 +461,17 @@
     return best;
   }
 
-  private Room fuller(Room a, Room b) {
+  private FreeCapacity fuller(FreeCapacity a, FreeCapacity b) {
     if (a == null || b == null) {
       return a == null ? b : a;
     }
-    if (Math.abs(b.load() - a.load()) > Room.EPS) {
+    if (Math.abs(b.load() - a.load()) > FreeCapacity.EPS) {
       return b.load() > a.load() ? b : a;
     }
     return isPreferred(b) && !isPreferred(a) ? b : a;
   }
 
-  private Room fullest(ByLoad list, JobSpec s) {
+  private FreeCapacity fullest(LoadIndex list, JobSpec s) {
     if (list.size() == 0) {
       return null;
     }
@@ -518,7 +518,7 @@
     return sorted;
   }
 
-  void each(JobSpec s, Predicate<Cell> allowed, Consumer<Room> use) {
+  void each(JobSpec s, Predicate<Cell> allowed, Consumer<FreeCapacity> use) {
     for (Cell c : cells) {
       if (c.allows(s) && allowed.test(c)) {
         for (int i = 0; i < c.all.size(); i++) {
@@ -550,7 +550,7 @@
       if (!c.owner.equals(owner) || !c.allows(s)) {
         continue;
       }
-      ByLoad l = withImage(c, s);
+      LoadIndex l = withImage(c, s);
       int withRoom = l.upTo(mostLoad(s, c.type));
       for (int i = 0; i < withRoom && n < most; i++) {
         looked++;
--- a/src/main/java/wickdrift/coordination/Confirmations.java
+++ b/src/main/java/wickdrift/coordination/Confirmations.java
@@ -187,7 +187,7 @@
   private void ask(String job, Open o, Map<String, List<String>> left) {
     long now = timers.nowMs();
     long epoch = tables.view().epoch();
-    int number = tables.roster().number(node);
+    int number = tables.registry().number(node);
     if (number < 0 || now - o.askedMs < AGAIN_MS && o.askedEpoch == epoch) {
       return;
     }
@@ -211,7 +211,7 @@
   /** An owner's answer. Whoever was not asked has nothing to say. */
   public void answered(PeerFrame.Obeyed a) {
     Question q = questions.get(a.id());
-    if (q == null || !q.owner.equals(tables.roster().name(a.from()))) {
+    if (q == null || !q.owner.equals(tables.registry().name(a.from()))) {
       return;
     }
     questions.remove(a.id());
@@ -243,8 +243,8 @@
       reporting.stop(job);
     }
     View v = tables.view();
-    Consumer<ByteBuffer> peer = peers.get(tables.roster().name(w.from()));
-    int number = tables.roster().number(node);
+    Consumer<ByteBuffer> peer = peers.get(tables.registry().name(w.from()));
+    int number = tables.registry().number(node);
     if (peer == null || number < 0 || v == null || v.epoch() != w.epoch()) {
       return;
     }
--- a/src/main/java/wickdrift/coordination/Conversion.java
+++ b/src/main/java/wickdrift/coordination/Conversion.java
@@ -5,12 +5,12 @@
 import wickdrift.bookkeeping.Job;
 import wickdrift.bookkeeping.Ledger;
 import wickdrift.bookkeeping.Page;
-import wickdrift.bookkeeping.Part;
+import wickdrift.bookkeeping.Partition;
 import wickdrift.bookkeeping.Tables;
 import wickdrift.bookkeeping.View;
 import wickdrift.bookkeeping.level.Form;
-import wickdrift.bookkeeping.level.Roster;
-import wickdrift.daemon.Settings;
+import wickdrift.bookkeeping.level.NodeRegistry;
+import wickdrift.settings.Settings;
 import wickdrift.transport.Timers;
 
 /**
@@ -47,7 +47,7 @@
   }
 
   /** Puts the next record into a draft that is empty so far. */
-  void draft(Draft draft) {
+  void draft(TransactionBuilder draft) {
     long now = timers.nowMs();
     if (tables.form() == Form.FIRST || now < nextMs) {
       return;
@@ -60,18 +60,21 @@
       }
     }
     boolean left = !tables.oldForms().isEmpty();
-    if (leads && left != tables.roster().doneLevel() < tables.level()) {
+    if (leads && left != tables.registry().doneLevel() < tables.level()) {
       draft.when(View.KEY, tables.viewStamp());
       if (left) {
-        draft.when(Roster.DONE, tables.roster().doneStamp());
-        draft.delete(Roster.DONE);
+        draft.when(NodeRegistry.DONE, tables.registry().doneStamp());
+        draft.delete(NodeRegistry.DONE);
       } else {
-        draft.write(Roster.DONE, Roster.doneToStore(tables.level()), tables.roster().doneStamp());
+        draft.write(
+            NodeRegistry.DONE,
+            NodeRegistry.doneToStore(tables.level()),
+            tables.registry().doneStamp());
       }
     }
   }
 
-  private boolean page(Draft draft, String key) {
+  private boolean page(TransactionBuilder draft, String key) {
     for (Page p : tables.log(node).values()) {
       if (p.key().equals(key)) {
         draft.write(key, Page.value(p, tables.form(), List.of(), tables::dead), p.stamp());
@@ -81,10 +84,10 @@
     return false;
   }
 
-  private boolean part(Draft draft, String key) {
-    for (Map.Entry<String, Part> p : tables.parts().entrySet()) {
-      if (Part.key(p.getKey()).equals(key)) {
-        Part told = Quota.numbered(p.getValue(), p.getKey(), tables.roster(), settings);
+  private boolean part(TransactionBuilder draft, String key) {
+    for (Map.Entry<String, Partition> p : tables.parts().entrySet()) {
+      if (Partition.key(p.getKey()).equals(key)) {
+        Partition told = Quota.numbered(p.getValue(), p.getKey(), tables.registry(), settings);
         draft.write(key, told.toStore(), told.stamp());
         return true;
       }
@@ -92,7 +95,7 @@
     return false;
   }
 
-  private boolean chunk(Draft draft, String key) {
+  private boolean chunk(TransactionBuilder draft, String key) {
     if (!Job.isChunk(key)) {
       return false;
     }
--- a/src/main/java/wickdrift/coordination/Fairly.java
+++ b/src/main/java/wickdrift/coordination/DominantShareOrder.java
@@ -8,8 +8,8 @@
 import java.util.NoSuchElementException;
 import java.util.function.Function;
 import wickdrift.bookkeeping.Job;
-import wickdrift.bookkeeping.Part.Share;
-import wickdrift.daemon.Settings;
+import wickdrift.bookkeeping.Partition.Share;
+import wickdrift.settings.Settings;
 
 /**
  * Jobs of one rank that no guarantee covers, of several teams, in an order that weighs what each
@@ -18,7 +18,7 @@
  * before in this look. A team's weight is its guarantee; one without counts as the least that is
  * guaranteed. Within a team the order stays.
  */
-final class Fairly implements Iterator<Job> {
+final class DominantShareOrder implements Iterator<Job> {
   private static final class Line {
     final Iterator<Job> jobs;
     final double weight;
@@ -47,7 +47,7 @@
    * @param byTeam the jobs of each team, in its own order
    * @param held what a team's live attempts take
    */
-  Fairly(
+  DominantShareOrder(
       Map<String, ? extends Iterable<Job>> byTeam,
       Function<String, Share> held,
       Map<String, Settings.Team> teams) {
--- a/src/main/java/wickdrift/coordination/Fleet.java
+++ b/src/main/java/wickdrift/coordination/Fleet.java
@@ -18,11 +18,11 @@
 import wickdrift.bookkeeping.Machine;
 import wickdrift.bookkeeping.Tables;
 import wickdrift.bookkeeping.View;
-import wickdrift.daemon.Settings;
 import wickdrift.protocol.BadMessage;
-import wickdrift.protocol.Doc;
+import wickdrift.protocol.Document;
 import wickdrift.protocol.JobSpec;
-import wickdrift.protocol.Pack;
+import wickdrift.protocol.MessageCodec;
+import wickdrift.settings.Settings;
 import wickdrift.transport.Caller;
 import wickdrift.transport.Timers;
 
@@ -55,14 +55,14 @@
   private final Caller caller;
   private final Ledger ledger;
   private final Tables tables;
-  private final Board board;
+  private final SchedulingState scheduling;
   private final Types types;
   private final Membership membership;
-  private final Scribe scribe;
+  private final TransactionPipeline pipeline;
   private final Tuning tuning;
   private final Settings settings;
   private final String incarnation;
-  private final Pulse pulse;
+  private final PauseDetector pauseDetector;
   private final Zones zones;
   private final Bucket calls;
 
@@ -99,27 +99,27 @@
       Caller caller,
       Ledger ledger,
       Tables tables,
-      Board board,
+      SchedulingState scheduling,
       Types types,
       Membership membership,
-      Scribe scribe,
+      TransactionPipeline pipeline,
       Tuning tuning,
       Settings settings,
-      Pulse pulse,
+      PauseDetector pauseDetector,
       Zones zones,
       String incarnation) {
     this.timers = timers;
     this.caller = caller;
     this.ledger = ledger;
     this.tables = tables;
-    this.board = board;
+    this.scheduling = scheduling;
     this.types = types;
     this.membership = membership;
-    this.scribe = scribe;
+    this.pipeline = pipeline;
     this.tuning = tuning;
     this.settings = settings;
     this.incarnation = incarnation;
-    this.pulse = pulse;
+    this.pauseDetector = pauseDetector;
     this.zones = zones;
     this.calls = new Bucket(settings.cloudLimits().rps() * 0.8, timers.nowMs());
   }
@@ -141,7 +141,7 @@
       leadSinceMs = Long.MIN_VALUE;
       return;
     }
-    if (leadSinceMs < pulse.listeningSinceMs()) {
+    if (leadSinceMs < pauseDetector.listeningSinceMs()) {
       // A new leader, or one that stood still: what it was about to do was judged by another's
       // time. What is still so is found again.
       leadSinceMs = now;
@@ -161,7 +161,7 @@
     recordRented();
     retireIdle();
     deleteUnwanted();
-    if ((scribe.leadSettled() || fromNothing) && ledger.reachable()) {
+    if ((pipeline.leadSettled() || fromNothing) && ledger.reachable()) {
       rent();
     }
   }
@@ -175,7 +175,7 @@
       phases.merge(m.phase(), 1, Integer::sum);
       TypeInfo t = m.info() == null ? null : types.find(m.info().type());
       if (t != null && m.phase() == Machine.Phase.UP) {
-        byLoad[(int) Math.min(4, new Room(m, t).load() * 4 + Room.EPS)]++;
+        byLoad[(int) Math.min(4, new FreeCapacity(m, t).load() * 4 + FreeCapacity.EPS)]++;
         fetching += m.fetchesUntilMs(t.fetchGbPerS()) > timers.nowMs() ? 1 : 0;
       }
     }
@@ -184,7 +184,7 @@
         phases,
         byLoad,
         fetching,
-        board.queue().size());
+        scheduling.queue().size());
   }
 
   // ---- types ----
@@ -207,7 +207,7 @@
             return;
           }
           try {
-            for (Doc d : Doc.parse(a.body()).docs("flavours")) {
+            for (Document d : Document.parse(a.body()).docs("flavours")) {
               types.put(TypeInfo.parse(d));
             }
           } catch (BadMessage e) {
@@ -246,9 +246,9 @@
             return;
           }
           try {
-            Doc d = Doc.parse(a.body());
+            Document d = Document.parse(a.body());
             String last = from;
-            for (Doc h : d.docs("hosts")) {
+            for (Document h : d.docs("hosts")) {
               last = h.text("ref");
               got.put(
                   last,
@@ -293,8 +293,8 @@
           Machine m = tables.machineOrNew(name);
           if (l.phase.equals("failed")) {
             condemn(name, "it failed");
-          } else if (m.phase() == Machine.Phase.UNKNOWN && !scribe.recording(m)) {
-            scribe.record(
+          } else if (m.phase() == Machine.Phase.UNKNOWN && !pipeline.recording(m)) {
+            pipeline.record(
                 m,
                 new Machine.Info(
                     l.type,
@@ -338,7 +338,7 @@
    * time.
    */
   private void deleteOverdue(long wall) {
-    for (Job j : board.leaving()) {
+    for (Job j : scheduling.leaving()) {
       if (j.withdrawnWallMs() == 0 || wall - j.withdrawnWallMs() < tuning.overdueMs()) {
         continue;
       }
@@ -377,8 +377,8 @@
           }
         }
         case GONE -> {
-          if (m.live().isEmpty() && !scribe.recording(m)) {
-            scribe.record(m, null);
+          if (m.live().isEmpty() && !pipeline.recording(m)) {
+            pipeline.record(m, null);
           }
         }
         default -> {}
@@ -398,7 +398,7 @@
         settings.cloud(),
         "POST",
         "/hosts/delete",
-        Pack.encode(Map.of("hosts", names)),
+        MessageCodec.encode(Map.of("hosts", names)),
         CALL_MS,
         a -> {
           deleting = false;
@@ -411,7 +411,7 @@
             Machine m = tables.machine(n);
             if (m != null && m.info() != null) {
               // The answer is the proof that nothing runs there any more.
-              scribe.record(m, m.info().with(Machine.Phase.GONE, timers.wallMs()));
+              pipeline.record(m, m.info().with(Machine.Phase.GONE, timers.wallMs()));
             }
           }
         });
@@ -454,8 +454,8 @@
       if (wanted(m)) {
         continue;
       }
-      if (!scribe.recording(m)) {
-        scribe.record(m, m.info().with(Machine.Phase.DRAINING, timers.wallMs()));
+      if (!pipeline.recording(m)) {
+        pipeline.record(m, m.info().with(Machine.Phase.DRAINING, timers.wallMs()));
       }
       idle--;
     }
@@ -484,7 +484,7 @@
   private boolean wanted(Machine m) {
     Machine.Info i = m.info();
     TypeInfo t = types.find(i.type());
-    for (Job j : board.queue().waiting()) {
+    for (Job j : scheduling.queue().waiting()) {
       JobSpec s = j.spec();
       boolean zone = s.zone() == null || s.zone().equals(i.zone());
       if (t != null && t.canHold(s) && zone && (s.spot() || !i.spot())) {
@@ -505,8 +505,8 @@
               if (m.phase() != Machine.Phase.UNKNOWN) {
                 return true;
               }
-              if (!scribe.recording(m)) {
-                scribe.record(m, e.getValue());
+              if (!pipeline.recording(m)) {
+                pipeline.record(m, e.getValue());
               }
               return false;
             });
@@ -514,11 +514,11 @@
 
   /** Machines that are not there yet, plus what would have to be rented for all that waits. */
   private void rent() {
-    if (board.queue().isEmpty()) {
+    if (scheduling.queue().isEmpty()) {
       return;
     }
     closed.clear();
-    List<Room> rooms = new ArrayList<>();
+    List<FreeCapacity> rooms = new ArrayList<>();
     for (Machine m : tables.machines()) {
       TypeInfo t = m.info() == null ? null : types.find(m.info().type());
       boolean there = m.phase() != Machine.Phase.UNKNOWN && m.phase() != Machine.Phase.GONE;
@@ -531,7 +531,7 @@
       boolean usable = m.phase() == Machine.Phase.UP || m.phase() == Machine.Phase.BOOTING;
       // One that fails whatever it is given is no room.
       if (t != null && usable && m.accused() < 2) {
-        rooms.add(new Room(m, t));
+        rooms.add(new FreeCapacity(m, t));
       }
     }
     leaveOutOverdue(rooms);
@@ -540,7 +540,7 @@
     coming.keySet().stream().map(Kind::zone).filter(zones::dark).forEach(closed::add);
     // Where many are found at once, as by the first list of a new leader, records take a while.
     for (Machine m : tables.machines()) {
-      Machine.Info i = m.phase() == Machine.Phase.UNKNOWN ? scribe.recorded(m) : null;
+      Machine.Info i = m.phase() == Machine.Phase.UNKNOWN ? pipeline.recorded(m) : null;
       if (i != null && (i.phase() == Machine.Phase.UP || i.phase() == Machine.Phase.BOOTING)) {
         coming.merge(new Kind(i.type(), i.zone(), i.spot()), 1, Integer::sum);
       }
@@ -548,7 +548,7 @@
     coming.keySet().removeIf(k -> closed.contains(k.zone()));
     Map<Kind, Integer> wanted =
         Demand.of(
-            board.queue().waiting(),
+            scheduling.queue().waiting(),
             timers.nowMs(),
             settings,
             types,
@@ -574,11 +574,11 @@
    * waits is not left to wait for them; but so many at most are rented for a second time, for when
    * all are late the next ones are too. Those that come after all are used, or returned.
    */
-  private void leaveOutOverdue(List<Room> rooms) {
+  private void leaveOutOverdue(List<FreeCapacity> rooms) {
     long wall = timers.wallMs();
     int most = Math.max(OVERDUE_LEAST, (int) (rooms.size() * tuning.overdueShare()));
-    for (Iterator<Room> it = rooms.iterator(); it.hasNext() && most > 0; ) {
-      Room r = it.next();
+    for (Iterator<FreeCapacity> it = rooms.iterator(); it.hasNext() && most > 0; ) {
+      FreeCapacity r = it.next();
       Machine.Info i = r.machine().info();
       if (i.phase() == Machine.Phase.BOOTING
           && wall - i.atMs() > r.type().bootS() * 1000 * tuning.overdueBoots()) {
@@ -658,7 +658,7 @@
         settings.cloud(),
         "POST",
         "/hosts",
-        Pack.encode(
+        MessageCodec.encode(
             Map.of(
                 "claim", r.claim,
                 "flavour", r.kind.type,
@@ -689,7 +689,7 @@
 
   private static boolean trouble(byte[] body) {
     try {
-      return "trouble".equals(Doc.parse(body).raw("error"));
+      return "trouble".equals(Document.parse(body).raw("error"));
     } catch (BadMessage e) {
       return true;
     }
@@ -698,7 +698,7 @@
   private void rented(Rental r, byte[] body) {
     List<String> names;
     try {
-      names = Doc.parse(body).texts("hosts");
+      names = Document.parse(body).texts("hosts");
     } catch (BadMessage e) {
       LOG.warn("cloud: malformed answer to a rental: {}", e.getMessage());
       return;
@@ -726,12 +726,12 @@
     }
 
     private static final class Bin {
-      final Room room;
+      final FreeCapacity room;
       final String zone;
       final boolean spot;
       final Kind fresh;
 
-      Bin(Room room, String zone, boolean spot, Kind fresh) {
+      Bin(FreeCapacity room, String zone, boolean spot, Kind fresh) {
         this.room = room;
         this.zone = zone;
         this.spot = spot;
@@ -746,16 +746,16 @@
         long nowMs,
         Settings settings,
         Types types,
-        List<Room> rooms,
+        List<FreeCapacity> rooms,
         List<Virtual> coming,
         Picker picker) {
       List<Bin> bins = new ArrayList<>();
-      for (Room r : rooms) {
+      for (FreeCapacity r : rooms) {
         Machine.Info i = r.machine().info();
         bins.add(new Bin(r, i.zone(), i.spot(), null));
       }
       for (Virtual c : coming) {
-        bins.add(new Bin(new Room(null, c.type), c.zone, c.spot, null));
+        bins.add(new Bin(new FreeCapacity(null, c.type), c.zone, c.spot, null));
       }
       Map<Kind, Integer> wanted = new LinkedHashMap<>();
       Map<String, Integer> perZone = new HashMap<>();
@@ -792,7 +792,7 @@
             if (k == null) {
               break;
             }
-            bin = new Bin(new Room(null, types.find(k.type)), k.zone, k.spot, k);
+            bin = new Bin(new FreeCapacity(null, types.find(k.type)), k.zone, k.spot, k);
             bins.add(bin);
             fresh++;
             wanted.merge(k, 1, Integer::sum);
--- a/src/main/java/wickdrift/coordination/Room.java
+++ b/src/main/java/wickdrift/coordination/FreeCapacity.java
@@ -7,7 +7,7 @@
 import wickdrift.protocol.JobSpec;
 
 /** A machine's room: what is durable, plus what the round of decisions under way has booked. */
-public final class Room {
+public final class FreeCapacity {
   public static final double EPS = 1e-6;
 
   private final Machine machine;
@@ -23,12 +23,12 @@
   /** The images it is listed under, and the place; the index of rooms keeps both. */
   final List<String> listed = new ArrayList<>();
 
-  Rooms.Cell cell;
+  CapacityIndex.Cell cell;
 
   /**
    * @param machine null for one that is not there yet
    */
-  public Room(Machine machine, TypeInfo type) {
+  public FreeCapacity(Machine machine, TypeInfo type) {
     this.machine = machine;
     this.type = type;
     reset();
--- a/src/main/java/wickdrift/coordination/ByLoad.java
+++ b/src/main/java/wickdrift/coordination/LoadIndex.java
@@ -3,32 +3,32 @@
 import java.util.Arrays;
 
 /** Rooms in order of their load, and how many there are of each 64th of it. */
-final class ByLoad {
+final class LoadIndex {
   static final int LEVELS = 64;
 
-  private Room[] rooms = new Room[8];
+  private FreeCapacity[] rooms = new FreeCapacity[8];
   private int size;
   private final int[] levels = new int[LEVELS + 1];
 
   static int level(double load) {
-    return Math.max(0, Math.min(LEVELS, (int) (load * LEVELS + Room.EPS)));
+    return Math.max(0, Math.min(LEVELS, (int) (load * LEVELS + FreeCapacity.EPS)));
   }
 
   int size() {
     return size;
   }
 
-  Room get(int i) {
+  FreeCapacity get(int i) {
     return rooms[i];
   }
 
-  private static int compare(Room a, Room b) {
+  private static int compare(FreeCapacity a, FreeCapacity b) {
     int c = Double.compare(a.load(), b.load());
     return c != 0 ? c : Integer.compare(a.machine().number(), b.machine().number());
   }
 
   /** How many come before a room, which need not be here. */
-  int search(Room r) {
+  int search(FreeCapacity r) {
     int from = 0;
     int to = size;
     while (from < to) {
@@ -77,7 +77,7 @@
     return level < level(most) ? levels[level] : upTo(most) - below(level);
   }
 
-  void add(Room r) {
+  void add(FreeCapacity r) {
     int at = search(r);
     if (size == rooms.length) {
       rooms = Arrays.copyOf(rooms, size * 2);
@@ -89,7 +89,7 @@
   }
 
   /** Call it before the room's load changes. */
-  void remove(Room r) {
+  void remove(FreeCapacity r) {
     int at = search(r);
     if (at >= size || rooms[at] != r) {
       throw new IllegalStateException("not here: " + r.machine().name());
--- a/src/main/java/wickdrift/coordination/Folding.java
+++ b/src/main/java/wickdrift/coordination/LogCompaction.java
@@ -12,12 +12,12 @@
 import wickdrift.bookkeeping.Limits;
 import wickdrift.bookkeeping.Page;
 import wickdrift.bookkeeping.Tables;
-import wickdrift.protocol.Pack;
+import wickdrift.protocol.MessageCodec;
 import wickdrift.transport.Timers;
 
 /** Decides what of the logs is stored elsewhere, so that their pages can go. */
-final class Folding {
-  private static final Logger LOG = LoggerFactory.getLogger(Folding.class);
+final class LogCompaction {
+  private static final Logger LOG = LoggerFactory.getLogger(LogCompaction.class);
   private static final long SHELVES_MS = 5000;
 
   private final Timers timers;
@@ -30,7 +30,7 @@
   private final Set<String> told = new HashSet<>();
   private long nextShelvesMs;
 
-  Folding(
+  LogCompaction(
       Timers timers,
       Ledger ledger,
       Tables tables,
@@ -50,7 +50,7 @@
    * Stores what the oldest page says in the jobs' chunks and the machines' shelves, then deletes
    * it. While there is other work this waits, until the log is twice as long as it should be.
    */
-  void draft(Draft draft) {
+  void draft(TransactionBuilder draft) {
     List<String> logs = new ArrayList<>(List.of(node));
     if (membership.leads()) {
       // A node outside the view can't write: the leader does it.
@@ -71,7 +71,7 @@
     }
   }
 
-  private void fold(Draft draft, Page p) {
+  private void fold(TransactionBuilder draft, Page p) {
     Tables.Needed needed = tables.needed(p);
     long rev = ledger.rev();
     for (Map.Entry<Job, Set<Integer>> e : needed.chunks().entrySet()) {
@@ -107,7 +107,7 @@
 
   /** Then its page stays: what it says is nowhere else. Told once a record. */
   private boolean tooLarge(Object value, String key) {
-    boolean over = Pack.jsonSize(value) > limits.valueBytes();
+    boolean over = MessageCodec.jsonSize(value) > limits.valueBytes();
     if (over && told.add(key)) {
       LOG.error("{} would be larger than a value may be: the page that needs it stays", key);
     }
@@ -115,7 +115,7 @@
   }
 
   /** A shelf whose machines are all forgotten goes when no page is left that names them. */
-  private void forgetShelves(Draft draft) {
+  private void forgetShelves(TransactionBuilder draft) {
     long now = timers.nowMs();
     if (!draft.empty() || now < nextShelvesMs) {
       return;
--- a/src/main/java/wickdrift/coordination/Membership.java
+++ b/src/main/java/wickdrift/coordination/Membership.java
@@ -14,18 +14,18 @@
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import wickdrift.bookkeeping.Ledger;
-import wickdrift.bookkeeping.Part;
+import wickdrift.bookkeeping.Partition;
 import wickdrift.bookkeeping.Tables;
 import wickdrift.bookkeeping.Txn;
 import wickdrift.bookkeeping.View;
 import wickdrift.bookkeeping.level.Announcement;
 import wickdrift.bookkeeping.level.Form;
 import wickdrift.bookkeeping.level.Gate;
+import wickdrift.bookkeeping.level.LevelUpgrade;
+import wickdrift.bookkeeping.level.NodeRegistry;
 import wickdrift.bookkeeping.level.Range;
-import wickdrift.bookkeeping.level.Rise;
-import wickdrift.bookkeeping.level.Roster;
-import wickdrift.daemon.Settings;
 import wickdrift.protocol.PeerFrame;
+import wickdrift.settings.Settings;
 import wickdrift.transport.Timers;
 
 /** This node's lease and membership, and the changes of view. */
@@ -268,20 +268,20 @@
       say("another process serves under the name " + node + ": staying outside until it is gone");
       return;
     }
-    Roster roster = tables.roster();
-    Announcement known = roster.announced(node);
+    NodeRegistry registry = tables.registry();
+    Announcement known = registry.announced(node);
     List<String> names = settings.nodeNames();
     Txn txn = new Txn();
     boolean may = mayJoin(names);
-    if (!roster.hasList()) {
+    if (!registry.hasList()) {
       if (!may) {
         return;
       }
       // Before anyone has a number: else two might be given one of different lists.
-      txn.when(Roster.LIST, 0).write(Roster.LIST, Roster.listToStore(names));
+      txn.when(NodeRegistry.LIST, 0).write(NodeRegistry.LIST, NodeRegistry.listToStore(names));
     }
     if (known == null || !known.range().equals(levels) || !known.peers().equals(names)) {
-      int number = roster.number(node) < 0 ? roster.nextNumber() : roster.number(node);
+      int number = registry.number(node) < 0 ? registry.nextNumber() : registry.number(node);
       Announcement next =
           known == null
               ? Announcement.fresh(number, node, levels, names)
@@ -317,14 +317,14 @@
    * its attempts would count against the wrong share of a team's limit.
    */
   private boolean mayJoin(List<String> names) {
-    Roster roster = tables.roster();
+    NodeRegistry registry = tables.registry();
     View v = tables.view();
     if (tables.open(Gate.NUMBERS)) {
       return true;
     }
     boolean same =
-        roster.hasList()
-            ? roster.first().equals(names)
+        registry.hasList()
+            ? registry.first().equals(names)
             : v == null || names.containsAll(v.members().keySet());
     if (!same) {
       say(
@@ -333,7 +333,7 @@
               + " is in force: the settings name "
               + names
               + ", and the others go by "
-              + (roster.hasList() ? roster.first() : v.members().keySet()));
+              + (registry.hasList() ? registry.first() : v.members().keySet()));
     }
     return same;
   }
@@ -355,10 +355,10 @@
     if (writing || !leads()) {
       return;
     }
-    Roster roster = tables.roster();
+    NodeRegistry registry = tables.registry();
     Txn txn = new Txn().when(View.KEY, tables.viewStamp());
     for (Map.Entry<String, Range> m : tables.announcedLive().entrySet()) {
-      Announcement a = roster.announced(m.getKey());
+      Announcement a = registry.announced(m.getKey());
       if (a != null && !a.range().equals(m.getValue()) && txn.changes() == 0) {
         LOG.info("{} speaks levels {} now", a.name(), m.getValue());
         txn.when(Announcement.key(a.number()), a.stamp())
@@ -382,11 +382,12 @@
     }
     Txn txn = new Txn().when(View.KEY, tables.viewStamp());
     for (String n : tables.unfencedParts()) {
-      Part p = tables.part(n);
+      Partition p = tables.part(n);
       if (txn.changes() < ledger.limits().txnOps()) {
-        Part told = p.form() == Form.FIRST ? Quota.numbered(p, n, tables.roster(), settings) : p;
-        txn.when(Part.key(n), p.stamp())
-            .write(Part.key(n), told.inEpoch(tables.view().epoch()).toStore());
+        Partition told =
+            p.form() == Form.FIRST ? Quota.numbered(p, n, tables.registry(), settings) : p;
+        txn.when(Partition.key(n), p.stamp())
+            .write(Partition.key(n), told.inEpoch(tables.view().epoch()).toStore());
       }
     }
     if (txn.changes() > 0) {
@@ -443,10 +444,10 @@
       differsSinceMs = -1;
       return;
     }
-    Rise rise =
-        Rise.judge(
-            base.level(), levels, tables.announcedLive(), settings.nodeNames(), tables.roster());
-    boolean rises = rise.level() > base.level() && tables.roster().hasList();
+    LevelUpgrade rise =
+        LevelUpgrade.judge(
+            base.level(), levels, tables.announcedLive(), settings.nodeNames(), tables.registry());
+    boolean rises = rise.level() > base.level() && tables.registry().hasList();
     View wanted = fitting(rises ? base.at(rise.level()) : base);
     boolean same = now != null && wanted.members().equals(now.members());
     if (same && !rises) {
@@ -464,7 +465,7 @@
     if (rises) {
       LOG.info("level {} may come into force: all speak it", rise.level());
       Map<String, Long> conditions = new LinkedHashMap<>(rise.conditions());
-      conditions.put(Roster.LIST, tables.roster().listStamp());
+      conditions.put(NodeRegistry.LIST, tables.registry().listStamp());
       tables
           .announcedLive()
           .keySet()
@@ -605,13 +606,13 @@
       if (parts-- <= 0) {
         break;
       }
-      Part p = tables.part(m);
-      Part told = p == null ? Part.fresh(0, Form.at(next.level())) : p;
+      Partition p = tables.part(m);
+      Partition told = p == null ? Partition.fresh(0, Form.at(next.level())) : p;
       if (next.open(Gate.NUMBERS) && told.form() == Form.FIRST) {
-        told = Quota.numbered(told, m, tables.roster(), settings);
+        told = Quota.numbered(told, m, tables.registry(), settings);
       }
-      txn.when(Part.key(m), p == null ? 0 : p.stamp());
-      txn.write(Part.key(m), told.inEpoch(next.epoch()).toStore());
+      txn.when(Partition.key(m), p == null ? 0 : p.stamp());
+      txn.write(Partition.key(m), told.inEpoch(next.epoch()).toStore());
     }
     // Nobody outside the view acts, so what is known of them is asked for as far as it fits.
     int most = ledger.limits().conditions();
@@ -674,7 +675,7 @@
 
   private void tellPeers() {
     long epoch = tables.view() == null ? 0 : tables.view().epoch();
-    int number = tables.roster().number(node);
+    int number = tables.registry().number(node);
     if (number < 0) {
       return;
     }
--- a/src/main/java/wickdrift/coordination/Pulse.java
+++ b/src/main/java/wickdrift/coordination/PauseDetector.java
@@ -14,8 +14,8 @@
  * about others: no machine silent, no boot overdue, no peer dead. Who judges by silence asks {@link
  * #listeningSinceMs}.
  */
-public final class Pulse {
-  private static final Logger LOG = LoggerFactory.getLogger(Pulse.class);
+public final class PauseDetector {
+  private static final Logger LOG = LoggerFactory.getLogger(PauseDetector.class);
   private static final long BEAT_MS = 200;
 
   private final Timers timers;
@@ -31,7 +31,7 @@
   /**
    * @param stillMs a longer gap than this is a pause; the beat and a slow processor take some
    */
-  public Pulse(Timers timers, long stillMs) {
+  public PauseDetector(Timers timers, long stillMs) {
     this.timers = timers;
     this.stillMs = stillMs;
     this.lastMs = timers.nowMs();
--- a/src/main/java/wickdrift/coordination/Placing.java
+++ b/src/main/java/wickdrift/coordination/Placing.java
@@ -15,13 +15,13 @@
 import wickdrift.bookkeeping.Job;
 import wickdrift.bookkeeping.Limits;
 import wickdrift.bookkeeping.Machine;
-import wickdrift.bookkeeping.Part;
+import wickdrift.bookkeeping.Partition;
 import wickdrift.bookkeeping.Tables;
 import wickdrift.bookkeeping.TaskState;
 import wickdrift.bookkeeping.View;
 import wickdrift.bookkeeping.level.Gate;
-import wickdrift.daemon.Settings;
 import wickdrift.protocol.JobSpec;
+import wickdrift.settings.Settings;
 import wickdrift.transport.Timers;
 
 /** Decides which waiting tasks go where, or to which part their job is handed. */
@@ -51,10 +51,10 @@
 
   private final Timers timers;
   private final Tables tables;
-  private final Board board;
-  private final Rooms rooms;
-  private final Marks marks;
-  private final GivingWay givingWay;
+  private final SchedulingState scheduling;
+  private final CapacityIndex rooms;
+  private final Reservations reservations;
+  private final VictimSelection givingWay;
   private final Tuning tuning;
   private final Settings settings;
   private final String node;
@@ -80,7 +80,7 @@
   Placing(
       Timers timers,
       Tables tables,
-      Board board,
+      SchedulingState scheduling,
       Types types,
       Tuning tuning,
       Settings settings,
@@ -88,10 +88,10 @@
       BooleanSupplier leadSettled) {
     this.timers = timers;
     this.tables = tables;
-    this.board = board;
-    this.rooms = board.rooms();
-    this.marks = new Marks(tables, board, tuning, limits);
-    this.givingWay = new GivingWay(rooms, types, marks, tuning, settings);
+    this.scheduling = scheduling;
+    this.rooms = scheduling.rooms();
+    this.reservations = new Reservations(tables, scheduling, tuning, limits);
+    this.givingWay = new VictimSelection(rooms, types, reservations, tuning, settings);
     this.tuning = tuning;
     this.settings = settings;
     this.node = settings.node();
@@ -101,7 +101,7 @@
 
   /** Marks are of one view: the part records were written anew. */
   void newView() {
-    marks.clear();
+    reservations.clear();
   }
 
   /** Milliseconds until what was passed over may be placed, or 0. */
@@ -122,9 +122,9 @@
     return placed;
   }
 
-  void draft(Draft draft) {
+  void draft(TransactionBuilder draft) {
     View v = tables.view();
-    Part mine = tables.partNow(node);
+    Partition mine = tables.partNow(node);
     if (mine == null || mine.epoch() != v.epoch() || !tables.unfencedParts().isEmpty()) {
       return;
     }
@@ -134,7 +134,7 @@
     postponedMs = 0;
     rooms.newRound(now);
     Quota quota = new Quota(settings, tables);
-    quota.saveUp(board.queue().waiting(), timers.wallMs());
+    quota.saveUp(scheduling.queue().waiting(), timers.wallMs());
     boolean placedAny = false;
     Set<String> foreign = new HashSet<>();
     List<JobSpec> noRoom = new ArrayList<>();
@@ -143,7 +143,7 @@
     givingWay.newRound();
     rooms.prefer(owner -> owner.equals(node) || foreign.contains(owner));
     int narrowed = 0;
-    for (Job job : board.queue().waiting()) {
+    for (Job job : scheduling.queue().waiting()) {
       if (!draft.hasConditions() || !draft.takes(job, 1) || tries >= TRIES_A_ROUND) {
         break;
       }
@@ -172,7 +172,8 @@
       int before = draft.live(job);
       // A gang that has marked machines has room that nobody else saw.
       boolean hopeless =
-          marks.of(job).isEmpty() && failed.stream().anyMatch(f -> needsNoLess(job.spec(), f));
+          reservations.of(job).isEmpty()
+              && failed.stream().anyMatch(f -> needsNoLess(job.spec(), f));
       if (!asLeader && draft.hasRoom() && imageIsElsewhere(job)) {
         // The leader, who sees all parts, places it beside the image at once.
         draft.handOver(job, Job.LEADER);
@@ -219,15 +220,15 @@
       }
     }
     if (leader && leadSettled.getAsBoolean()) {
-      marks.draft(draft, v, now);
+      reservations.draft(draft, v, now);
     }
     if (draft.touches(Tables.TAKES_KEY)) {
       takenMs = now;
     }
     if (placedAny) {
       draft.underView();
-      if (!draft.touches(Part.key(node))) {
-        draft.when(Part.key(node), mine.stamp());
+      if (!draft.touches(Partition.key(node))) {
+        draft.when(Partition.key(node), mine.stamp());
       }
     }
     if (placedAny && !leader && tables.open(Gate.TAKES)) {
@@ -263,7 +264,7 @@
         && (failed.types() == null || failed.types().equals(s.types()));
   }
 
-  static Predicate<Rooms.Cell> scope(String node, boolean asLeader) {
+  static Predicate<CapacityIndex.Cell> scope(String node, boolean asLeader) {
     return asLeader ? c -> true : c -> c.owner.equals(node);
   }
 
@@ -272,18 +273,18 @@
    * takes it. Room in a zone where no more of it may be is none: a part may have lost the machines
    * of other zones since the job came to it.
    */
-  private boolean handOver(Draft draft, Job job, long now) {
+  private boolean handOver(TransactionBuilder draft, Job job, long now) {
     if (now - job.waitingSinceMs(now) < tuning.handoverMs()) {
       return false;
     }
     Map<String, Integer> zones = zones(draft, job);
-    Predicate<Rooms.Cell> allowed = c -> zoneAllows(job.spec(), zones, c.zone);
+    Predicate<CapacityIndex.Cell> allowed = c -> zoneAllows(job.spec(), zones, c.zone);
     return !rooms.any(job.spec(), scope(node, false).and(allowed))
         && rooms.any(job.spec(), scope(node, true).and(allowed));
   }
 
   /** How many of the job's live attempts are in each zone, as durable plus drafted. */
-  static Map<String, Integer> zones(Draft draft, Job job) {
+  static Map<String, Integer> zones(TransactionBuilder draft, Job job) {
     Map<String, Integer> n = new HashMap<>();
     if (!job.spec().oneZone() && !job.spec().spread() || draft.live(job) == 0) {
       return n;
@@ -308,7 +309,7 @@
   }
 
   private void placeTasks(
-      Draft draft,
+      TransactionBuilder draft,
       Job job,
       boolean asLeader,
       Quota quota,
@@ -317,7 +318,7 @@
       List<JobSpec> failed) {
     JobSpec spec = job.spec();
     Map<String, Integer> zones = zones(draft, job);
-    Predicate<Rooms.Cell> scope = scope(node, asLeader);
+    Predicate<CapacityIndex.Cell> scope = scope(node, asLeader);
     int placed = 0;
     // Of a job that seems to fail everywhere, one task is enough to see.
     int most = job.suspect() ? 1 : TASKS_A_ROUND;
@@ -328,7 +329,7 @@
       if (!draft.takes(job, 1) || !quota.allows(job)) {
         return;
       }
-      Room r = chooseFor(spec, c -> scope.test(c) && zoneAllows(spec, zones, c.zone));
+      FreeCapacity r = chooseFor(spec, c -> scope.test(c) && zoneAllows(spec, zones, c.zone));
       if (r == null && zones.isEmpty()) {
         failed.add(spec);
       }
@@ -346,19 +347,20 @@
    * one renews its workers' leases, and all that runs there ends. A machine that has the image is
    * worth more than that.
    */
-  private Room chooseFor(JobSpec spec, Predicate<Rooms.Cell> allowed) {
+  private FreeCapacity chooseFor(JobSpec spec, Predicate<CapacityIndex.Cell> allowed) {
     if (spec.shape() != JobSpec.Shape.SERVICE) {
       return rooms.choose(spec, allowed);
     }
-    Room near = rooms.choose(spec, allowed.and(c -> controllerZones.contains(c.zone)));
+    FreeCapacity near = rooms.choose(spec, allowed.and(c -> controllerZones.contains(c.zone)));
     if (near != null && near.hasImage(spec)) {
       return near;
     }
-    Room any = rooms.choose(spec, allowed);
+    FreeCapacity any = rooms.choose(spec, allowed);
     return near == null || any != null && any.hasImage(spec) ? any : near;
   }
 
-  private void put(Draft draft, Job job, int index, int attempt, Room r, Quota quota) {
+  private void put(
+      TransactionBuilder draft, Job job, int index, int attempt, FreeCapacity r, Quota quota) {
     LOG.debug(
         "placing {} {}/{} on {}, load {}, image there {}, {} ms after it was accepted",
         job.spec().jobClass(),
@@ -378,12 +380,12 @@
    * The leader takes a machine of another's part by rewriting that part's record, and hands it back
    * in the same step: from then on the booking itself is what the owner sees.
    */
-  private boolean reserve(Draft draft, Room r, View v, Set<String> foreign) {
+  private boolean reserve(TransactionBuilder draft, FreeCapacity r, View v, Set<String> foreign) {
     String owner = r.machine().owner(v);
     if (owner.equals(node) || foreign.contains(owner)) {
       return true;
     }
-    Part p = tables.partNow(owner);
+    Partition p = tables.partNow(owner);
     if (p == null) {
       return false;
     }
@@ -392,11 +394,11 @@
       return false;
     }
     if (!together || foreign.isEmpty()) {
-      draft.write(Part.key(owner), p.toStore(), p.stamp());
+      draft.write(Partition.key(owner), p.toStore(), p.stamp());
     } else if (foreign.size() == 1) {
       // One write for all of them. It fails whatever any owner has under way, so it is not used
       // for one, nor more often than now and then; the leader's jobs wait for that.
-      draft.unwrite(Part.key(foreign.iterator().next()));
+      draft.unwrite(Partition.key(foreign.iterator().next()));
       draft.write(Tables.TAKES_KEY, Map.of("epoch", v.epoch()), tables.takesStamp());
     }
     // The owner's own placements leave its part's record alone. Those that we have not seen yet
@@ -412,7 +414,8 @@
   }
 
   /** A gang starts whole: every member has a machine, or none is placed. */
-  private void placeGang(Draft draft, Job job, Quota quota, View v, Set<String> foreign) {
+  private void placeGang(
+      TransactionBuilder draft, Job job, Quota quota, View v, Set<String> foreign) {
     JobSpec spec = job.spec();
     if (draft.live(job) > 0 || draft.done(job) > 0 && job.waiting() == 0) {
       return;
@@ -432,16 +435,16 @@
       narrow = true;
       return;
     }
-    marks.lend(job);
+    reservations.lend(job);
     // Two gangs may have marked a machine: lent anew, its room knows only what is durable, and
     // would be given to the second as well.
-    for (Machine m : marks.of(job)) {
-      Room r = rooms.of(m);
+    for (Machine m : reservations.of(job)) {
+      FreeCapacity r = rooms.of(m);
       if (r != null && tables.marked(m)) {
         draft.placedOn(m).forEach(s -> rooms.book(r, s));
       }
     }
-    List<Room> chosen = gangRooms(job, waiting);
+    List<FreeCapacity> chosen = gangRooms(job, waiting);
     if (chosen != null) {
       // All of it or nothing: counted before anything of it is in the transaction.
       Set<String> owners = new HashSet<>();
@@ -469,11 +472,11 @@
         }
       }
     }
-    marks.takeBack(job);
+    reservations.takeBack(job);
   }
 
   /** Machines for all waiting members, or null; nothing stays booked. */
-  private List<Room> gangRooms(Job job, int waiting) {
+  private List<FreeCapacity> gangRooms(Job job, int waiting) {
     JobSpec spec = job.spec();
     List<String> tries = new ArrayList<>();
     if (spec.oneZone()) {
@@ -492,11 +495,11 @@
       tries.add(null);
     }
     for (String zone : tries) {
-      List<Room> chosen = new ArrayList<>();
-      List<Room.Saved> saved = new ArrayList<>();
+      List<FreeCapacity> chosen = new ArrayList<>();
+      List<FreeCapacity.Saved> saved = new ArrayList<>();
       Map<String, Integer> zones = new HashMap<>();
       for (int n = 0; n < waiting; n++) {
-        Room r =
+        FreeCapacity r =
             rooms.choose(
                 spec,
                 c -> (zone == null || zone.equals(c.zone)) && zoneAllows(spec, zones, c.zone));
--- a/src/main/java/wickdrift/coordination/Preemption.java
+++ b/src/main/java/wickdrift/coordination/Preemption.java
@@ -22,14 +22,14 @@
    * @param as the priority for whose sake they are stopped: only lower ones are
    */
   static List<Choice> cheapest(
-      List<Room> rooms,
+      List<FreeCapacity> rooms,
       JobSpec spec,
       JobSpec.Priority as,
       JobSpec.Priority strongest,
       long nowMs,
       int most) {
     List<Choice> all = new ArrayList<>();
-    for (Room r : rooms) {
+    for (FreeCapacity r : rooms) {
       Choice c = on(r, spec, as, strongest, nowMs);
       if (c != null) {
         all.add(c);
@@ -40,7 +40,7 @@
   }
 
   static Choice on(
-      Room r, JobSpec spec, JobSpec.Priority as, JobSpec.Priority strongest, long nowMs) {
+      FreeCapacity r, JobSpec spec, JobSpec.Priority as, JobSpec.Priority strongest, long nowMs) {
     if (!r.type().canHold(spec)) {
       return null;
     }
@@ -94,9 +94,9 @@
   }
 
   private static boolean lacks(JobSpec s, double cpus, double gpus, double memoryGb) {
-    return s.cpus() > cpus + Room.EPS
-        || s.gpus() > gpus + Room.EPS
-        || s.memoryGb() > memoryGb + Room.EPS;
+    return s.cpus() > cpus + FreeCapacity.EPS
+        || s.gpus() > gpus + FreeCapacity.EPS
+        || s.memoryGb() > memoryGb + FreeCapacity.EPS;
   }
 
   private static double lost(Machine.Slot s, long nowMs) {
--- a/src/main/java/wickdrift/coordination/Queue.java
+++ b/src/main/java/wickdrift/coordination/Queue.java
@@ -11,13 +11,13 @@
 import java.util.TreeMap;
 import wickdrift.bookkeeping.Job;
 import wickdrift.bookkeeping.Usage;
-import wickdrift.daemon.Settings;
+import wickdrift.settings.Settings;
 
 /**
  * The jobs that wait, in the order in which they are served: priority, then guarantees, then, of
- * teams that are beyond theirs, by what each holds ({@link Fairly}), then by when they must start
- * to be done in time (without a deadline: by age). Kept up to date by the changes of jobs; no round
- * sorts them anew.
+ * teams that are beyond theirs, by what each holds ({@link DominantShareOrder}), then by when they
+ * must start to be done in time (without a deadline: by age). Kept up to date by the changes of
+ * jobs; no round sorts them anew.
  */
 final class Queue {
   private record Age(long acceptedMs, String id) {}
@@ -61,8 +61,8 @@
     }
 
     boolean covers(double c, double g) {
-      return (settings.cpus() == 0 || c <= settings.cpus() + Room.EPS)
-          && (settings.gpus() == 0 || g <= settings.gpus() + Room.EPS);
+      return (settings.cpus() == 0 || c <= settings.cpus() + FreeCapacity.EPS)
+          && (settings.gpus() == 0 || g <= settings.gpus() + FreeCapacity.EPS);
     }
   }
 
@@ -188,7 +188,7 @@
               lines.put(team, jobs.values());
             }
           });
-      return new Fairly(lines, usage::of, byName);
+      return new DominantShareOrder(lines, usage::of, byName);
     }
 
     @Override
--- a/src/main/java/wickdrift/coordination/Quota.java
+++ b/src/main/java/wickdrift/coordination/Quota.java
@@ -7,14 +7,14 @@
 import java.util.Map;
 import java.util.Set;
 import wickdrift.bookkeeping.Job;
-import wickdrift.bookkeeping.Part;
-import wickdrift.bookkeeping.Part.Share;
+import wickdrift.bookkeeping.Partition;
+import wickdrift.bookkeeping.Partition.Share;
 import wickdrift.bookkeeping.Tables;
 import wickdrift.bookkeeping.level.Form;
 import wickdrift.bookkeeping.level.Gate;
-import wickdrift.bookkeeping.level.Roster;
-import wickdrift.daemon.Settings;
+import wickdrift.bookkeeping.level.NodeRegistry;
 import wickdrift.protocol.JobSpec;
+import wickdrift.settings.Settings;
 
 /**
  * The teams' limits, divided among the controllers. Every attempt counts against the share of the
@@ -62,9 +62,9 @@
   }
 
   private Share share(String team, String of) {
-    Part p = tables.part(of);
+    Partition p = tables.part(of);
     Share told = p == null ? null : p.shares().get(team);
-    Share even = even(tables.roster(), teams.get(team), of);
+    Share even = even(tables.registry(), teams.get(team), of);
     if (p == null || p.form() == Form.FIRST) {
       return told != null ? told : even;
     }
@@ -72,27 +72,27 @@
   }
 
   /** What a node starts with. */
-  private static Share even(Roster roster, Settings.Team t, String of) {
-    double first = roster.first().size();
-    return roster.first().contains(of)
+  private static Share even(NodeRegistry registry, Settings.Team t, String of) {
+    double first = registry.first().size();
+    return registry.first().contains(of)
         ? new Share(t.cpusMax() / first, t.gpusMax() / first)
         : Share.NONE;
   }
 
   /** A part as {@link Form#NUMBERED} tells it: what a node may use, as more or less than even. */
-  static Part numbered(Part p, String of, Roster roster, Settings settings) {
+  static Partition numbered(Partition p, String of, NodeRegistry registry, Settings settings) {
     Map<String, Share> told = new LinkedHashMap<>();
     for (Settings.Team t : settings.teams()) {
       Share s = p.shares().get(t.name());
       if (s != null && (t.cpusMax() > 0 || t.gpusMax() > 0)) {
-        told.put(t.name(), s.minus(even(roster, t, of)));
+        told.put(t.name(), s.minus(even(registry, t, of)));
       }
     }
     return p.inForm(Form.NUMBERED, told);
   }
 
   private Share left(String team, String of) {
-    Share left = share(team, of).minus(tables.usage().of(team, tables.roster().number(of)));
+    Share left = share(team, of).minus(tables.usage().of(team, tables.registry().number(of)));
     return of.equals(node) ? left.minus(booked.getOrDefault(team, Share.NONE)) : left;
   }
 
@@ -165,8 +165,8 @@
   }
 
   private static boolean covers(Settings.Team t, Share left, Share need) {
-    return (t.cpusMax() == 0 || need.cpus() <= left.cpus() + Room.EPS)
-        && (t.gpusMax() == 0 || need.gpus() <= left.gpus() + Room.EPS);
+    return (t.cpusMax() == 0 || need.cpus() <= left.cpus() + FreeCapacity.EPS)
+        && (t.gpusMax() == 0 || need.gpus() <= left.gpus() + FreeCapacity.EPS);
   }
 
   void book(JobSpec spec) {
@@ -178,7 +178,7 @@
   // ---- giving share away ----
 
   /** A gift of share from one node to another. */
-  record Gift(String team, String from, String to, Part giver, Part taker) {}
+  record Gift(String team, String from, String to, Partition giver, Partition taker) {}
 
   /**
    * What this node should give away, or null: spare share goes to a node whose waiting jobs lack
@@ -216,7 +216,7 @@
           Share lack = positive(need.minus(left(team, taker)));
           Share gift =
               new Share(Math.min(spare.cpus(), lack.cpus()), Math.min(spare.gpus(), lack.gpus()));
-          if (gift.cpus() > Room.EPS || gift.gpus() > Room.EPS) {
+          if (gift.cpus() > FreeCapacity.EPS || gift.gpus() > FreeCapacity.EPS) {
             return new Gift(
                 team, giver, taker, moved(team, giver, gift.times(-1)), moved(team, taker, gift));
           }
@@ -233,7 +233,7 @@
   private Set<String> givers(boolean leader) {
     Set<String> out = new LinkedHashSet<>(tables.parts().keySet());
     if (leader && tables.open(Gate.NUMBERS)) {
-      out.addAll(tables.roster().first());
+      out.addAll(tables.registry().first());
     }
     return out;
   }
@@ -245,13 +245,13 @@
     return out;
   }
 
-  private Part part(String of) {
-    Part p = tables.partNow(of);
-    return p == null ? Part.fresh(0, tables.form()) : p;
+  private Partition part(String of) {
+    Partition p = tables.partNow(of);
+    return p == null ? Partition.fresh(0, tables.form()) : p;
   }
 
-  private Part moved(String team, String of, Share by) {
-    Part p = part(of);
+  private Partition moved(String team, String of, Share by) {
+    Partition p = part(of);
     Share was =
         p.form() == Form.FIRST ? share(team, of) : p.shares().getOrDefault(team, Share.NONE);
     return p.with(team, was.plus(by));
--- a/src/main/java/wickdrift/coordination/Relay.java
+++ b/src/main/java/wickdrift/coordination/Relay.java
@@ -4,10 +4,10 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.function.Consumer;
-import wickdrift.bookkeeping.level.Roster;
+import wickdrift.bookkeeping.level.NodeRegistry;
 import wickdrift.protocol.BadMessage;
-import wickdrift.protocol.Doc;
-import wickdrift.protocol.Pack;
+import wickdrift.protocol.Document;
+import wickdrift.protocol.MessageCodec;
 import wickdrift.protocol.PeerFrame;
 import wickdrift.transport.Exchange;
 import wickdrift.transport.Timers;
@@ -22,22 +22,23 @@
 
   private final Timers timers;
   private final String node;
-  private final Roster roster;
+  private final NodeRegistry registry;
   private final Map<String, Consumer<ByteBuffer>> peers;
   private final Map<Long, Exchange> pending = new HashMap<>();
   private long nextId;
 
-  public Relay(Timers timers, String node, Roster roster, Map<String, Consumer<ByteBuffer>> peers) {
+  public Relay(
+      Timers timers, String node, NodeRegistry registry, Map<String, Consumer<ByteBuffer>> peers) {
     this.timers = timers;
     this.node = node;
-    this.roster = roster;
+    this.registry = registry;
     this.peers = peers;
   }
 
   /** Passes a report on; false if that can't be done. The answer, or 421, follows in time. */
   public boolean pass(Exchange x, String owner) {
     Consumer<ByteBuffer> peer = peers.get(owner);
-    int number = roster.number(node);
+    int number = registry.number(node);
     if (peer == null || number < 0 || pending.size() >= MAX_PENDING) {
       return false;
     }
@@ -60,7 +61,7 @@
       return;
     }
     try {
-      x.reply(a.status(), Doc.parse(a.body()).rawMap());
+      x.reply(a.status(), Document.parse(a.body()).rawMap());
     } catch (BadMessage e) {
       x.reply(421, Map.of());
     }
@@ -86,11 +87,11 @@
 
       @Override
       public void reply(int status, Object value, int retryAfterS) {
-        String from = roster.name(r.from());
+        String from = registry.name(r.from());
         Consumer<ByteBuffer> peer = from == null ? null : peers.get(from);
-        int number = roster.number(node);
+        int number = registry.number(node);
         if (peer != null && number >= 0) {
-          byte[] body = Pack.encode(value == null ? Map.of() : value);
+          byte[] body = MessageCodec.encode(value == null ? Map.of() : value);
           peer.accept(new PeerFrame.Answered(number, r.id(), status, body).encode());
         }
       }
--- a/src/main/java/wickdrift/coordination/Reporting.java
+++ b/src/main/java/wickdrift/coordination/Reporting.java
@@ -16,9 +16,9 @@
 import wickdrift.bookkeeping.TaskState;
 import wickdrift.bookkeeping.View;
 import wickdrift.protocol.BadMessage;
-import wickdrift.protocol.Doc;
+import wickdrift.protocol.Document;
+import wickdrift.protocol.MessageCodec;
 import wickdrift.protocol.Order;
-import wickdrift.protocol.Pack;
 import wickdrift.protocol.Report;
 import wickdrift.transport.Caller;
 import wickdrift.transport.Exchange;
@@ -82,12 +82,12 @@
   private final Ledger ledger;
   private final Tables tables;
   private final Membership membership;
-  private final Scribe scribe;
+  private final TransactionPipeline pipeline;
   private final Tuning tuning;
   private final String node;
   private final Caller caller;
   private final Relay relay;
-  private final Pulse pulse;
+  private final PauseDetector pauseDetector;
   private final Zones zones;
 
   /** Machines that were told of their owner in this view. */
@@ -116,11 +116,11 @@
       Ledger ledger,
       Tables tables,
       Membership membership,
-      Scribe scribe,
+      TransactionPipeline pipeline,
       Tuning tuning,
       Caller caller,
       Relay relay,
-      Pulse pulse,
+      PauseDetector pauseDetector,
       Zones zones,
       long leaseMs,
       String node) {
@@ -128,11 +128,11 @@
     this.ledger = ledger;
     this.tables = tables;
     this.membership = membership;
-    this.scribe = scribe;
+    this.pipeline = pipeline;
     this.tuning = tuning;
     this.caller = caller;
     this.relay = relay;
-    this.pulse = pulse;
+    this.pauseDetector = pauseDetector;
     this.zones = zones;
     this.leaseMs = leaseMs;
     this.node = node;
@@ -195,15 +195,15 @@
       }
     }
     owned = now;
-    scribe.newView();
+    pipeline.newView();
     // Whoever takes over places nothing on what it took over until reports had time to come in, or
     // all known machines have reported. A machine takes no task before it has reported, so a node
     // that had a part goes on with that; one that is new, and one that is new as leader, wait.
     if (joined) {
-      scribe.hold(viewSinceMs + tuning.settleMs());
+      pipeline.hold(viewSinceMs + tuning.settleMs());
     }
     if (gainedLead) {
-      scribe.holdLead(viewSinceMs + tuning.settleMs());
+      pipeline.holdLead(viewSinceMs + tuning.settleMs());
     }
   }
 
@@ -241,7 +241,7 @@
   private void answer(Exchange x, boolean mayRelay) {
     Report r;
     try {
-      r = Report.parse(Doc.parse(x.body()));
+      r = Report.parse(Document.parse(x.body()));
     } catch (BadMessage e) {
       LOG.warn("malformed report: {}", e.getMessage());
       x.reply(400, Map.of("error", e.getMessage()));
@@ -302,7 +302,7 @@
       m.synced(r.epoch() == v.epoch());
       m.listens(r, proves, ignores(m, r, now), leaseMs, now);
       if (unheard.remove(m.name()) && unheard.isEmpty()) {
-        scribe.settle();
+        pipeline.settle();
       }
       note(m, r, proves);
       // What may be a copy proves nothing: it is answered, so that the next one shows our token.
@@ -345,8 +345,8 @@
           case UP -> wanted == Machine.Phase.DRAINING;
           case DRAINING, GONE -> false;
         };
-    if (change && !scribe.recording(m)) {
-      scribe.record(m, new Machine.Info(r.type(), r.zone(), r.spot(), wanted, timers.wallMs()));
+    if (change && !pipeline.recording(m)) {
+      pipeline.record(m, new Machine.Info(r.type(), r.zone(), r.spot(), wanted, timers.wallMs()));
     }
   }
 
@@ -421,7 +421,7 @@
         sent.put(task, new Sent(s.attempt(), r.tick(), true, r.tenure(), 0));
         continue;
       }
-      if (e != null || scribe.exiting(slot.job(), slot.index(), s.attempt())) {
+      if (e != null || pipeline.exiting(slot.job(), slot.index(), s.attempt())) {
         // Another attempt of the task is here still, and ours starts when it is gone; or ours is
         // known to be over, and must not start again while that is being written.
         continue;
@@ -432,7 +432,7 @@
       }
       if (before != null && before.seen) {
         // Seen and now absent: the worker lost it with its lease, and late commands with it.
-        if (own && scribe.exited(slot.job(), slot.index(), s.attempt(), m, null)) {
+        if (own && pipeline.exited(slot.job(), slot.index(), s.attempt(), m, null)) {
           LOG.info("{} has lost {}, tenure {}", m.name(), task, r.tenure());
         }
       } else if (own
@@ -441,7 +441,7 @@
           && (m.deafSinceMs() > 0 || slot.unwanted())
           && !loose(direct, task, s.attempt())) {
         // What was sent in an earlier session can't arrive in this one, and nothing was since.
-        scribe.exited(slot.job(), slot.index(), s.attempt(), m, null);
+        pipeline.exited(slot.job(), slot.index(), s.attempt(), m, null);
       } else if (m.deafSinceMs() > 0 && !slot.unwanted()) {
         // Nothing reaches it: what is told now could only come late. Its next session proves that
         // it has not got this.
@@ -452,7 +452,7 @@
         // Never seen and not wanted: the report shows our epoch, so no older command can start it,
         // and ours have been dropped, unless one sent straight to the worker is still under way.
         if (own && m.synced() && !loose(direct, task, s.attempt())) {
-          scribe.exited(slot.job(), slot.index(), s.attempt(), m, null);
+          pipeline.exited(slot.job(), slot.index(), s.attempt(), m, null);
         }
       } else if (m.phase() != Machine.Phase.GONE
           && (own || before == null || before.tick != r.tick())) {
@@ -474,7 +474,7 @@
         || job.calledOff()
         || s.stop() != TaskState.Stop.NONE
         || job.live() < job.size()
-        || scribe.exiting(job, e.index(), e.attempt())) {
+        || pipeline.exiting(job, e.index(), e.attempt())) {
       return false;
     }
     return waits(m, e) < WAITS_MOST;
@@ -620,7 +620,7 @@
         m.report().address(),
         "POST",
         "/orders",
-        Pack.encode(body),
+        MessageCodec.encode(body),
         DIRECT_MS,
         a -> directAnswered(m, d, tries, a));
   }
@@ -646,7 +646,7 @@
       return;
     }
     try {
-      Report r = Report.parse(Doc.parse(a.body()));
+      Report r = Report.parse(Document.parse(a.body()));
       if (d.olderThanKnown(r)) {
         LOG.info("{} has begun anew: tenure {}, tick {}", m.name(), r.tenure(), r.tick());
         m.restarted(v.epoch());
@@ -679,7 +679,7 @@
   }
 
   private void ended(Machine m, Job job, Report.Entry e) {
-    if (!scribe.exited(job, e.index(), e.attempt(), m, e.why())) {
+    if (!pipeline.exited(job, e.index(), e.attempt(), m, e.why())) {
       // Reported again until it is cleared: it failed once.
       return;
     }
@@ -717,19 +717,19 @@
       }
       // A change of view is no news of a machine that was ours before: with one every few seconds
       // none would ever be found silent.
-      long silent = now - Math.max(m.silentSinceMs(), pulse.listeningSinceMs());
+      long silent = now - Math.max(m.silentSinceMs(), pauseDetector.listeningSinceMs());
       if ((up || lost) && silent > tuning.quietMs()) {
         m.quiet();
         zones.silent(m.info().zone());
       }
       boolean deaf = m.deafSinceMs() > 0 && now - m.deafSinceMs() > tuning.lostMs();
-      if (up && (deaf || silent > tuning.lostMs()) && !scribe.recording(m)) {
+      if (up && (deaf || silent > tuning.lostMs()) && !pipeline.recording(m)) {
         LOG.info("{} is {}", m.name(), deaf ? "deaf: nothing reaches it" : "silent");
-        scribe.record(m, m.info().with(Machine.Phase.LOST, timers.wallMs()));
+        pipeline.record(m, m.info().with(Machine.Phase.LOST, timers.wallMs()));
       }
       if (!m.live().isEmpty() && m.lapseBaseMs() > 0 && now - m.lapseBaseMs() > tuning.lapseMs()) {
         // No one can have renewed its lease since: the worker has killed all it had.
-        scribe.lapsed(m);
+        pipeline.lapsed(m);
         runs.remove(m);
       }
       stuck |= stuck(m, now);
@@ -737,7 +737,7 @@
       // time to reach the workers.
       stuck |= m.trustedFrom() > v.epoch() && now - viewSinceMs > BEGUN_ANEW_MS;
     }
-    zones.judge(pulse.listeningSinceMs(), now);
+    zones.judge(pauseDetector.listeningSinceMs(), now);
     if (stuck) {
       // Only a higher epoch, shown by the worker, proves that the command can't arrive any more.
       membership.raiseEpoch();
--- a/src/main/java/wickdrift/coordination/Marks.java
+++ b/src/main/java/wickdrift/coordination/Reservations.java
@@ -10,56 +10,56 @@
 import wickdrift.bookkeeping.Job;
 import wickdrift.bookkeeping.Limits;
 import wickdrift.bookkeeping.Machine;
-import wickdrift.bookkeeping.Part;
+import wickdrift.bookkeeping.Partition;
 import wickdrift.bookkeeping.Tables;
 import wickdrift.bookkeeping.View;
 import wickdrift.protocol.JobSpec;
 
 /** Decides, as the leader, which machines take no new tasks for the sake of gangs that wait. */
-final class Marks {
+final class Reservations {
   private static final long MARKS_MS = 500;
   private static final int MARK_BYTES = 48;
 
   private final Tables tables;
-  private final Board board;
-  private final Rooms rooms;
+  private final SchedulingState scheduling;
+  private final CapacityIndex rooms;
   private final Tuning tuning;
   private final Limits limits;
 
   /** By gang, the machines that take no new tasks until it starts or gives them up. */
-  private final Map<String, List<Machine>> marks = new LinkedHashMap<>();
+  private final Map<String, List<Machine>> reservations = new LinkedHashMap<>();
 
   private long nextMarksMs;
 
-  Marks(Tables tables, Board board, Tuning tuning, Limits limits) {
+  Reservations(Tables tables, SchedulingState scheduling, Tuning tuning, Limits limits) {
     this.tables = tables;
-    this.board = board;
-    this.rooms = board.rooms();
+    this.scheduling = scheduling;
+    this.rooms = scheduling.rooms();
     this.tuning = tuning;
     this.limits = limits;
   }
 
   /** Marks are of one view: the part records were written anew. */
   void clear() {
-    marks.clear();
+    reservations.clear();
   }
 
   /** The machines that a gang has marked. */
   List<Machine> of(Job job) {
-    return marks.getOrDefault(job.id(), List.of());
+    return reservations.getOrDefault(job.id(), List.of());
   }
 
   /**
    * A gang that has waited for a while marks the machines that will be empty soonest. Marks are in
    * the part records, so that their owners place nothing there; here is only whose they are.
    */
-  void draft(Draft draft, View v, long now) {
+  void draft(TransactionBuilder draft, View v, long now) {
     if (now < nextMarksMs) {
       return;
     }
     nextMarksMs = now + MARKS_MS;
     Map<String, Job> waitingGangs = new LinkedHashMap<>();
-    for (Job job : board.queue().waiting()) {
+    for (Job job : scheduling.queue().waiting()) {
       if (job.spec().shape() == JobSpec.Shape.GANG
           && job.part().equals(Job.LEADER)
           && job.live() == 0
@@ -68,12 +68,12 @@
         waitingGangs.put(job.id(), job);
       }
     }
-    marks.keySet().retainAll(waitingGangs.keySet());
-    for (List<Machine> l : marks.values()) {
+    reservations.keySet().retainAll(waitingGangs.keySet());
+    for (List<Machine> l : reservations.values()) {
       l.removeIf(m -> m.phase() != Machine.Phase.UP);
     }
     Set<Machine> marked = new HashSet<>();
-    marks.values().forEach(marked::addAll);
+    reservations.values().forEach(marked::addAll);
     for (Job job : waitingGangs.values()) {
       if (now - job.waitingSinceMs(now) >= tuning.markWaitMs()) {
         mark(job, marked, now);
@@ -84,14 +84,14 @@
       wanted.computeIfAbsent(m.owner(v), k -> new ArrayList<>()).add(m.name());
     }
     for (String member : v.members().keySet()) {
-      Part p = tables.partNow(member);
+      Partition p = tables.partNow(member);
       List<String> names = wanted.getOrDefault(member, List.of());
       names = names.stream().sorted().limit(maxMarks()).toList();
       if (p != null
           && !p.taken().equals(names)
           && draft.hasRoom()
-          && !draft.touches(Part.key(member))) {
-        draft.write(Part.key(member), p.with(names).toStore(), p.stamp());
+          && !draft.touches(Partition.key(member))) {
+        draft.write(Partition.key(member), p.with(names).toStore(), p.stamp());
       }
     }
   }
@@ -102,7 +102,7 @@
   }
 
   private void mark(Job job, Set<Machine> marked, long now) {
-    List<Machine> mine = marks.computeIfAbsent(job.id(), k -> new ArrayList<>());
+    List<Machine> mine = reservations.computeIfAbsent(job.id(), k -> new ArrayList<>());
     while (mine.size() < job.waiting() && marked.size() < maxMarks()) {
       String zone = job.spec().oneZone() && !mine.isEmpty() ? mine.get(0).info().zone() : null;
       Soonest s = new Soonest(now);
@@ -145,7 +145,7 @@
   }
 
   void markFor(Job job, Machine m, long now) {
-    List<Machine> mine = marks.computeIfAbsent(job.id(), k -> new ArrayList<>());
+    List<Machine> mine = reservations.computeIfAbsent(job.id(), k -> new ArrayList<>());
     if (!mine.contains(m) && mine.size() < job.waiting()) {
       mine.add(m);
       nextMarksMs = now;
@@ -153,10 +153,10 @@
   }
 
   void lend(Job job) {
-    of(job).forEach(board::lend);
+    of(job).forEach(scheduling::lend);
   }
 
   void takeBack(Job job) {
-    of(job).forEach(board::takeBack);
+    of(job).forEach(scheduling::takeBack);
   }
 }
--- a/src/main/java/wickdrift/coordination/Board.java
+++ b/src/main/java/wickdrift/coordination/SchedulingState.java
@@ -13,8 +13,8 @@
 import wickdrift.bookkeeping.Tables;
 import wickdrift.bookkeeping.TaskState;
 import wickdrift.bookkeeping.View;
-import wickdrift.daemon.Settings;
 import wickdrift.protocol.JobSpec;
+import wickdrift.settings.Settings;
 import wickdrift.transport.Timers;
 
 /**
@@ -22,14 +22,14 @@
  * jobs that can end, gangs that are being stopped, machines that are gone with tasks on them. So
  * the work of a round grows with what has changed, not with the fleet or the number of jobs.
  */
-public final class Board {
-  private static final Logger LOG = LoggerFactory.getLogger(Board.class);
+public final class SchedulingState {
+  private static final Logger LOG = LoggerFactory.getLogger(SchedulingState.class);
 
   private final Timers timers;
   private final Tables tables;
   private final Types types;
   private final String node;
-  private final Rooms rooms = new Rooms();
+  private final CapacityIndex rooms = new CapacityIndex();
   private final Queue queue;
   private final Set<Job> endable = new LinkedHashSet<>();
   private final Set<Job> halting = new LinkedHashSet<>();
@@ -41,7 +41,7 @@
   private long epoch = -1;
   private int typesSeen;
 
-  public Board(Timers timers, Tables tables, Types types, Settings settings) {
+  public SchedulingState(Timers timers, Tables tables, Types types, Settings settings) {
     this.timers = timers;
     this.tables = tables;
     this.types = types;
@@ -54,7 +54,7 @@
     pending = p;
   }
 
-  Rooms rooms() {
+  CapacityIndex rooms() {
     return rooms;
   }
 
--- a/src/main/java/wickdrift/coordination/Draft.java
+++ b/src/main/java/wickdrift/coordination/TransactionBuilder.java
@@ -9,25 +9,25 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.function.UnaryOperator;
-import wickdrift.bookkeeping.Ended;
 import wickdrift.bookkeeping.Entry;
 import wickdrift.bookkeeping.Job;
 import wickdrift.bookkeeping.Machine;
 import wickdrift.bookkeeping.Page;
 import wickdrift.bookkeeping.Tables;
 import wickdrift.bookkeeping.TaskState;
+import wickdrift.bookkeeping.TerminalState;
 import wickdrift.bookkeeping.Txn;
 import wickdrift.bookkeeping.View;
 import wickdrift.bookkeeping.level.Gate;
 import wickdrift.protocol.JobSpec;
-import wickdrift.protocol.Pack;
+import wickdrift.protocol.MessageCodec;
 import wickdrift.protocol.Report;
 
 /**
  * One transaction being put together. All changes of tasks and machines are entries of one page of
  * this node's log, one write however many they are; the rest counts one by one.
  */
-final class Draft {
+final class TransactionBuilder {
   /** The lasting record of an end appears, and the job's goes. */
   private static final int OPS_FOR_MOVE = 2;
 
@@ -73,11 +73,11 @@
    * @param maxChanges how many changes can be paid now
    * @param mostChanges how many a transaction may have
    */
-  Draft(Tables tables, String node, int maxChanges, int mostChanges, int pageBytes) {
+  TransactionBuilder(Tables tables, String node, int maxChanges, int mostChanges, int pageBytes) {
     this.mostChanges = mostChanges;
     this.tables = tables;
     this.node = node;
-    this.number = tables.roster().number(node);
+    this.number = tables.registry().number(node);
     this.maxChanges = maxChanges;
     this.pageBytes = pageBytes;
   }
@@ -242,7 +242,7 @@
         delete(job.chunkKey(c));
       }
     }
-    Ended how = new Ended(phase, job.size(), wallMs);
+    TerminalState how = new TerminalState(phase, job.size(), wallMs);
     if (tables.open(Gate.AWAITS)) {
       // One write where others wait for it; it is moved when there are writes to spare.
       txn.write(job.key(), Job.overToStore(how));
@@ -393,7 +393,7 @@
     List<Object> run = new ArrayList<>();
     int size = page == null ? PAGE_OVERHEAD : page.bytes() + PAGE_OVERHEAD;
     for (Object e : entries) {
-      int n = Pack.jsonSize(e) + 1;
+      int n = MessageCodec.jsonSize(e) + 1;
       if (!run.isEmpty() && size + n > pageBytes) {
         number = write(page, number, run);
         page = null;
--- a/src/main/java/wickdrift/coordination/Scribe.java
+++ b/src/main/java/wickdrift/coordination/TransactionPipeline.java
@@ -7,18 +7,18 @@
 import java.util.Set;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
-import wickdrift.bookkeeping.Ended;
 import wickdrift.bookkeeping.Job;
 import wickdrift.bookkeeping.Ledger;
 import wickdrift.bookkeeping.Machine;
-import wickdrift.bookkeeping.Part;
+import wickdrift.bookkeeping.Partition;
 import wickdrift.bookkeeping.Tables;
 import wickdrift.bookkeeping.TaskState;
+import wickdrift.bookkeeping.TerminalState;
 import wickdrift.bookkeeping.Txn;
 import wickdrift.bookkeeping.level.Gate;
-import wickdrift.daemon.Settings;
 import wickdrift.protocol.JobSpec;
 import wickdrift.protocol.Report;
+import wickdrift.settings.Settings;
 import wickdrift.transport.Timers;
 
 /**
@@ -26,8 +26,8 @@
  * placements. One transaction is in flight at a time, decided from the tables as they are; after it
  * the tables are caught up before the next is decided.
  */
-public final class Scribe {
-  private static final Logger LOG = LoggerFactory.getLogger(Scribe.class);
+public final class TransactionPipeline {
+  private static final Logger LOG = LoggerFactory.getLogger(TransactionPipeline.class);
   private static final long IDLE_TICK_MS = 500;
   private static final long REFUSED_MS = 150;
   private static final long GAP_MS = 10;
@@ -61,14 +61,14 @@
   private final Timers timers;
   private final Ledger ledger;
   private final Tables tables;
-  private final Board board;
+  private final SchedulingState scheduling;
   private final Types types;
   private final Membership membership;
   private final Tuning tuning;
   private final Settings settings;
   private final String node;
   private final Placing placing;
-  private final Folding folding;
+  private final LogCompaction compaction;
   private final Conversion conversion;
   private final Map<TaskKey, Exit> exits = new LinkedHashMap<>();
   private final Map<Machine, Machine.Info> records = new LinkedHashMap<>();
@@ -88,11 +88,11 @@
   /** Whether a timer will wake us when the leader's jobs that were passed over may be placed. */
   private boolean postponed;
 
-  public Scribe(
+  public TransactionPipeline(
       Timers timers,
       Ledger ledger,
       Tables tables,
-      Board board,
+      SchedulingState scheduling,
       Types types,
       Membership membership,
       Tuning tuning,
@@ -100,8 +100,8 @@
     this.timers = timers;
     this.ledger = ledger;
     this.tables = tables;
-    this.board = board;
-    board.pending(records::containsKey);
+    this.scheduling = scheduling;
+    scheduling.pending(records::containsKey);
     this.types = types;
     this.membership = membership;
     this.tuning = tuning;
@@ -109,8 +109,15 @@
     this.node = settings.node();
     this.placing =
         new Placing(
-            timers, tables, board, types, tuning, settings, ledger.limits(), this::leadSettled);
-    this.folding = new Folding(timers, ledger, tables, membership, tuning, node);
+            timers,
+            tables,
+            scheduling,
+            types,
+            tuning,
+            settings,
+            ledger.limits(),
+            this::leadSettled);
+    this.compaction = new LogCompaction(timers, ledger, tables, membership, tuning, node);
     this.conversion = new Conversion(timers, ledger, tables, membership, settings);
   }
 
@@ -149,7 +156,7 @@
 
   private void idleTick() {
     timers.after(IDLE_TICK_MS, this::idleTick);
-    board.tick();
+    scheduling.tick();
     wake();
   }
 
@@ -231,7 +238,7 @@
 
   public void record(Machine m, Machine.Info info) {
     records.put(m, info);
-    board.machine(m);
+    scheduling.machine(m);
     wake();
   }
 
@@ -243,7 +250,7 @@
             e -> {
               boolean silence = e.getValue() != null && e.getValue().phase() == Machine.Phase.LOST;
               if (silence) {
-                board.machine(e.getKey());
+                scheduling.machine(e.getKey());
               }
               return silence;
             });
@@ -268,11 +275,11 @@
         || membership.standing() != Membership.Standing.MEMBER
         || membership.outdated()
         || membership.leaving()
-        || tables.roster().number(node) < 0) {
+        || tables.registry().number(node) < 0) {
       return;
     }
     lastCycleMs = timers.nowMs();
-    board.update();
+    scheduling.update();
     // What is drafted can be paid: a draft that our own budget refuses is drawn anew again and
     // again, and all that it holds waits.
     int most = ledger.limits().txnOps();
@@ -284,7 +291,7 @@
       return;
     }
     drafted++;
-    Draft draft = new Draft(tables, node, payable, most, pageBytes);
+    TransactionBuilder draft = new TransactionBuilder(tables, node, payable, most, pageBytes);
     draftExits(draft);
     draftEnds(draft);
     draftRecords(draft);
@@ -305,7 +312,7 @@
     if (draft.empty() && settled()) {
       draftGift(draft);
     }
-    folding.draft(draft);
+    compaction.draft(draft);
     if (draft.empty() && ledger.ease() > Conversion.EASE) {
       conversion.draft(draft);
     }
@@ -347,7 +354,7 @@
 
   /** Those that were refused together do not come back together. */
   private long spread() {
-    return Math.floorMod(tables.roster().number(node), 16) * 20L;
+    return Math.floorMod(tables.registry().number(node), 16) * 20L;
   }
 
   private void ready() {
@@ -362,13 +369,16 @@
   private void fence() {
     afterBarrier(
         () -> {
-          Part p = tables.partNow(node);
+          Partition p = tables.partNow(node);
           if (p == null || membership.standing() != Membership.Standing.MEMBER) {
             // Outside the view nothing is placed, and joining again rewrites the record.
             timers.after(REFUSED_MS, this::fence);
             return;
           }
-          Txn txn = new Txn().when(Part.key(node), p.stamp()).write(Part.key(node), p.toStore());
+          Txn txn =
+              new Txn()
+                  .when(Partition.key(node), p.stamp())
+                  .write(Partition.key(node), p.toStore());
           ledger.commit(
               txn,
               Ledger.Rank.AUTHORITY,
@@ -397,8 +407,8 @@
 
   // ---- exits, ends, records ----
 
-  private void draftExits(Draft draft) {
-    for (Machine m : board.gone()) {
+  private void draftExits(TransactionBuilder draft) {
+    for (Machine m : scheduling.gone()) {
       if (node.equals(m.owner(tables.view()))) {
         for (Machine.Slot s : m.live()) {
           exits.putIfAbsent(
@@ -438,23 +448,23 @@
    * worker's lease since. The lease of our own that was looked at before may have ended by the time
    * that the transaction arrives; the part's record, which every change of view rewrites, has not.
    */
-  private boolean underView(Draft draft) {
+  private boolean underView(TransactionBuilder draft) {
     if (tables.open(Gate.VIEWS)) {
       draft.underView();
       return true;
     }
-    Part mine = tables.part(node);
+    Partition mine = tables.part(node);
     if (mine == null || mine.epoch() != tables.view().epoch()) {
       return false;
     }
-    if (!draft.touches(Part.key(node))) {
-      draft.when(Part.key(node), mine.stamp());
+    if (!draft.touches(Partition.key(node))) {
+      draft.when(Partition.key(node), mine.stamp());
     }
     return true;
   }
 
   /** A gang is done, or lost, together: when one task is done, every one is. */
-  private void draftGangExit(Draft draft, Job job, int index, String why) {
+  private void draftGangExit(TransactionBuilder draft, Job job, int index, String why) {
     boolean done = Report.DONE.equals(why) || draft.done(job) > 0;
     TaskState was = draft.state(job, index);
     if (!done && job.size() > 1 && was.stop() == TaskState.Stop.NONE) {
@@ -482,9 +492,9 @@
     }
   }
 
-  private void draftEnds(Draft draft) {
+  private void draftEnds(TransactionBuilder draft) {
     Set<Job> candidates = new LinkedHashSet<>(draft.touched());
-    candidates.addAll(board.endable());
+    candidates.addAll(scheduling.endable());
     for (Job job : candidates) {
       if (!draft.roomToEnd()) {
         return;
@@ -493,10 +503,10 @@
       if (draft.touched().contains(job) || mine) {
         if (job.withdrawn()) {
           if (draft.live(job) == 0) {
-            draft.end(job, Ended.WITHDRAWN, timers.wallMs());
+            draft.end(job, TerminalState.WITHDRAWN, timers.wallMs());
           }
         } else if (draft.done(job) == job.size()) {
-          draft.end(job, Ended.DONE, timers.wallMs());
+          draft.end(job, TerminalState.DONE, timers.wallMs());
         }
       }
     }
@@ -506,7 +516,7 @@
    * Moves ends to their lasting place: while there are writes to spare, or when there are many.
    * Each is moved by the member that the hash names, so that nobody waits for another.
    */
-  private void draftMoves(Draft draft) {
+  private void draftMoves(TransactionBuilder draft) {
     boolean many = tables.over().size() > MOVES_LATE_MOST;
     if (!many && !(draft.empty() && ledger.ease() > Conversion.EASE)) {
       return;
@@ -521,7 +531,7 @@
     }
   }
 
-  private void draftRecords(Draft draft) {
+  private void draftRecords(TransactionBuilder draft) {
     Iterator<Map.Entry<Machine, Machine.Info>> it = records.entrySet().iterator();
     while (it.hasNext()) {
       Map.Entry<Machine, Machine.Info> e = it.next();
@@ -532,7 +542,7 @@
       boolean is = wanted == null ? !m.mayBeForgotten() : !m.phase().mayBecome(wanted.phase());
       if (is || tables.machine(m.name()) != m) {
         it.remove();
-        board.machine(m);
+        scheduling.machine(m);
         continue;
       }
       if (!draft.takesMachine(m)) {
@@ -542,7 +552,7 @@
     }
   }
 
-  private void draftOrphans(Draft draft) {
+  private void draftOrphans(TransactionBuilder draft) {
     if (!membership.leads()) {
       return;
     }
@@ -555,8 +565,8 @@
   }
 
   /** A gang with a member being stopped is stopped whole, within the time its mates wait. */
-  private void draftStops(Draft draft) {
-    for (Job job : board.halting()) {
+  private void draftStops(TransactionBuilder draft) {
+    for (Job job : scheduling.halting()) {
       for (int i = 0; i < job.size(); i++) {
         if (draft.state(job, i).live() && draft.takes(job, 1)) {
           draft.change(job, i, t -> t.stopping(TaskState.Stop.SAVE));
@@ -566,14 +576,14 @@
   }
 
   /** Only while nothing else is to be written: then nothing of ours is about to use the share. */
-  private void draftGift(Draft draft) {
+  private void draftGift(TransactionBuilder draft) {
     Quota quota = new Quota(settings, tables);
-    quota.saveUp(board.queue().waiting(), timers.wallMs());
-    Quota.Gift g = quota.gift(membership.leads(), board.queue().waiting());
+    quota.saveUp(scheduling.queue().waiting(), timers.wallMs());
+    Quota.Gift g = quota.gift(membership.leads(), scheduling.queue().waiting());
     if (g != null) {
       LOG.info("giving quota of {} from {} to {}", g.team(), g.from(), g.to());
-      draft.write(Part.key(g.from()), g.giver().toStore(), g.giver().stamp());
-      draft.write(Part.key(g.to()), g.taker().toStore(), g.taker().stamp());
+      draft.write(Partition.key(g.from()), g.giver().toStore(), g.giver().stamp());
+      draft.write(Partition.key(g.to()), g.taker().toStore(), g.taker().stamp());
       draft.gives();
       draft.underView();
     }
--- a/src/main/java/wickdrift/coordination/Tuning.java
+++ b/src/main/java/wickdrift/coordination/Tuning.java
@@ -1,6 +1,6 @@
 package wickdrift.coordination;
 
-import wickdrift.daemon.Settings;
+import wickdrift.settings.Settings;
 
 /**
  * The operators' own settings, all with defaults that derive from what the platform hands over.
--- a/src/main/java/wickdrift/coordination/TypeInfo.java
+++ b/src/main/java/wickdrift/coordination/TypeInfo.java
@@ -2,7 +2,7 @@
 
 import java.util.List;
 import wickdrift.protocol.BadMessage;
-import wickdrift.protocol.Doc;
+import wickdrift.protocol.Document;
 import wickdrift.protocol.JobSpec;
 
 /** A machine type as the cloud describes it. */
@@ -18,7 +18,7 @@
     double bootS,
     List<String> zones) {
 
-  public static TypeInfo parse(Doc d) throws BadMessage {
+  public static TypeInfo parse(Document d) throws BadMessage {
     return new TypeInfo(
         d.text("sku"),
         d.amount("cores"),
@@ -35,9 +35,9 @@
   /** Whether a task of the job could ever run on a machine of this type. */
   public boolean canHold(JobSpec s) {
     return s.allowsType(name)
-        && s.cpus() <= cpus + Room.EPS
-        && s.gpus() <= gpus + Room.EPS
-        && s.memoryGb() <= memoryGb + Room.EPS
+        && s.cpus() <= cpus + FreeCapacity.EPS
+        && s.gpus() <= gpus + FreeCapacity.EPS
+        && s.memoryGb() <= memoryGb + FreeCapacity.EPS
         && (s.zone() == null || zones.contains(s.zone()));
   }
 }
--- a/src/main/java/wickdrift/coordination/GivingWay.java
+++ b/src/main/java/wickdrift/coordination/VictimSelection.java
@@ -11,30 +11,35 @@
 import wickdrift.bookkeeping.Job;
 import wickdrift.bookkeeping.Machine;
 import wickdrift.bookkeeping.TaskState;
-import wickdrift.daemon.Settings;
 import wickdrift.protocol.JobSpec;
+import wickdrift.settings.Settings;
 
 /** Decides when a job that finds no room stops work of lower priority, and where. */
-final class GivingWay {
-  private static final Logger LOG = LoggerFactory.getLogger(GivingWay.class);
+final class VictimSelection {
+  private static final Logger LOG = LoggerFactory.getLogger(VictimSelection.class);
 
   /** So many jobs a round look for what to stop, each for so many of its tasks. */
   private static final int PREEMPT_SCANS = 4;
 
   private static final int PREEMPT_MOST = 16;
 
-  private final Rooms rooms;
+  private final CapacityIndex rooms;
   private final Types types;
-  private final Marks marks;
+  private final Reservations reservations;
   private final Tuning tuning;
   private final Settings settings;
   private final String node;
   private int preemptScans;
 
-  GivingWay(Rooms rooms, Types types, Marks marks, Tuning tuning, Settings settings) {
+  VictimSelection(
+      CapacityIndex rooms,
+      Types types,
+      Reservations reservations,
+      Tuning tuning,
+      Settings settings) {
     this.rooms = rooms;
     this.types = types;
-    this.marks = marks;
+    this.reservations = reservations;
     this.tuning = tuning;
     this.settings = settings;
     this.node = settings.node();
@@ -49,7 +54,7 @@
    * takes what others leave and gives it back; other work when a good part of the time in which the
    * job should start has passed.
    */
-  void draft(Draft draft, Job job, boolean asLeader, Quota quota, long now) {
+  void draft(TransactionBuilder draft, Job job, boolean asLeader, Quota quota, long now) {
     JobSpec spec = job.spec();
     long waited = now - job.waitingSinceMs(now);
     if (job.teamRank() == JobSpec.Priority.LOW
@@ -65,14 +70,14 @@
     preemptScans++;
     job.preemptAtMs(now + Placing.BLOCKED_MS);
     JobSpec.Priority strongest = waited < patience ? JobSpec.Priority.LOW : JobSpec.Priority.HIGH;
-    List<Room> may = new ArrayList<>();
+    List<FreeCapacity> may = new ArrayList<>();
     Map<String, Integer> zones = Placing.zones(draft, job);
-    Predicate<Rooms.Cell> scope = Placing.scope(node, asLeader);
+    Predicate<CapacityIndex.Cell> scope = Placing.scope(node, asLeader);
     boolean gang = spec.shape() == JobSpec.Shape.GANG;
     if (gang && asLeader) {
       emptyMarked(draft, job, strongest, now);
     }
-    int lack = job.waiting() - (gang ? marks.of(job).size() : 0);
+    int lack = job.waiting() - (gang ? reservations.of(job).size() : 0);
     if (lack <= 0) {
       return;
     }
@@ -88,13 +93,13 @@
             may, spec, job.teamRank(), strongest, now, Math.min(lack, PREEMPT_MOST))) {
       if (gang && asLeader) {
         // Else what is stopped for it makes room for others.
-        marks.markFor(job, c.machine(), now);
+        reservations.markFor(job, c.machine(), now);
       }
       stop(draft, job, c);
     }
   }
 
-  private void stop(Draft draft, Job job, Preemption.Choice c) {
+  private void stop(TransactionBuilder draft, Job job, Preemption.Choice c) {
     for (Machine.Slot s : c.victims()) {
       if (draft.takes(s.job(), 1)) {
         if (draft.state(s.job(), s.index()).stop() == TaskState.Stop.NONE) {
@@ -107,13 +112,14 @@
   }
 
   /** Stops what may be stopped on all the machines that a gang has marked, not one by one. */
-  private void emptyMarked(Draft draft, Job job, JobSpec.Priority strongest, long now) {
-    for (Machine m : marks.of(job)) {
+  private void emptyMarked(
+      TransactionBuilder draft, Job job, JobSpec.Priority strongest, long now) {
+    for (Machine m : reservations.of(job)) {
       TypeInfo t = m.info() == null ? null : types.find(m.info().type());
       Preemption.Choice c =
           t == null
               ? null
-              : Preemption.on(new Room(m, t), job.spec(), job.teamRank(), strongest, now);
+              : Preemption.on(new FreeCapacity(m, t), job.spec(), job.teamRank(), strongest, now);
       if (c != null) {
         stop(draft, job, c);
       }
@@ -121,8 +127,8 @@
   }
 
   /** Machines already marked are being emptied; the rest of a one-zone gang goes beside them. */
-  private void keepToMarkedZone(Job job, List<Room> may) {
-    List<Machine> mine = marks.of(job);
+  private void keepToMarkedZone(Job job, List<FreeCapacity> may) {
+    List<Machine> mine = reservations.of(job);
     if (job.spec().oneZone() && !mine.isEmpty()) {
       String zone = mine.get(0).info().zone();
       may.removeIf(r -> !zone.equals(r.machine().info().zone()));
@@ -132,14 +138,14 @@
 
   /** Of the zones where enough machines can be emptied, the one where that costs least. */
   private static void keepToCheapestZone(
-      List<Room> may, Job job, JobSpec.Priority strongest, int lack, long now) {
-    Map<String, List<Room>> byZone = new HashMap<>();
-    for (Room r : may) {
+      List<FreeCapacity> may, Job job, JobSpec.Priority strongest, int lack, long now) {
+    Map<String, List<FreeCapacity>> byZone = new HashMap<>();
+    for (FreeCapacity r : may) {
       byZone.computeIfAbsent(r.machine().info().zone(), k -> new ArrayList<>()).add(r);
     }
-    List<Room> best = List.of();
+    List<FreeCapacity> best = List.of();
     double least = Double.MAX_VALUE;
-    for (List<Room> rooms : byZone.values()) {
+    for (List<FreeCapacity> rooms : byZone.values()) {
       List<Preemption.Choice> all =
           Preemption.cheapest(rooms, job.spec(), job.teamRank(), strongest, now, lack);
       double lost = all.stream().mapToDouble(Preemption.Choice::lost).sum();
--- a/src/main/java/wickdrift/daemon/Controller.java
+++ b/src/main/java/wickdrift/daemon/Controller.java
@@ -7,27 +7,28 @@
 import java.util.function.Consumer;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
-import wickdrift.bookkeeping.Finals;
+import wickdrift.bookkeeping.JobHistory;
 import wickdrift.bookkeeping.Ledger;
 import wickdrift.bookkeeping.Limits;
 import wickdrift.bookkeeping.Tables;
 import wickdrift.bookkeeping.level.Gate;
 import wickdrift.bookkeeping.level.Range;
 import wickdrift.coordination.Admission;
-import wickdrift.coordination.Board;
 import wickdrift.coordination.Confirmations;
 import wickdrift.coordination.Fleet;
 import wickdrift.coordination.Membership;
-import wickdrift.coordination.Pulse;
+import wickdrift.coordination.PauseDetector;
 import wickdrift.coordination.Relay;
 import wickdrift.coordination.Reporting;
-import wickdrift.coordination.Scribe;
+import wickdrift.coordination.SchedulingState;
+import wickdrift.coordination.TransactionPipeline;
 import wickdrift.coordination.Tuning;
 import wickdrift.coordination.Types;
 import wickdrift.coordination.Zones;
 import wickdrift.protocol.BadMessage;
 import wickdrift.protocol.JobSpec;
 import wickdrift.protocol.PeerFrame;
+import wickdrift.settings.Settings;
 import wickdrift.transport.Caller;
 import wickdrift.transport.Exchange;
 import wickdrift.transport.Timers;
@@ -43,13 +44,13 @@
   private static final long LEAVE_STEP_MS = 20;
   private static final int CAUSES_TOLD = 100;
 
-  private final Pulse pulse;
+  private final PauseDetector pauseDetector;
   private final Ledger ledger;
   private final Tables tables;
-  private final Board board;
-  private final Finals finals;
+  private final SchedulingState scheduling;
+  private final JobHistory history;
   private final Membership membership;
-  private final Scribe scribe;
+  private final TransactionPipeline pipeline;
   private final Relay relay;
   private final Reporting reporting;
   private final Confirmations confirmations;
@@ -85,8 +86,8 @@
       Metrics metrics,
       Range levels) {
     this.metrics = metrics;
-    pulse = new Pulse(clock, tuning.stillMs());
-    Timers timers = pulse.timers();
+    pauseDetector = new PauseDetector(clock, tuning.stillMs());
+    Timers timers = pauseDetector.timers();
     Caller caller =
         (address, method, path, body, timeoutMs, done) ->
             calls.call(
@@ -96,20 +97,22 @@
                 body,
                 timeoutMs,
                 a -> {
-                  pulse.beat();
+                  pauseDetector.beat();
                   done.accept(a);
                 });
     Types types = new Types();
     tables = new Tables(settings.nodeNames(), levels, this::tablesChanged);
-    board = new Board(timers, tables, types, settings);
+    scheduling = new SchedulingState(timers, tables, types, settings);
     Limits limits =
         new Limits(settings.stateLimits(), settings.nextLimits(), () -> tables.open(Gate.LIMITS));
     ledger =
         new Ledger(timers, caller, settings.state(), limits, settings.peers().size() + 1, tables);
     membership =
         new Membership(timers, ledger, tables, tuning, settings, levels, incarnation, peers);
-    relay = new Relay(timers, settings.node(), tables.roster(), peers);
-    scribe = new Scribe(timers, ledger, tables, board, types, membership, tuning, settings);
+    relay = new Relay(timers, settings.node(), tables.registry(), peers);
+    pipeline =
+        new TransactionPipeline(
+            timers, ledger, tables, scheduling, types, membership, tuning, settings);
     Zones zones = new Zones(tuning.quietMs());
     reporting =
         new Reporting(
@@ -117,19 +120,28 @@
             ledger,
             tables,
             membership,
-            scribe,
+            pipeline,
             tuning,
             caller,
             relay,
-            pulse,
+            pauseDetector,
             zones,
             (long) (settings.workers().leaseS() * 1000),
             settings.node());
-    finals = new Finals(timers, ledger, tables);
+    history = new JobHistory(timers, ledger, tables);
     confirmations = new Confirmations(timers, ledger, tables, reporting, settings.node(), peers);
     admission =
         new Admission(
-            timers, ledger, tables, finals, board, types, settings, tuning, pulse, confirmations);
+            timers,
+            ledger,
+            tables,
+            history,
+            scheduling,
+            types,
+            settings,
+            tuning,
+            pauseDetector,
+            confirmations);
     admission.leaving(membership::leaving);
     fleet =
         new Fleet(
@@ -137,23 +149,23 @@
             caller,
             ledger,
             tables,
-            board,
+            scheduling,
             types,
             membership,
-            scribe,
+            pipeline,
             tuning,
             settings,
-            pulse,
+            pauseDetector,
             zones,
             incarnation);
     // In this order: what was drawn from silence is dropped after nothing is decided any more.
-    pulse.onWaking(ms -> membership.woke());
-    pulse.onWaking(ms -> scribe.woke());
-    metrics.watch("rooms.looked", () -> board.looked());
-    metrics.watch("tasks.placed", scribe::placed);
-    metrics.watch("transactions", scribe::transactions);
-    metrics.watch("transactions.drafted", scribe::drafted);
-    metrics.watch("transactions.unpaid", scribe::unpaid);
+    pauseDetector.onWaking(ms -> membership.woke());
+    pauseDetector.onWaking(ms -> pipeline.woke());
+    metrics.watch("rooms.looked", () -> scheduling.looked());
+    metrics.watch("tasks.placed", pipeline::placed);
+    metrics.watch("transactions", pipeline::transactions);
+    metrics.watch("transactions.drafted", pipeline::drafted);
+    metrics.watch("transactions.unpaid", pipeline::unpaid);
     metrics.watch("transactions.refused.by.budget", ledger::refusedByBudget);
     metrics.watch("transactions.refused.by.store", ledger::refusedByStore);
     metrics.watch("transactions.failed.by.condition", ledger::failedByCondition);
@@ -161,15 +173,15 @@
     metrics.watch("machines.known", () -> tables.machines().size());
     metrics.watch("transactions.too.large", ledger::tooLarge);
     metrics.watch("state.limits.fallen", () -> limits.fallen() ? 1 : 0);
-    metrics.watch("finals.read", finals::reads);
-    metrics.watch("stages.delay.ms", () -> scribe.stageDelayMs(90));
+    metrics.watch("finals.read", history::reads);
+    metrics.watch("stages.delay.ms", () -> pipeline.stageDelayMs(90));
     metrics.watch("jobs.over", () -> tables.over().size());
-    metrics.watch("jobs.unclear", () -> tables.chains().unknown().size());
+    metrics.watch("jobs.unclear", () -> tables.dependencies().unknown().size());
     metrics.watch("log.pages", () -> tables.log(settings.node()).size());
     metrics.watch("polls.shed", admission::shed);
-    metrics.watch("loop.late.ms", pulse::lateMs);
-    metrics.watch("loop.pauses", pulse::pauses);
-    metrics.watch("loop.paused.ms", pulse::pausedMs);
+    metrics.watch("loop.late.ms", pauseDetector::lateMs);
+    metrics.watch("loop.pauses", pauseDetector::pauses);
+    metrics.watch("loop.paused.ms", pauseDetector::pausedMs);
     metrics.watch("state.writes.ease", ledger::ease);
     metrics.watch("state.level", tables::level);
     metrics.watch("state.barred", () -> tables.barred() == null ? 0 : 1);
@@ -186,10 +198,10 @@
   }
 
   public void start() {
-    pulse.start();
+    pauseDetector.start();
     ledger.start();
     membership.start();
-    scribe.start();
+    pipeline.start();
     reporting.start();
     fleet.start();
   }
@@ -203,12 +215,12 @@
    */
   public void leave(long withinMs, Runnable done) {
     membership.leave();
-    leaveStep(pulse.timers().nowMs() + withinMs, done);
+    leaveStep(pauseDetector.timers().nowMs() + withinMs, done);
   }
 
   private void leaveStep(long byMs, Runnable done) {
-    long now = pulse.timers().nowMs();
-    if (scribe.idle() && admission.idle() || now >= byMs) {
+    long now = pauseDetector.timers().nowMs();
+    if (pipeline.idle() && admission.idle() || now >= byMs) {
       boolean[] once = new boolean[1];
       Runnable end =
           () -> {
@@ -218,21 +230,21 @@
             }
           };
       membership.giveBack(end);
-      pulse.timers().after(Math.max(0, byMs - now), end);
+      pauseDetector.timers().after(Math.max(0, byMs - now), end);
     } else {
-      pulse.timers().after(LEAVE_STEP_MS, () -> leaveStep(byMs, done));
+      pauseDetector.timers().after(LEAVE_STEP_MS, () -> leaveStep(byMs, done));
     }
   }
 
   private void tablesChanged() {
-    finals.chase();
-    board.update();
-    reporting.tablesChanged(board.takeChanged());
-    scribe.wake();
+    history.chase();
+    scheduling.update();
+    reporting.tablesChanged(scheduling.takeChanged());
+    pipeline.wake();
   }
 
   public void peerFrame(ByteBuffer bytes) {
-    pulse.beat();
+    pauseDetector.beat();
     PeerFrame frame;
     try {
       frame = PeerFrame.decode(bytes);
@@ -260,7 +272,7 @@
 
   /** Every request of users, workers and the load balancer comes in here. */
   public void handle(Exchange x) {
-    pulse.beat();
+    pauseDetector.beat();
     metrics.request();
     String path = x.path();
     int query = path.indexOf('?');
--- a/src/main/java/wickdrift/daemon/Rehearse.java
+++ b/src/main/java/wickdrift/daemon/Rehearse.java
@@ -14,7 +14,8 @@
 import java.util.function.Consumer;
 import picocli.CommandLine;
 import wickdrift.coordination.Tuning;
-import wickdrift.protocol.Pack;
+import wickdrift.protocol.MessageCodec;
+import wickdrift.settings.Settings;
 import wickdrift.transport.EventLoop;
 import wickdrift.transport.HttpClient;
 import wickdrift.transport.HttpServer;
@@ -67,10 +68,10 @@
     List<Object[]> asks =
         List.of(
             new Object[] {"GET", "/up", null},
-            new Object[] {"POST", "/api/jobs", Pack.encode(Map.of("ref", "req-1"))},
+            new Object[] {"POST", "/api/jobs", MessageCodec.encode(Map.of("ref", "req-1"))},
             new Object[] {"GET", "/api/jobs/req-1", null},
             new Object[] {"POST", "/api/jobs/req-1/withdraw", null},
-            new Object[] {"POST", "/hello", Pack.encode(Map.of("host", "i-1"))},
+            new Object[] {"POST", "/hello", MessageCodec.encode(Map.of("host", "i-1"))},
             new Object[] {"GET", "/metrics", null});
     CountDownLatch left = new CountDownLatch(asks.size() + 1);
     for (Object[] a : asks) {
--- a/src/main/java/wickdrift/daemon/Serve.java
+++ b/src/main/java/wickdrift/daemon/Serve.java
@@ -15,6 +15,7 @@
 import org.slf4j.LoggerFactory;
 import picocli.CommandLine;
 import wickdrift.coordination.Tuning;
+import wickdrift.settings.Settings;
 import wickdrift.transport.EventLoop;
 import wickdrift.transport.HttpClient;
 import wickdrift.transport.HttpServer;
--- a/src/main/java/wickdrift/operator/LevelCommand.java
+++ b/src/main/java/wickdrift/operator/LevelCommand.java
@@ -12,10 +12,10 @@
 import wickdrift.bookkeeping.View;
 import wickdrift.bookkeeping.level.Announcement;
 import wickdrift.bookkeeping.level.Gate;
+import wickdrift.bookkeeping.level.LevelUpgrade;
 import wickdrift.bookkeeping.level.Range;
-import wickdrift.bookkeeping.level.Rise;
 import wickdrift.bookkeeping.level.Word;
-import wickdrift.daemon.Settings;
+import wickdrift.settings.Settings;
 
 /** {@code wickdrift level}: the level of stored state that is in force, and what it waits for. */
 @CommandLine.Command(
@@ -46,9 +46,9 @@
 
   private static TreeSet<String> controllers(Tables t, Settings settings) {
     TreeSet<String> names = new TreeSet<>(settings.nodeNames());
-    names.addAll(t.roster().names());
+    names.addAll(t.registry().names());
     names.addAll(t.announcedLive().keySet());
-    t.roster().announced().forEach(a -> names.addAll(a.peers()));
+    t.registry().announced().forEach(a -> names.addAll(a.peers()));
     return names;
   }
 
@@ -61,38 +61,39 @@
       if (t.barred() != null) {
         return fail(NO, t.barred());
       }
-      Rise rise =
-          Rise.judge(t.level(), Range.BUILD, t.announcedLive(), settings.nodeNames(), t.roster());
+      LevelUpgrade rise =
+          LevelUpgrade.judge(
+              t.level(), Range.BUILD, t.announcedLive(), settings.nodeNames(), t.registry());
       List<Map<String, Object>> list = new ArrayList<>();
       for (String name : controllers(t, settings)) {
-        Announcement a = t.roster().announced(name);
+        Announcement a = t.registry().announced(name);
         boolean live = t.announcedLive().containsKey(name);
         Map<String, Object> m = new LinkedHashMap<>();
         m.put("name", name);
-        m.put("number", t.roster().number(name));
+        m.put("number", t.registry().number(name));
         m.put("there", live);
         m.put("member", t.view() != null && t.view().members().containsKey(name));
         m.put(
             "levels",
             live ? t.announcedLive().get(name).toString() : a == null ? "" : a.range().toString());
-        m.put("waitedFor", !t.roster().word().without().contains(name));
+        m.put("waitedFor", !t.registry().word().without().contains(name));
         list.add(m);
       }
       Map<String, Object> all = new LinkedHashMap<>();
       all.put("level", t.level());
       all.put("build", Range.BUILD.toString());
       all.put("epoch", t.view() == null ? 0 : t.view().epoch());
-      all.put("gates", Rise.gates(t.level(), t.roster().word()));
+      all.put("gates", LevelUpgrade.gates(t.level(), t.registry().word()));
       all.put("waitsFor", rise.waitsFor());
       all.put("oldForms", t.oldForms().size());
-      all.put("converted", t.level() > 1 && t.roster().doneLevel() >= t.level());
+      all.put("converted", t.level() > 1 && t.registry().doneLevel() >= t.level());
       all.put("controllers", list);
       if (json) {
         print(all);
         return OK;
       }
       out().println("level " + t.level() + " is in force; this build speaks " + Range.BUILD);
-      Rise.gates(t.level(), t.roster().word())
+      LevelUpgrade.gates(t.level(), t.registry().word())
           .forEach((g, why) -> out().println("gate " + g + ": " + (why.isEmpty() ? "open" : why)));
       for (String why : rise.waitsFor()) {
         out().println("level " + (t.level() + 1) + " waits: " + why);
@@ -102,7 +103,7 @@
             .println(
                 t.oldForms().size()
                     + " records of an older form are left"
-                    + (t.roster().doneLevel() >= t.level() ? "; all was converted" : ""));
+                    + (t.registry().doneLevel() >= t.level() ? "; all was converted" : ""));
       }
       for (Map<String, Object> m : list) {
         out()
@@ -141,7 +142,7 @@
       if (next == null) {
         return code;
       }
-      long stamp = t.roster().word().stamp();
+      long stamp = t.registry().word().stamp();
       // On condition of the view too: a level that rises meanwhile makes this come too late.
       Txn txn =
           new Txn()
@@ -179,7 +180,7 @@
       if (t.open(g)) {
         return refuse(NO, "gate " + gate + " is open, and can't be closed again");
       }
-      return t.roster().word().hold(gate, true);
+      return t.registry().word().hold(gate, true);
     }
   }
 
@@ -191,10 +192,10 @@
 
     @Override
     Word next(Tables t, Settings settings) {
-      return t.roster().word().held().contains(gate)
-          ? t.roster().word().hold(gate, false)
+      return t.registry().word().held().contains(gate)
+          ? t.registry().word().hold(gate, false)
           : refuse(
-              BAD_INPUT, "gate " + gate + " is not held back; held: " + t.roster().word().held());
+              BAD_INPUT, "gate " + gate + " is not held back; held: " + t.registry().word().held());
     }
   }
 
@@ -211,7 +212,7 @@
 
     @Override
     Word next(Tables t, Settings settings) {
-      Word word = t.roster().word();
+      Word word = t.registry().word();
       if (undo) {
         return word.without().contains(name)
             ? word.without(name, false)
--- a/src/main/java/wickdrift/operator/Records.java
+++ b/src/main/java/wickdrift/operator/Records.java
@@ -7,8 +7,8 @@
 import wickdrift.bookkeeping.Ledger;
 import wickdrift.bookkeeping.Txn;
 import wickdrift.protocol.BadMessage;
-import wickdrift.protocol.Doc;
-import wickdrift.protocol.Pack;
+import wickdrift.protocol.Document;
+import wickdrift.protocol.MessageCodec;
 import wickdrift.transport.Caller.Answer;
 
 /**
@@ -48,9 +48,9 @@
       boolean more = true;
       while (more) {
         String path = "/store?prefix=" + Ledger.PREFIX + "&most=" + PAGE;
-        Doc d = answer(store.call("GET", from == null ? path : path + "&from=" + from, null));
+        Document d = answer(store.call("GET", from == null ? path : path + "&from=" + from, null));
         rev = Math.min(rev, d.count("ledgerRev"));
-        for (Doc e : d.docs("entries")) {
+        for (Document e : d.docs("entries")) {
           from = e.text("key");
           all.put(from, new Item(e.raw("v"), e.count("stamp")));
         }
@@ -61,10 +61,10 @@
       if (a.status() == 410) {
         return null;
       }
-      Doc d = answer(a);
-      List<Doc> news = new ArrayList<>(d.docs("news"));
+      Document d = answer(a);
+      List<Document> news = new ArrayList<>(d.docs("news"));
       List<Long> stamps = new ArrayList<>();
-      for (Doc n : news) {
+      for (Document n : news) {
         stamps.add(n.count("stamp"));
       }
       List<Integer> order = new ArrayList<>();
@@ -73,7 +73,7 @@
       }
       order.sort(Comparator.comparing(stamps::get));
       for (int i : order) {
-        Doc n = news.get(i);
+        Document n = news.get(i);
         String written = n.textOrNull("write");
         if (written == null) {
           all.remove(n.text("delete"));
@@ -87,11 +87,11 @@
     }
   }
 
-  private static Doc answer(Answer a) throws Store.Away, BadMessage {
+  private static Document answer(Answer a) throws Store.Away, BadMessage {
     if (a.status() != 200) {
       throw new Store.Away("the state service answers " + a.status());
     }
-    return Doc.parse(a.body());
+    return Document.parse(a.body());
   }
 
   /** The same as the controllers' tables take them. */
@@ -103,7 +103,7 @@
 
   /** One transaction; true if its conditions held. */
   static boolean commit(Store store, Txn txn) throws Store.Away {
-    Answer a = store.call("POST", "/commit", Pack.encode(txn.toWire()));
+    Answer a = store.call("POST", "/commit", MessageCodec.encode(txn.toWire()));
     if (a.status() != 200 && a.status() != 409) {
       throw new Store.Away("the state service refuses a change with " + a.status());
     }
--- a/src/main/java/wickdrift/operator/Restore.java
+++ b/src/main/java/wickdrift/operator/Restore.java
@@ -13,7 +13,7 @@
 import wickdrift.bookkeeping.View;
 import wickdrift.bookkeeping.level.Range;
 import wickdrift.protocol.BadMessage;
-import wickdrift.protocol.Pack;
+import wickdrift.protocol.MessageCodec;
 
 /**
  * Puts a snapshot into an empty store. Its revisions begin anew there, so the logs can't be put
@@ -79,7 +79,8 @@
         continue;
       }
       txn.when(e.getKey(), is == null ? 0 : is.stamp()).write(e.getKey(), e.getValue());
-      if (txn.changes() == limits.txnOps() || Pack.encode(txn.toWire()).length > MOST_BYTES) {
+      if (txn.changes() == limits.txnOps()
+          || MessageCodec.encode(txn.toWire()).length > MOST_BYTES) {
         write(txn);
         txn = new Txn();
       }
@@ -157,7 +158,8 @@
   /** Whether two values are alike once stored. */
   private static boolean same(Object a, Object b) {
     try {
-      return Pack.decode(Pack.encode(a)).equals(Pack.decode(Pack.encode(b)));
+      return MessageCodec.decode(MessageCodec.encode(a))
+          .equals(MessageCodec.decode(MessageCodec.encode(b)));
     } catch (BadMessage e) {
       return false;
     }
--- a/src/main/java/wickdrift/operator/Snapshot.java
+++ b/src/main/java/wickdrift/operator/Snapshot.java
@@ -14,8 +14,8 @@
 import net.jpountz.lz4.LZ4FrameOutputStream.BLOCKSIZE;
 import net.jpountz.lz4.LZ4FrameOutputStream.FLG;
 import wickdrift.protocol.BadMessage;
-import wickdrift.protocol.Doc;
-import wickdrift.protocol.Pack;
+import wickdrift.protocol.Document;
+import wickdrift.protocol.MessageCodec;
 
 /**
  * A file that holds all records as of one revision: eight bytes that say what it is and its form,
@@ -57,7 +57,7 @@
   }
 
   private static void put(OutputStream out, Object value) throws IOException {
-    byte[] b = Pack.encode(value);
+    byte[] b = MessageCodec.encode(value);
     out.write(new byte[] {(byte) (b.length >> 24), (byte) (b.length >> 16)});
     out.write(new byte[] {(byte) (b.length >> 8), (byte) b.length});
     out.write(b);
@@ -80,7 +80,7 @@
       }
       // A bad byte is found by the frame's checksums before what it says is used.
       InputStream lz4 = new LZ4FrameInputStream(in, true);
-      Doc head = Doc.of(get(lz4));
+      Document head = Document.of(get(lz4));
       long count = head.count("records");
       TreeMap<String, Records.Item> all = new TreeMap<>();
       for (; n < count; n++) {
@@ -96,7 +96,7 @@
         }
       }
       at = "the end";
-      if (Doc.of(get(lz4)).count("end") != count || lz4.read() >= 0) {
+      if (Document.of(get(lz4)).count("end") != count || lz4.read() >= 0) {
         throw new Damaged("the end does not say " + count + " records");
       }
       if (in.read() >= 0) {
@@ -123,6 +123,6 @@
     if (b.length < length) {
       throw new EOFException();
     }
-    return Pack.decode(b);
+    return MessageCodec.decode(b);
   }
 }
--- a/src/main/java/wickdrift/operator/StateCheck.java
+++ b/src/main/java/wickdrift/operator/StateCheck.java
@@ -8,14 +8,14 @@
 import java.util.TreeSet;
 import wickdrift.bookkeeping.Job;
 import wickdrift.bookkeeping.Machine;
-import wickdrift.bookkeeping.Part;
+import wickdrift.bookkeeping.Partition;
 import wickdrift.bookkeeping.Tables;
 import wickdrift.bookkeeping.View;
 import wickdrift.bookkeeping.level.Announcement;
 import wickdrift.bookkeeping.level.Form;
 import wickdrift.bookkeeping.level.Gate;
+import wickdrift.bookkeeping.level.NodeRegistry;
 import wickdrift.bookkeeping.level.Range;
-import wickdrift.bookkeeping.level.Roster;
 import wickdrift.protocol.BadMessage;
 
 /** What of the stored state a build can't read, and what contradicts itself. A pure function. */
@@ -73,7 +73,7 @@
       parts(t, v);
       forms(t, v);
     }
-    roster(t);
+    registry(t);
     jobs(t);
   }
 
@@ -84,9 +84,9 @@
     for (String m : v.members().keySet()) {
       // Since parts are not rewritten with the view, one that was never written is an empty one.
       if (t.part(m) == null && !v.open(Gate.VIEWS)) {
-        error(Part.key(m), "is missing, and " + m + " is a member");
+        error(Partition.key(m), "is missing, and " + m + " is a member");
       }
-      if (v.open(Gate.NUMBERS) && t.roster().number(m) < 0) {
+      if (v.open(Gate.NUMBERS) && t.registry().number(m) < 0) {
         error(View.KEY, "member " + m + " has no number");
       }
     }
@@ -95,9 +95,9 @@
   private void parts(Tables t, View v) {
     Map<String, Double> sums = new HashMap<>();
     boolean told = true;
-    for (Map.Entry<String, Part> e : new TreeMap<>(t.parts()).entrySet()) {
-      Part p = e.getValue();
-      String key = Part.key(e.getKey());
+    for (Map.Entry<String, Partition> e : new TreeMap<>(t.parts()).entrySet()) {
+      Partition p = e.getValue();
+      String key = Partition.key(e.getKey());
       if (p.epoch() > v.epoch()) {
         error(key, "is of epoch " + p.epoch() + ", the view of epoch " + v.epoch());
       }
@@ -128,8 +128,10 @@
     for (String key : t.oldForms()) {
       note(key, "is of a form older than level " + v.level() + "; it is being brought to it");
     }
-    if (t.roster().doneLevel() > v.level()) {
-      error(Roster.DONE, "tells of level " + t.roster().doneLevel() + ", which is not in force");
+    if (t.registry().doneLevel() > v.level()) {
+      error(
+          NodeRegistry.DONE,
+          "tells of level " + t.registry().doneLevel() + ", which is not in force");
     }
     for (Map.Entry<String, Records.Item> e : records.all().entrySet()) {
       try {
@@ -144,14 +146,14 @@
     }
   }
 
-  private void roster(Tables t) {
+  private void registry(Tables t) {
     Map<String, Integer> names = new HashMap<>();
-    for (Announcement a : t.roster().announced()) {
+    for (Announcement a : t.registry().announced()) {
       Integer other = names.putIfAbsent(a.name(), a.number());
       if (other != null) {
         error(Announcement.key(a.number()), a.name() + " has the number " + other + " too");
       }
-      List<String> first = t.roster().first();
+      List<String> first = t.registry().first();
       if (a.number() < first.size() && !first.get(a.number()).equals(a.name())) {
         error(
             Announcement.key(a.number()),
@@ -161,10 +163,10 @@
                 + first.get(a.number()));
       }
     }
-    if (!t.roster().announced().isEmpty() && !t.roster().hasList()) {
-      error(Roster.LIST, "is missing, and controllers have numbers");
+    if (!t.registry().announced().isEmpty() && !t.registry().hasList()) {
+      error(NodeRegistry.LIST, "is missing, and controllers have numbers");
     }
-    for (String held : t.roster().word().held()) {
+    for (String held : t.registry().word().held()) {
       if (Gate.of(held) == null) {
         note("w/c/word", "holds back the gate " + held + ", which this build does not know");
       }
@@ -181,7 +183,7 @@
         error(j.key(), "is unfinished, and " + Job.finalKey(j.id()) + " says that it is over");
       }
       for (int i = 0; i < j.size(); i++) {
-        if (j.task(i).live() && t.roster().name(j.task(i).placer()) == null) {
+        if (j.task(i).live() && t.registry().name(j.task(i).placer()) == null) {
           unknown.add(j.task(i).placer());
         }
         if (j.task(i).live() && j.task(i).machine().phase() == Machine.Phase.UNKNOWN) {
@@ -190,7 +192,7 @@
       }
     }
     for (int n : unknown) {
-      if (t.roster().hasList()) {
+      if (t.registry().hasList()) {
         error(Announcement.key(n), "is missing, and tasks that run were placed by that number");
       }
     }
--- a/src/main/java/wickdrift/operator/StateCommand.java
+++ b/src/main/java/wickdrift/operator/StateCommand.java
@@ -15,7 +15,7 @@
 import picocli.CommandLine;
 import wickdrift.bookkeeping.Limits;
 import wickdrift.bookkeeping.level.Range;
-import wickdrift.daemon.Settings;
+import wickdrift.settings.Settings;
 
 /** {@code wickdrift state}: the whole stored state, looked through, kept and put back. */
 @CommandLine.Command(
--- a/src/main/java/wickdrift/operator/Tool.java
+++ b/src/main/java/wickdrift/operator/Tool.java
@@ -6,7 +6,7 @@
 import java.util.Map;
 import java.util.concurrent.Callable;
 import picocli.CommandLine;
-import wickdrift.daemon.Settings;
+import wickdrift.settings.Settings;
 
 /**
  * What all commands of operators share: where the state service is, plain text or JSON, and exit
--- a/src/main/java/wickdrift/protocol/Doc.java
+++ b/src/main/java/wickdrift/protocol/Document.java
@@ -6,22 +6,22 @@
 import java.util.Map;
 
 /** Typed, checked reading of one decoded map. */
-public final class Doc {
+public final class Document {
   private final Map<?, ?> map;
 
-  private Doc(Map<?, ?> map) {
+  private Document(Map<?, ?> map) {
     this.map = map;
   }
 
-  public static Doc of(Object value) throws BadMessage {
+  public static Document of(Object value) throws BadMessage {
     if (value instanceof Map<?, ?> m) {
-      return new Doc(m);
+      return new Document(m);
     }
     throw new BadMessage("not a map");
   }
 
-  public static Doc parse(byte[] body) throws BadMessage {
-    return of(Pack.decode(body));
+  public static Document parse(byte[] body) throws BadMessage {
+    return of(MessageCodec.decode(body));
   }
 
   public Object raw(String key) {
@@ -135,8 +135,8 @@
     throw new BadMessage(key + " is not a list");
   }
 
-  public List<Doc> docs(String key) throws BadMessage {
-    List<Doc> out = new ArrayList<>();
+  public List<Document> docs(String key) throws BadMessage {
+    List<Document> out = new ArrayList<>();
     for (Object o : list(key)) {
       out.add(of(o));
     }
--- a/src/main/java/wickdrift/protocol/JobSpec.java
+++ b/src/main/java/wickdrift/protocol/JobSpec.java
@@ -92,11 +92,11 @@
           "flushS");
 
   /** The field that a submission lacks, or null. Stored descriptions of older builds may. */
-  public static String lacks(Doc submitted) {
+  public static String lacks(Document submitted) {
     return REQUIRED.stream().filter(f -> submitted.raw(f) == null).findFirst().orElse(null);
   }
 
-  public static JobSpec parse(Doc d) throws BadMessage {
+  public static JobSpec parse(Document d) throws BadMessage {
     String id = d.text("ref");
     if (!validId(id)) {
       throw new BadMessage("ref is not a job id");
@@ -133,7 +133,7 @@
         awaits(d));
   }
 
-  private static List<String> awaits(Doc d) throws BadMessage {
+  private static List<String> awaits(Document d) throws BadMessage {
     Set<String> names = new LinkedHashSet<>(d.texts("awaits"));
     for (String n : names) {
       if (!validId(n)) {
@@ -169,7 +169,7 @@
         others);
   }
 
-  private static String name(Doc d, String key) throws BadMessage {
+  private static String name(Document d, String key) throws BadMessage {
     String s = d.text(key);
     if (s.isEmpty() || s.length() > MAX_NAME) {
       throw new BadMessage(key + " is empty or too long");
@@ -196,7 +196,7 @@
   }
 
   /** The fields of a stored description that this build does not know. */
-  public static Map<String, Object> unknownFields(Doc stored) {
+  public static Map<String, Object> unknownFields(Document stored) {
     return stored.without(
         "ref",
         "jobclass",
--- a/src/main/java/wickdrift/protocol/Pack.java
+++ b/src/main/java/wickdrift/protocol/MessageCodec.java
@@ -13,13 +13,13 @@
 import org.msgpack.core.MessageUnpacker;
 
 /** MessagePack bodies as plain maps, lists, text, numbers, booleans and null. */
-public final class Pack {
+public final class MessageCodec {
   /**
    * Deeper nesting than any message of the protocol has; guards the stack against hostile input.
    */
   private static final int MAX_DEPTH = 12;
 
-  private Pack() {}
+  private MessageCodec() {}
 
   public static byte[] encode(Object value) {
     try (MessageBufferPacker packer = MessagePack.newDefaultBufferPacker()) {
--- a/src/main/java/wickdrift/protocol/Report.java
+++ b/src/main/java/wickdrift/protocol/Report.java
@@ -44,9 +44,9 @@
   public static final String BUSY = "busy";
   public static final String UNKNOWN = "unknown";
 
-  public static Report parse(Doc d) throws BadMessage {
+  public static Report parse(Document d) throws BadMessage {
     List<Entry> tasks = new ArrayList<>();
-    for (Doc t : d.docs("shards")) {
+    for (Document t : d.docs("shards")) {
       String name = t.text("shard");
       int slash = name.lastIndexOf('/');
       if (slash < 0) {
--- a/src/main/java/wickdrift/daemon/Settings.java
+++ b/src/main/java/wickdrift/settings/Settings.java
@@ -1,4 +1,4 @@
-package wickdrift.daemon;
+package wickdrift.settings;
 
 import com.electronwill.nightconfig.core.UnmodifiableConfig;
 import com.electronwill.nightconfig.core.io.ParsingException;
--- a/src/main/java/wickdrift/transport/HttpServer.java
+++ b/src/main/java/wickdrift/transport/HttpServer.java
@@ -33,7 +33,7 @@
 import java.util.function.Consumer;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
-import wickdrift.protocol.Pack;
+import wickdrift.protocol.MessageCodec;
 
 /**
  * HTTP/1.1 with MessagePack bodies. Bounds bodies, idle time and the number of connections. A fleet
@@ -208,7 +208,7 @@
         return;
       }
       answered = true;
-      byte[] bytes = Pack.encode(value == null ? Map.of() : value);
+      byte[] bytes = MessageCodec.encode(value == null ? Map.of() : value);
       FullHttpResponse r =
           new DefaultFullHttpResponse(
               HttpVersion.HTTP_1_1,
--- a/src/test/java/wickdrift/bookkeeping/ChainsTest.java
+++ b/src/test/java/wickdrift/bookkeeping/DependencyGraphTest.java
@@ -17,13 +17,13 @@
 import org.junit.jupiter.params.provider.ValueSource;
 import wickdrift.bookkeeping.level.Range;
 import wickdrift.protocol.BadMessage;
-import wickdrift.protocol.Doc;
+import wickdrift.protocol.Document;
 import wickdrift.protocol.JobSpec;
-import wickdrift.protocol.Pack;
+import wickdrift.protocol.MessageCodec;
 import wickdrift.sim.SimJobs;
 
 /** What follows from who awaits whom, against a model that works it out anew each time. */
-class ChainsTest {
+class DependencyGraphTest {
   /** One job of the model. */
   private static final class Node {
     final int number;
@@ -57,11 +57,11 @@
     m.put("owner", n.team);
     m.put("dueS", 100.0 + n.number % 5 * 20);
     SimJobs.awaiting(m, n.awaits.stream().mapToInt(i -> i).toArray());
-    return JobSpec.parse(Doc.parse(Pack.encode(m)));
+    return JobSpec.parse(Document.parse(MessageCodec.encode(m)));
   }
 
   private Ledger.Change put(String key, Object value) throws BadMessage {
-    Object v = value == null ? null : Pack.decode(Pack.encode(value));
+    Object v = value == null ? null : MessageCodec.decode(MessageCodec.encode(value));
     if (v == null) {
       store.remove(key);
     } else {
@@ -117,7 +117,7 @@
       assertEquals(lent(n, false), j.rank().ordinal(), id(n.number) + " rank");
       assertEquals(lent(n, true), j.teamRank().ordinal(), id(n.number) + " team rank");
     }
-    assertTrue(t.chains().unknown().isEmpty(), "unknown " + t.chains().unknown());
+    assertTrue(t.dependencies().unknown().isEmpty(), "unknown " + t.dependencies().unknown());
   }
 
   /** Each step is one change of the store, as it would come; now and then all is loaded anew. */
@@ -148,7 +148,7 @@
       } else if (n.accepted && n.over == null && (off(n) || ready(n)) && r.nextInt(3) == 0) {
         n.over = off(n) ? "withdrawn" : "done";
         news.add(put(Job.key(id(n.number)), null));
-        news.add(put(Job.finalKey(id(n.number)), new Ended(n.over, 1, rev).toStore(true)));
+        news.add(put(Job.finalKey(id(n.number)), new TerminalState(n.over, 1, rev).toStore(true)));
       }
       t.apply(news, rev);
       resolve(t);
@@ -177,12 +177,12 @@
 
   /** Tells it how those ended of which it does not know, as one read does. */
   private void resolve(Tables t) throws BadMessage {
-    for (String id : List.copyOf(t.chains().unknown())) {
-      for (Job j : t.chains().after(id)) {
+    for (String id : List.copyOf(t.dependencies().unknown())) {
+      for (Job j : t.dependencies().after(id)) {
         assertTrue(
             j.stage() == Job.Stage.UNCLEAR || j.withdrawn(), j.id() + " is clear without " + id);
       }
-      t.rememberFinished(id, Ended.parse(Doc.of(store.get(Job.finalKey(id)))));
+      t.rememberFinished(id, TerminalState.parse(Document.of(store.get(Job.finalKey(id)))));
     }
   }
 
@@ -199,8 +199,8 @@
       if (n == 3) {
         m.put("dueS", 100.0);
       }
-      JobSpec s = JobSpec.parse(Doc.parse(Pack.encode(m)));
-      Object v = Pack.decode(Pack.encode(Job.toStore(s, null, 1000, "n0", 0)));
+      JobSpec s = JobSpec.parse(Document.parse(MessageCodec.encode(m)));
+      Object v = MessageCodec.decode(MessageCodec.encode(Job.toStore(s, null, 1000, "n0", 0)));
       t.apply(List.of(new Ledger.Change(Job.key(s.id()), v, ++rev)), rev);
     }
     long is = t.job(id(job)).startByWallMs();
@@ -239,7 +239,8 @@
         List.of(
             new Ledger.Change(
                 Job.finalKey(id(hub)),
-                Pack.decode(Pack.encode(new Ended("done", 1, 1).toStore(true))),
+                MessageCodec.decode(
+                    MessageCodec.encode(new TerminalState("done", 1, 1).toStore(true))),
                 rev),
             new Ledger.Change(Job.key(id(hub)), null, rev)),
         rev);
@@ -248,7 +249,7 @@
     // A withdrawal of the first reaches the last, and nobody else is looked at.
     rev++;
     Job j = t.job(id(first));
-    Object off = Pack.decode(Pack.encode(j.toStore("n0", 5)));
+    Object off = MessageCodec.decode(MessageCodec.encode(j.toStore("n0", 5)));
     t.apply(List.of(new Ledger.Change(j.key(), off, rev)), rev);
     assertTrue(t.job(id(first + 99)).withdrawn());
     assertEquals(100, t.takeChangedJobs().size());
@@ -259,8 +260,8 @@
     if (awaits >= 0) {
       SimJobs.awaiting(m, awaits);
     }
-    JobSpec s = JobSpec.parse(Doc.parse(Pack.encode(m)));
-    Object v = Pack.decode(Pack.encode(Job.toStore(s, null, 1000, "n0", 0)));
+    JobSpec s = JobSpec.parse(Document.parse(MessageCodec.encode(m)));
+    Object v = MessageCodec.decode(MessageCodec.encode(Job.toStore(s, null, 1000, "n0", 0)));
     return new Ledger.Change(Job.key(s.id()), v, rev);
   }
 }
--- a/src/test/java/wickdrift/bookkeeping/RecordsTest.java
+++ b/src/test/java/wickdrift/bookkeeping/RecordsTest.java
@@ -19,18 +19,18 @@
 import wickdrift.bookkeeping.level.Form;
 import wickdrift.bookkeeping.level.Range;
 import wickdrift.protocol.BadMessage;
-import wickdrift.protocol.Doc;
+import wickdrift.protocol.Document;
 import wickdrift.protocol.JobSpec;
-import wickdrift.protocol.Pack;
+import wickdrift.protocol.MessageCodec;
 import wickdrift.sim.SimJobs;
 
 class RecordsTest {
-  private static Doc doc(Map<String, Object> m) throws BadMessage {
-    return Doc.parse(Pack.encode(m));
+  private static Document doc(Map<String, Object> m) throws BadMessage {
+    return Document.parse(MessageCodec.encode(m));
   }
 
   private static Object raw(Object value) throws BadMessage {
-    return Pack.decode(Pack.encode(value));
+    return MessageCodec.decode(MessageCodec.encode(value));
   }
 
   private static final String JOB = "req-000001";
@@ -109,7 +109,7 @@
     Machine m = t.machineOrNew("i-123456");
     TaskState live = TaskState.NEW.placed(123, m, 2).stopping(TaskState.Stop.KILL);
     int last = j.chunks() - 1;
-    int json = Pack.jsonSize(j.encodeChunk(last - 1, 123_456_789, i -> live));
+    int json = MessageCodec.jsonSize(j.encodeChunk(last - 1, 123_456_789, i -> live));
     assertTrue(json < 4096, "a chunk takes " + json);
   }
 
@@ -419,7 +419,7 @@
     assertEquals(64, j.live());
     Object stored = j.storeChunk(0, 21, j::task, 2, most);
     assertEquals(form, Form.of(raw(stored)));
-    assertTrue(Pack.jsonSize(stored) <= most, "size " + Pack.jsonSize(stored));
+    assertTrue(MessageCodec.jsonSize(stored) <= most, "size " + MessageCodec.jsonSize(stored));
     Tables again = withJob(64);
     again.load(List.of(job("batch", 64), new Ledger.Change(j.chunkKey(0), raw(stored), 21)), 21);
     for (int i = 0; i < 64; i++) {
--- a/src/test/java/wickdrift/bookkeeping/level/RiseTest.java
+++ b/src/test/java/wickdrift/bookkeeping/level/LevelUpgradeTest.java
@@ -11,13 +11,13 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 import wickdrift.protocol.BadMessage;
-import wickdrift.protocol.Doc;
-import wickdrift.protocol.Pack;
+import wickdrift.protocol.Document;
+import wickdrift.protocol.MessageCodec;
 
 /** When the level may rise, and what of it is malformed. */
-class RiseTest {
-  private static Doc doc(Map<String, Object> m) throws BadMessage {
-    return Doc.parse(Pack.encode(m));
+class LevelUpgradeTest {
+  private static Document doc(Map<String, Object> m) throws BadMessage {
+    return Document.parse(MessageCodec.encode(m));
   }
 
   /** Names with the most that they speak: {@code a2 b1}. */
@@ -71,26 +71,27 @@
       int then,
       String why)
       throws BadMessage {
-    Roster roster = new Roster(List.of("a", "b", "c"));
+    NodeRegistry registry = new NodeRegistry(List.of("a", "b", "c"));
     int stamp = 10;
     for (Map.Entry<String, Integer> e : levels(announced).entrySet()) {
       int n = e.getKey().charAt(0) - 'a';
       List<String> peers = e.getKey().equals("d") ? List.of("d", "e") : List.of(e.getKey());
       Announcement a = Announcement.fresh(n, e.getKey(), new Range(1, e.getValue()), peers);
-      roster.apply("" + n, doc(a.toStore()), stamp++);
+      registry.apply("" + n, doc(a.toStore()), stamp++);
     }
     if (said != null) {
       String[] word = said.split(" ");
       Word w =
           word[0].equals("held") ? Word.NONE.hold(word[1], true) : Word.NONE.without(word[1], true);
-      roster.apply("word", doc(w.toStore()), 30);
+      registry.apply("word", doc(w.toStore()), 30);
     }
     if (done > 0) {
-      roster.apply("done", doc(Roster.doneToStore(done)), 31);
+      registry.apply("done", doc(NodeRegistry.doneToStore(done)), 31);
     }
     Map<String, Range> live = new TreeMap<>();
     levels(there).forEach((n, most) -> live.put(n, new Range(1, most)));
-    Rise r = Rise.judge(now, new Range(1, 5), live, List.of(named.split(" ")), roster);
+    LevelUpgrade r =
+        LevelUpgrade.judge(now, new Range(1, 5), live, List.of(named.split(" ")), registry);
     assertEquals(then, r.level());
     assertEquals(why.isEmpty() ? List.of() : List.of(why), r.waitsFor());
     if (then > now) {
@@ -113,7 +114,7 @@
     if (most != null) {
       m.put("most", most);
     }
-    Doc d = doc(m);
+    Document d = doc(m);
     assertThrows(BadMessage.class, () -> Range.parse(d));
   }
 
@@ -121,24 +122,25 @@
   @ParameterizedTest
   @CsvSource({"70000, number", "what, number", "list, names one twice", "word, not a list"})
   void aMalformedRecordOfTheRosterIsRefused(String name, String why) throws BadMessage {
-    Roster roster = new Roster(List.of("a", "b"));
-    Doc d = doc(Map.of("name", "x", "peers", List.of(), "names", List.of("a", "a"), "held", 7L));
-    BadMessage e = assertThrows(BadMessage.class, () -> roster.apply(name, d, 5));
+    NodeRegistry registry = new NodeRegistry(List.of("a", "b"));
+    Document d =
+        doc(Map.of("name", "x", "peers", List.of(), "names", List.of("a", "a"), "held", 7L));
+    BadMessage e = assertThrows(BadMessage.class, () -> registry.apply(name, d, 5));
     assertTrue(e.getMessage().contains(why), e.getMessage());
-    assertEquals(List.of("a", "b"), roster.first());
-    assertEquals(Word.NONE, roster.word());
+    assertEquals(List.of("a", "b"), registry.first());
+    assertEquals(Word.NONE, registry.word());
   }
 
   /** A number is never given twice, whoever is gone. */
   @Test
   void aNumberIsNeverGivenTwice() throws BadMessage {
-    Roster roster = new Roster(List.of("a", "b"));
-    roster.apply("list", doc(Roster.listToStore(List.of("a", "b", "c"))), 1);
-    assertEquals(3, roster.nextNumber());
-    roster.apply("7", doc(Announcement.fresh(7, "z", Range.BUILD, List.of("z")).toStore()), 2);
-    assertEquals(8, roster.nextNumber());
-    assertEquals(7, roster.number("z"));
-    assertEquals("c", roster.name(2));
-    assertEquals(-1, roster.number("q"));
+    NodeRegistry registry = new NodeRegistry(List.of("a", "b"));
+    registry.apply("list", doc(NodeRegistry.listToStore(List.of("a", "b", "c"))), 1);
+    assertEquals(3, registry.nextNumber());
+    registry.apply("7", doc(Announcement.fresh(7, "z", Range.BUILD, List.of("z")).toStore()), 2);
+    assertEquals(8, registry.nextNumber());
+    assertEquals(7, registry.number("z"));
+    assertEquals("c", registry.name(2));
+    assertEquals(-1, registry.number("q"));
   }
 }
--- a/src/test/java/wickdrift/coordination/DoorTest.java
+++ b/src/test/java/wickdrift/coordination/AdmissionQueueTest.java
@@ -11,13 +11,13 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 import wickdrift.protocol.BadMessage;
-import wickdrift.protocol.Doc;
+import wickdrift.protocol.Document;
 import wickdrift.protocol.JobSpec;
-import wickdrift.protocol.Pack;
+import wickdrift.protocol.MessageCodec;
 import wickdrift.sim.SimJobs;
 
 /** Who is let in next, and who makes way when the door is full. */
-class DoorTest {
+class AdmissionQueueTest {
   /** Written as {@code team/class/rank}. */
   private static JobSpec spec(String who) {
     String[] w = who.split("/");
@@ -26,21 +26,21 @@
     job.put("jobclass", w[1]);
     job.put("rank", w[2]);
     try {
-      return JobSpec.parse(Doc.parse(Pack.encode(job)));
+      return JobSpec.parse(Document.parse(MessageCodec.encode(job)));
     } catch (BadMessage e) {
       throw new AssertionError(e);
     }
   }
 
-  private static Door<String> door(int most, String... waiting) {
-    Door<String> d = new Door<>(most);
+  private static AdmissionQueue<String> door(int most, String... waiting) {
+    AdmissionQueue<String> d = new AdmissionQueue<>(most);
     for (String w : waiting) {
       d.add(spec(w), w);
     }
     return d;
   }
 
-  private static String order(Door<String> d, int n) {
+  private static String order(AdmissionQueue<String> d, int n) {
     StringBuilder b = new StringBuilder();
     for (int i = 0; i < n; i++) {
       String s = d.poll();
@@ -59,7 +59,7 @@
     "aabbcc, abcabc"
   })
   void teamsOfOneRankTakeTurns(String came, String leave) {
-    Door<String> d = new Door<>(99);
+    AdmissionQueue<String> d = new AdmissionQueue<>(99);
     for (char c : came.toCharArray()) {
       d.add(spec(c + "/x/standard"), c + "/x/standard");
     }
@@ -69,7 +69,7 @@
   /** Higher ranks leave more often, and none waits for ever. */
   @Test
   void ranksLeaveByWeight() {
-    Door<String> d = new Door<>(1000);
+    AdmissionQueue<String> d = new AdmissionQueue<>(1000);
     for (String rank : List.of("production", "urgent", "standard", "idle")) {
       for (int i = 0; i < 100; i++) {
         d.add(spec("t/" + rank + "/" + rank), rank);
@@ -84,7 +84,8 @@
 
   @Test
   void whoComesAnewHasSavedUpNothing() {
-    Door<String> d = door(99, "a/x/standard", "a/x/standard", "a/x/standard", "a/x/standard");
+    AdmissionQueue<String> d =
+        door(99, "a/x/standard", "a/x/standard", "a/x/standard", "a/x/standard");
     assertEquals("aaa", order(d, 3));
     d.add(spec("a/x/standard"), "a");
     for (int i = 0; i < 3; i++) {
@@ -96,7 +97,7 @@
 
   @Test
   void aSwarmMakesWayForAnother() {
-    Door<String> d = new Door<>(3);
+    AdmissionQueue<String> d = new AdmissionQueue<>(3);
     for (String s : List.of("1", "2", "3")) {
       assertNull(d.add(spec("swarm/x/idle"), s));
     }
@@ -108,7 +109,7 @@
 
   @Test
   void whatCouldNotBeWrittenIsNextAgain() {
-    Door<String> d = door(99, "a/x/standard", "b/x/standard");
+    AdmissionQueue<String> d = door(99, "a/x/standard", "b/x/standard");
     d.add(spec("a/x/standard"), "second");
     String first = d.poll();
     d.back(spec("a/x/standard"), first);
--- a/src/test/java/wickdrift/coordination/FairlyTest.java
+++ b/src/test/java/wickdrift/coordination/DominantShareOrderTest.java
@@ -10,18 +10,18 @@
 import org.junit.jupiter.params.provider.CsvSource;
 import wickdrift.bookkeeping.Job;
 import wickdrift.bookkeeping.Ledger;
-import wickdrift.bookkeeping.Part.Share;
+import wickdrift.bookkeeping.Partition.Share;
 import wickdrift.bookkeeping.Tables;
 import wickdrift.bookkeeping.level.Range;
-import wickdrift.daemon.Settings;
 import wickdrift.protocol.BadMessage;
-import wickdrift.protocol.Doc;
+import wickdrift.protocol.Document;
 import wickdrift.protocol.JobSpec;
-import wickdrift.protocol.Pack;
+import wickdrift.protocol.MessageCodec;
+import wickdrift.settings.Settings;
 import wickdrift.sim.SimJobs;
 
 /** In which order jobs of several teams are looked at, by what their teams hold. */
-class FairlyTest {
+class DominantShareOrderTest {
   /** Jobs as team and GPUs: a4 is one of team a that asks for four. */
   @ParameterizedTest(name = "{0}, held {1}, guaranteed {2}: {3}")
   @CsvSource({
@@ -50,8 +50,8 @@
       Map<String, Object> m = SimJobs.job(++n, "batch", 1, j.charAt(1) - '0', 5);
       m.put("owner", j.substring(0, 1));
       m.put("cores", 0.0);
-      JobSpec s = JobSpec.parse(Doc.parse(Pack.encode(m)));
-      Object v = Pack.decode(Pack.encode(Job.toStore(s, null, n, "n0", 0)));
+      JobSpec s = JobSpec.parse(Document.parse(MessageCodec.encode(m)));
+      Object v = MessageCodec.decode(MessageCodec.encode(Job.toStore(s, null, n, "n0", 0)));
       t.apply(List.of(new Ledger.Change(Job.key(s.id()), v, n)), n);
       lines.computeIfAbsent(s.team(), k -> new ArrayList<>()).add(t.job(s.id()));
       names.put(t.job(s.id()), j);
@@ -59,7 +59,8 @@
     Map<String, Settings.Team> teams = new LinkedHashMap<>();
     amounts(guaranteed).forEach((k, g) -> teams.put(k, new Settings.Team(k, 0, 0, g, 0)));
     Map<String, Double> holds = amounts(held);
-    Fairly f = new Fairly(lines, k -> new Share(0, holds.getOrDefault(k, 0.0)), teams);
+    DominantShareOrder f =
+        new DominantShareOrder(lines, k -> new Share(0, holds.getOrDefault(k, 0.0)), teams);
     StringBuilder got = new StringBuilder();
     while (f.hasNext()) {
       got.append(got.isEmpty() ? "" : " ").append(names.get(f.next()));
