--- a/src/test/java/wickdrift/coordination/PlacementTest.java
+++ b/src/test/java/wickdrift/coordination/PlacementTest.java
@@ -19,9 +19,9 @@
 import wickdrift.bookkeeping.Tables;
 import wickdrift.bookkeeping.level.Range;
 import wickdrift.protocol.BadMessage;
-import wickdrift.protocol.Doc;
+import wickdrift.protocol.Document;
 import wickdrift.protocol.JobSpec;
-import wickdrift.protocol.Pack;
+import wickdrift.protocol.MessageCodec;
 import wickdrift.sim.SimJobs;
 
 class PlacementTest {
@@ -30,7 +30,7 @@
     m.put("cores", cpus);
     m.put("memoryGb", 1.0);
     try {
-      return JobSpec.parse(Doc.parse(Pack.encode(m)));
+      return JobSpec.parse(Document.parse(MessageCodec.encode(m)));
     } catch (BadMessage e) {
       throw new AssertionError(e);
     }
@@ -39,9 +39,9 @@
   private static final Machine.Info UP = new Machine.Info("t", "a", false, Machine.Phase.UP, 0);
 
   /** Machines m1..mn of falling capability, with the given booked shares of their GPUs. */
-  private static Rooms fleet(String loads) throws BadMessage {
+  private static CapacityIndex fleet(String loads) throws BadMessage {
     Tables tables = new Tables(List.of(), Range.BUILD, () -> {});
-    Rooms rooms = new Rooms();
+    CapacityIndex rooms = new CapacityIndex();
     String[] parts = loads.trim().split(" +");
     for (int i = 0; i < parts.length; i++) {
       double gpus = 100 - i;
@@ -60,7 +60,8 @@
   private static Machine machine(Tables tables, String name, Machine.Info info) throws BadMessage {
     var v = Page.value(null, 1, List.of(Entry.machine(name, info)), (r, e) -> false);
     long rev = 1 + tables.machines().size();
-    Ledger.Change c = new Ledger.Change(Page.key("n0", rev), Pack.decode(Pack.encode(v)), rev);
+    Ledger.Change c =
+        new Ledger.Change(Page.key("n0", rev), MessageCodec.decode(MessageCodec.encode(v)), rev);
     tables.apply(List.of(c), rev);
     return tables.machine(name);
   }
@@ -85,13 +86,13 @@
   })
   void choosesTheLeastLoadedOfTheLowerHalf(String loads, double gpus, String expected)
       throws BadMessage {
-    Room r = fleet(loads).choose(spec(0, gpus), c -> true);
+    FreeCapacity r = fleet(loads).choose(spec(0, gpus), c -> true);
     assertEquals(expected, r == null ? "-" : r.machine().name());
   }
 
   @Test
   void ranksCountAllowedMachinesOnly() throws BadMessage {
-    Room r =
+    FreeCapacity r =
         fleet("0.0 0.1 0.2 0.3")
             .choose(spec(0, 1), c -> c.type.name().equals("t0") || c.type.name().equals("t3"));
     // Two are allowed, so both ranks count and the emptier wins.
@@ -101,7 +102,8 @@
   @Test
   void loadIsTheLargestBookedShare() {
     TypeInfo t = new TypeInfo("t", 10, 4, 1000, 100, 1, 1, 1, 1, List.of("a"));
-    Room r = new Room(new Tables(List.of(), Range.BUILD, () -> {}).machineOrNew("m"), t);
+    FreeCapacity r =
+        new FreeCapacity(new Tables(List.of(), Range.BUILD, () -> {}).machineOrNew("m"), t);
     r.book(spec(5, 1));
     assertEquals(0.5, r.load(), 1e-9);
   }
@@ -109,7 +111,7 @@
   /** A second image fetched beside the first only delays it: such a machine has no room for it. */
   @Test
   void aFetchUnderWayIsNotShared() throws BadMessage {
-    Rooms rooms = new Rooms();
+    CapacityIndex rooms = new CapacityIndex();
     TypeInfo t = new TypeInfo("t", 100, 4, 1000, 100, 1, 1, 1, 1, List.of("a"));
     Machine m = machine(new Tables(List.of(), Range.BUILD, () -> {}), "m");
     rooms.put(m, t, "n0", 0);
@@ -132,19 +134,19 @@
     m.put("cores", cpus);
     m.put("memoryGb", 1.0);
     m.put("bundle", image);
-    return JobSpec.parse(Doc.parse(Pack.encode(m)));
+    return JobSpec.parse(Document.parse(MessageCodec.encode(m)));
   }
 
   /** Judged by its load alone: even where all that is booked were of the task's smallest share. */
-  private static boolean tooFull(Room r, JobSpec s) {
+  private static boolean tooFull(FreeCapacity r, JobSpec s) {
     double share =
         Math.min(
             Math.min(s.cpus() / r.type().cpus(), s.gpus() / r.type().gpus()),
             s.memoryGb() / r.type().memoryGb());
-    return r.load() > 1 - share + Room.EPS;
+    return r.load() > 1 - share + FreeCapacity.EPS;
   }
 
-  private static int group(Room r, JobSpec s) {
+  private static int group(FreeCapacity r, JobSpec s) {
     if (tooFull(r, s) || r.fetching() && !r.hasImage(s)) {
       return 1;
     }
@@ -152,22 +154,22 @@
   }
 
   /** Definition 3 with the sets of Lemma 1, over all machines, sorted anew. */
-  private static Room plain(List<Room> rooms, JobSpec s) {
-    List<Room> eligible = new ArrayList<>();
+  private static FreeCapacity plain(List<FreeCapacity> rooms, JobSpec s) {
+    List<FreeCapacity> eligible = new ArrayList<>();
     rooms.stream().filter(r -> r.type().canHold(s)).forEach(eligible::add);
     eligible.sort(
-        Comparator.comparingDouble((Room r) -> -r.type().gpus())
+        Comparator.comparingDouble((FreeCapacity r) -> -r.type().gpus())
             .thenComparingInt(r -> group(r, s))
-            .thenComparingInt(r -> ByLoad.level(r.load()))
+            .thenComparingInt(r -> LoadIndex.level(r.load()))
             .thenComparing(r -> r.machine().info().zone())
-            .thenComparingDouble(Room::load)
+            .thenComparingDouble(FreeCapacity::load)
             .thenComparingInt(r -> r.machine().number()));
     int i = eligible.size();
     int first = (i + 1) / 2 - 1;
-    Room best = null;
-    for (Room r : eligible.subList(Math.max(0, first), i)) {
-      boolean less = best == null || r.load() < best.load() - Room.EPS;
-      boolean tie = best != null && Math.abs(r.load() - best.load()) <= Room.EPS;
+    FreeCapacity best = null;
+    for (FreeCapacity r : eligible.subList(Math.max(0, first), i)) {
+      boolean less = best == null || r.load() < best.load() - FreeCapacity.EPS;
+      boolean tie = best != null && Math.abs(r.load() - best.load()) <= FreeCapacity.EPS;
       if (r.fitsWithFetch(s) && (less || tie && r.hasImage(s) && !best.hasImage(s))) {
         best = r;
       }
@@ -175,10 +177,12 @@
     if (best != null) {
       return best;
     }
-    for (Room r : eligible) {
+    for (FreeCapacity r : eligible) {
       boolean image = best != null && r.hasImage(s) && !best.hasImage(s);
       boolean full =
-          best != null && r.hasImage(s) == best.hasImage(s) && r.load() > best.load() + Room.EPS;
+          best != null
+              && r.hasImage(s) == best.hasImage(s)
+              && r.load() > best.load() + FreeCapacity.EPS;
       if (r.fitsWithFetch(s) && (best == null || image || full)) {
         best = r;
       }
@@ -187,7 +191,7 @@
   }
 
   /** What matters of a choice: its load and its image; the rest is a tie. */
-  private static String told(Room r, JobSpec s) {
+  private static String told(FreeCapacity r, JobSpec s) {
     return r == null ? "-" : Math.round(r.load() * 1e6) + " " + r.hasImage(s) + r.type().name();
   }
 
@@ -196,8 +200,8 @@
   void theIndexChoosesAsTheRuleSays(int seed) throws BadMessage {
     Random random = new Random(seed);
     Tables tables = new Tables(List.of(), Range.BUILD, () -> {});
-    Rooms rooms = new Rooms();
-    List<Room> all = new ArrayList<>();
+    CapacityIndex rooms = new CapacityIndex();
+    List<FreeCapacity> all = new ArrayList<>();
     int kinds = 1 + seed % 3;
     for (int i = 0; i < 60; i++) {
       int kind = random.nextInt(kinds);
@@ -219,15 +223,15 @@
               1 + random.nextInt(6),
               random.nextInt(4),
               "img" + random.nextInt(5));
-      Room expected = plain(all, s);
-      Room chosen = rooms.choose(s, c -> true);
+      FreeCapacity expected = plain(all, s);
+      FreeCapacity chosen = rooms.choose(s, c -> true);
       assertEquals(told(expected, s), told(chosen, s), "choice " + n);
       if (chosen != null && random.nextInt(5) > 0) {
         rooms.book(chosen, s);
         placed++;
       }
       if (random.nextInt(10) == 0) {
-        Room r = all.get(random.nextInt(all.size()));
+        FreeCapacity r = all.get(random.nextInt(all.size()));
         rooms.put(r.machine(), r.type(), "n0", 0);
       }
     }
@@ -241,7 +245,7 @@
     long[] looked = new long[2];
     for (int k = 0; k < 2; k++) {
       Tables tables = new Tables(List.of(), Range.BUILD, () -> {});
-      Rooms rooms = new Rooms();
+      CapacityIndex rooms = new CapacityIndex();
       TypeInfo t = new TypeInfo("t", 32, 4, 128, 100, 1, 1, 1, 1, List.of("a"));
       for (int i = 0; i < (k == 0 ? 60 : 1200); i++) {
         Machine m = machine(tables, "m" + i);
--- a/src/test/java/wickdrift/coordination/PreemptionTest.java
+++ b/src/test/java/wickdrift/coordination/PreemptionTest.java
@@ -14,9 +14,9 @@
 import wickdrift.bookkeeping.Tables;
 import wickdrift.bookkeeping.level.Range;
 import wickdrift.protocol.BadMessage;
-import wickdrift.protocol.Doc;
+import wickdrift.protocol.Document;
 import wickdrift.protocol.JobSpec;
-import wickdrift.protocol.Pack;
+import wickdrift.protocol.MessageCodec;
 import wickdrift.sim.SimJobs;
 
 class PreemptionTest {
@@ -29,7 +29,7 @@
 
   private void apply(String key, Object value) throws BadMessage {
     rev++;
-    Ledger.Change c = new Ledger.Change(key, Pack.decode(Pack.encode(value)), rev);
+    Ledger.Change c = new Ledger.Change(key, MessageCodec.decode(MessageCodec.encode(value)), rev);
     tables.apply(List.of(c), rev);
   }
 
@@ -44,7 +44,7 @@
     m.put("cores", 1.0);
     m.put("memoryGb", 1.0);
     m.put("bundle", image);
-    return JobSpec.parse(Doc.parse(Pack.encode(m)));
+    return JobSpec.parse(Document.parse(MessageCodec.encode(m)));
   }
 
   /**
@@ -69,7 +69,7 @@
   void whatGivesWay(String machines, String rank, JobSpec.Priority strongest, String expected)
       throws BadMessage {
     int job = 1;
-    List<Room> rooms = new ArrayList<>();
+    List<FreeCapacity> rooms = new ArrayList<>();
     String[] each = machines.split(" / ");
     for (int i = 0; i < each.length; i++) {
       log(Entry.machine("m" + i, UP));
@@ -85,7 +85,7 @@
       }
       Machine m = tables.machine("m" + i);
       m.noteImages(0, 100);
-      rooms.add(new Room(m, TYPE));
+      rooms.add(new FreeCapacity(m, TYPE));
     }
     StringBuilder got = new StringBuilder();
     for (Preemption.Choice c :
--- a/src/test/java/wickdrift/coordination/PromisedTest.java
+++ b/src/test/java/wickdrift/coordination/PromisedTest.java
@@ -11,9 +11,9 @@
 import wickdrift.bookkeeping.Ledger;
 import wickdrift.bookkeeping.Tables;
 import wickdrift.bookkeeping.level.Range;
-import wickdrift.protocol.Doc;
+import wickdrift.protocol.Document;
 import wickdrift.protocol.JobSpec;
-import wickdrift.protocol.Pack;
+import wickdrift.protocol.MessageCodec;
 import wickdrift.sim.SimJobs;
 
 /** What waits at a part is counted as room that is taken. */
@@ -21,7 +21,8 @@
   private static final String ID = "req-000001";
 
   private static JobSpec spec(int tasks, double gpus) throws Exception {
-    return JobSpec.parse(Doc.parse(Pack.encode(SimJobs.job(1, "batch", tasks, gpus, 5))));
+    return JobSpec.parse(
+        Document.parse(MessageCodec.encode(SimJobs.job(1, "batch", tasks, gpus, 5))));
   }
 
   private final Tables tables = new Tables(List.of("n1", "n2"), Range.BUILD, () -> {});
@@ -30,7 +31,7 @@
   /** The job as it is in the tables once that is durable. */
   private Job job(String part, int tasks, double gpus) throws Exception {
     Object value = Job.toStore(spec(tasks, gpus), null, 1, part, 0);
-    Object stored = Pack.decode(Pack.encode(value));
+    Object stored = MessageCodec.decode(MessageCodec.encode(value));
     rev++;
     tables.apply(List.of(new Ledger.Change(Job.key(ID), stored, rev)), rev);
     return tables.job(ID);
--- a/src/test/java/wickdrift/coordination/DraftTest.java
+++ b/src/test/java/wickdrift/coordination/TransactionBuilderTest.java
@@ -13,12 +13,12 @@
 import wickdrift.bookkeeping.Tables;
 import wickdrift.bookkeeping.level.Range;
 import wickdrift.protocol.BadMessage;
-import wickdrift.protocol.Doc;
+import wickdrift.protocol.Document;
 import wickdrift.protocol.JobSpec;
-import wickdrift.protocol.Pack;
+import wickdrift.protocol.MessageCodec;
 import wickdrift.sim.SimJobs;
 
-class DraftTest {
+class TransactionBuilderTest {
   private static final int PAGE = 3600;
 
   /** A gang starts in one transaction: a large one takes several pages of one revision. */
@@ -26,11 +26,13 @@
   @CsvSource({"2, 1", "60, 1", "300, 2"})
   void aGangOfAnySizeIsPlacedInOneTransaction(int size, int leastPages) throws BadMessage {
     Tables t = new Tables(List.of("n0"), Range.BUILD, () -> {});
-    JobSpec s = JobSpec.parse(Doc.parse(Pack.encode(SimJobs.job(1, "ensemble", size, 1, 10))));
-    Object record = Pack.decode(Pack.encode(Job.toStore(s, null, 5, Job.LEADER, 0)));
+    JobSpec s =
+        JobSpec.parse(Document.parse(MessageCodec.encode(SimJobs.job(1, "ensemble", size, 1, 10))));
+    Object record =
+        MessageCodec.decode(MessageCodec.encode(Job.toStore(s, null, 5, Job.LEADER, 0)));
     t.apply(List.of(new Ledger.Change("w/j/req-000001", record, 3)), 3);
     Job job = t.job("req-000001");
-    Draft d = new Draft(t, "n0", 16, 16, PAGE);
+    TransactionBuilder d = new TransactionBuilder(t, "n0", 16, 16, PAGE);
     assertTrue(d.takesWhole(job, size, 3));
     for (int i = 0; i < size; i++) {
       String machine = String.format("i-%06d", i);
@@ -38,9 +40,11 @@
     }
     List<Ledger.Change> news = new ArrayList<>();
     for (Object o : (List<?>) d.finish().toWire().get("then")) {
-      Doc w = Doc.of(o);
-      assertTrue(Pack.jsonSize(w.raw("v")) <= PAGE, "a page takes " + Pack.jsonSize(w.raw("v")));
-      Object v = Pack.decode(Pack.encode(w.raw("v")));
+      Document w = Document.of(o);
+      assertTrue(
+          MessageCodec.jsonSize(w.raw("v")) <= PAGE,
+          "a page takes " + MessageCodec.jsonSize(w.raw("v")));
+      Object v = MessageCodec.decode(MessageCodec.encode(w.raw("v")));
       news.add(new Ledger.Change(w.text("write"), v, 4));
     }
     assertTrue(news.size() >= leastPages && news.size() <= 13, "pages " + news.size());
@@ -49,6 +53,6 @@
     t.apply(news, 4);
     assertEquals(size, job.live());
     // One exit at a time must fit however large the gang is: it must not hold up the others'.
-    assertTrue(new Draft(t, "n0", 16, 16, PAGE).takes(job, 1));
+    assertTrue(new TransactionBuilder(t, "n0", 16, 16, PAGE).takes(job, 1));
   }
 }
--- a/src/test/java/wickdrift/protocol/MessagesTest.java
+++ b/src/test/java/wickdrift/protocol/MessagesTest.java
@@ -26,7 +26,7 @@
     m.put("flag", true);
     m.put("none", null);
     m.put("list", List.of(1L, "two", Map.of("k", 3L)));
-    assertEquals(m, Pack.decode(Pack.encode(m)));
+    assertEquals(m, MessageCodec.decode(MessageCodec.encode(m)));
   }
 
   @ParameterizedTest
@@ -48,7 +48,7 @@
     for (int i = 0; i < b.length; i++) {
       b[i] = (byte) Integer.parseInt(hex.substring(2 * i, 2 * i + 2), 16);
     }
-    assertThrows(BadMessage.class, () -> Pack.decode(b));
+    assertThrows(BadMessage.class, () -> MessageCodec.decode(b));
   }
 
   static List<Arguments> badSubmissions() {
@@ -104,18 +104,18 @@
   void badSubmissionsNameTheField(String field, Object value) {
     Map<String, Object> m = SimJobs.job(1, "batch", 2, 1, 10);
     m.put(field, value);
-    byte[] body = Pack.encode(m);
+    byte[] body = MessageCodec.encode(m);
     assertTrue(wrong(body).contains(field), wrong(body));
     m.remove(field);
     if (value == null) {
-      assertTrue(wrong(Pack.encode(m)).contains(field));
+      assertTrue(wrong(MessageCodec.encode(m)).contains(field));
     }
   }
 
   /** What the door finds wrong with a submission; empty: nothing. */
   private static String wrong(byte[] body) {
     try {
-      Doc d = Doc.parse(body);
+      Document d = Document.parse(body);
       JobSpec.parse(d);
       return JobSpec.lacks(d) == null ? "" : JobSpec.lacks(d);
     } catch (BadMessage e) {
@@ -129,11 +129,11 @@
   void whatMayBeNullMayBeLeftOut(String field) throws BadMessage {
     Map<String, Object> m = SimJobs.job(1, "batch", 2, 1, 10);
     m.remove(field);
-    assertEquals("", wrong(Pack.encode(m)));
-    JobSpec without = JobSpec.parse(Doc.parse(Pack.encode(m)));
+    assertEquals("", wrong(MessageCodec.encode(m)));
+    JobSpec without = JobSpec.parse(Document.parse(MessageCodec.encode(m)));
     m.put(field, null);
-    assertEquals("", wrong(Pack.encode(m)));
-    assertEquals(without, JobSpec.parse(Doc.parse(Pack.encode(m))));
+    assertEquals("", wrong(MessageCodec.encode(m)));
+    assertEquals(without, JobSpec.parse(Document.parse(MessageCodec.encode(m))));
   }
 
   @Test
@@ -143,8 +143,8 @@
     m.put("flavours", List.of("g4"));
     m.put("region", "a");
     m.put("dueS", 9.5);
-    JobSpec s = JobSpec.parse(Doc.parse(Pack.encode(m)));
-    assertEquals(s, JobSpec.parse(Doc.parse(Pack.encode(s.toStore()))));
+    JobSpec s = JobSpec.parse(Document.parse(MessageCodec.encode(m)));
+    assertEquals(s, JobSpec.parse(Document.parse(MessageCodec.encode(s.toStore()))));
     assertEquals(5, s.zoneLimit());
   }
 }
--- a/src/test/java/wickdrift/daemon/SettingsTest.java
+++ b/src/test/java/wickdrift/settings/SettingsTest.java
@@ -1,4 +1,4 @@
-package wickdrift.daemon;
+package wickdrift.settings;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertNull;
--- a/src/test/java/wickdrift/sim/AnswersTest.java
+++ b/src/test/java/wickdrift/sim/AnswersTest.java
@@ -11,8 +11,8 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 import wickdrift.protocol.BadMessage;
-import wickdrift.protocol.Doc;
-import wickdrift.protocol.Pack;
+import wickdrift.protocol.Document;
+import wickdrift.protocol.MessageCodec;
 
 /** Single answers of the user interface. */
 class AnswersTest {
@@ -113,15 +113,15 @@
     Map<String, Object> job = SimJobs.job(9, "batch", 1, 1, 5);
     SimWorld w = settled();
     w.users.describe(job);
-    byte[] whole = Pack.encode(job);
+    byte[] whole = MessageCodec.encode(job);
     job.remove(field);
-    assertEquals(status, w.users.ask("n0", "POST", "/api/jobs", Pack.encode(job)).status());
+    assertEquals(status, w.users.ask("n0", "POST", "/api/jobs", MessageCodec.encode(job)).status());
     if (!field.equals("shards")) {
       // What was accepted is never refused, not as malformed either: an older build may have.
       w.users.ask("n1", "POST", "/api/jobs", whole);
-      assertEquals(200, w.users.ask("n2", "POST", "/api/jobs", Pack.encode(job)).status());
+      assertEquals(200, w.users.ask("n2", "POST", "/api/jobs", MessageCodec.encode(job)).status());
       w.run(30_000);
-      assertEquals(200, w.users.ask("n2", "POST", "/api/jobs", Pack.encode(job)).status());
+      assertEquals(200, w.users.ask("n2", "POST", "/api/jobs", MessageCodec.encode(job)).status());
     }
   }
 
@@ -135,7 +135,7 @@
     for (int i = 0; i < 6; i++) {
       var a = w.users.ask("n" + i % 3, "POST", "/api/jobs", body);
       assertEquals(200, a.status());
-      seen.add(Doc.parse(a.body()).text("phase"));
+      seen.add(Document.parse(a.body()).text("phase"));
     }
     assertTrue(seen.contains("running"), seen.toString());
     assertEquals("done", seen.get(5));
--- a/src/test/java/wickdrift/sim/CancellationTest.java
+++ b/src/test/java/wickdrift/sim/CancellationTest.java
@@ -17,7 +17,7 @@
 import org.junit.jupiter.params.provider.MethodSource;
 import org.junit.jupiter.params.provider.ValueSource;
 import wickdrift.protocol.BadMessage;
-import wickdrift.protocol.Doc;
+import wickdrift.protocol.Document;
 import wickdrift.protocol.PeerFrame;
 
 /**
@@ -103,7 +103,7 @@
   }
 
   static int number(SimWorld w, String node) {
-    return w.tables(node).roster().number(node);
+    return w.tables(node).registry().number(node);
   }
 
   static String other(SimWorld w, String than, String and) {
@@ -439,7 +439,7 @@
     w.users.asked.add(id);
     var a = w.users.ask(node, "POST", "/api/jobs/" + id + "/withdraw", new byte[0]);
     try {
-      return a.status() == 200 ? "200 " + Doc.parse(a.body()).text("phase") : "" + a.status();
+      return a.status() == 200 ? "200 " + Document.parse(a.body()).text("phase") : "" + a.status();
     } catch (BadMessage e) {
       throw new AssertionError(e);
     }
--- a/src/test/java/wickdrift/sim/ClusterTest.java
+++ b/src/test/java/wickdrift/sim/ClusterTest.java
@@ -15,7 +15,7 @@
 import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.ValueSource;
 import wickdrift.protocol.BadMessage;
-import wickdrift.protocol.Doc;
+import wickdrift.protocol.Document;
 import wickdrift.transport.Caller.Answer;
 
 /**
@@ -388,7 +388,7 @@
     assertTrue(w.epoch("n0") > old, "the view has not changed");
     Answer[] got = w.report("n1", machine, old);
     w.run(3000);
-    boolean stale = got[0].status() == 200 && Doc.parse(got[0].body()).count("epoch") == old;
+    boolean stale = got[0].status() == 200 && Document.parse(got[0].body()).count("epoch") == old;
     assertFalse(stale, "answered under epoch " + old);
   }
 
--- a/src/test/java/wickdrift/sim/Hold.java
+++ b/src/test/java/wickdrift/sim/Hold.java
@@ -10,9 +10,9 @@
 import wickdrift.bookkeeping.Machine;
 import wickdrift.bookkeeping.Tables;
 import wickdrift.bookkeeping.level.Range;
-import wickdrift.protocol.Doc;
+import wickdrift.protocol.Document;
 import wickdrift.protocol.JobSpec;
-import wickdrift.protocol.Pack;
+import wickdrift.protocol.MessageCodec;
 
 /** Loads a fleet as a controller does at its start, and again on top as after a long standstill. */
 final class Hold {
@@ -58,7 +58,11 @@
           all,
           Job.key((String) job.get("ref")),
           Job.toStore(
-              JobSpec.parse(Doc.parse(Pack.encode(job))), null, 1_790_000_000_000L, "n0", 0));
+              JobSpec.parse(Document.parse(MessageCodec.encode(job))),
+              null,
+              1_790_000_000_000L,
+              "n0",
+              0));
       for (int c = 0; c * Job.CHUNK < size; c++) {
         List<Object> live = new ArrayList<>();
         for (int i = c * Job.CHUNK; i < Math.min(size, (c + 1) * Job.CHUNK); i++) {
@@ -81,6 +85,6 @@
   }
 
   private static void put(List<Ledger.Change> all, String key, Object value) throws Exception {
-    all.add(new Ledger.Change(key, Pack.decode(Pack.encode(value)), 7));
+    all.add(new Ledger.Change(key, MessageCodec.decode(MessageCodec.encode(value)), 7));
   }
 }
--- a/src/test/java/wickdrift/sim/JudgeTest.java
+++ b/src/test/java/wickdrift/sim/JudgeTest.java
@@ -8,7 +8,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
-import wickdrift.protocol.Pack;
+import wickdrift.protocol.MessageCodec;
 
 /**
  * The judge of the simulated world catches what it is there for: a defect for each of its rules.
@@ -47,7 +47,7 @@
   private static void run(SimWorld w, int machine, String task, int attempt) {
     SimWorker m = w.workers().get(machine);
     byte[] body =
-        Pack.encode(
+        MessageCodec.encode(
             Map.of(
                 "epoch",
                 1_000_000,
--- a/src/test/java/wickdrift/sim/Loopback.java
+++ b/src/test/java/wickdrift/sim/Loopback.java
@@ -22,7 +22,7 @@
 import wickdrift.bookkeeping.Tables;
 import wickdrift.bookkeeping.level.Range;
 import wickdrift.protocol.BadMessage;
-import wickdrift.protocol.Pack;
+import wickdrift.protocol.MessageCodec;
 import wickdrift.transport.Caller.Answer;
 import wickdrift.transport.EventLoop;
 import wickdrift.transport.Exchange;
@@ -152,7 +152,7 @@
     Consumer<Answer> done =
         a -> {
           try {
-            x.reply(a.status(), a.body() == null ? Map.of() : Pack.decode(a.body()));
+            x.reply(a.status(), a.body() == null ? Map.of() : MessageCodec.decode(a.body()));
           } catch (BadMessage e) {
             throw new IllegalStateException(e);
           }
--- a/src/test/java/wickdrift/sim/LostAnswersTest.java
+++ b/src/test/java/wickdrift/sim/LostAnswersTest.java
@@ -10,7 +10,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
-import wickdrift.protocol.Pack;
+import wickdrift.protocol.MessageCodec;
 
 /** Transactions whose answers are lost, or that are held up, keep users and placements waiting. */
 class LostAnswersTest {
@@ -38,7 +38,7 @@
             node,
             "POST",
             "/api/jobs",
-            Pack.encode(job),
+            MessageCodec.encode(job),
             5000,
             a -> {
               waits.statuses.add(a.status());
--- a/src/test/java/wickdrift/sim/OperatorTest.java
+++ b/src/test/java/wickdrift/sim/OperatorTest.java
@@ -36,8 +36,8 @@
 import wickdrift.bookkeeping.Ledger;
 import wickdrift.bookkeeping.Tables;
 import wickdrift.bookkeeping.level.Form;
+import wickdrift.bookkeeping.level.NodeRegistry;
 import wickdrift.bookkeeping.level.Range;
-import wickdrift.bookkeeping.level.Roster;
 import wickdrift.operator.LevelCommand;
 import wickdrift.operator.Records;
 import wickdrift.operator.Restore;
@@ -46,8 +46,8 @@
 import wickdrift.operator.StateCommand;
 import wickdrift.operator.Store;
 import wickdrift.protocol.BadMessage;
-import wickdrift.protocol.Doc;
-import wickdrift.protocol.Pack;
+import wickdrift.protocol.Document;
+import wickdrift.protocol.MessageCodec;
 import wickdrift.transport.Caller.Answer;
 import wickdrift.transport.EventLoop;
 import wickdrift.transport.Exchange;
@@ -94,7 +94,7 @@
       try (InputStream in =
               OperatorTest.class.getResourceAsStream("/golden/" + build + ".msgpack");
           InputStream text = OperatorTest.class.getResourceAsStream("/golden/" + build + ".txt")) {
-        Doc d = Doc.parse(in.readAllBytes());
+        Document d = Document.parse(in.readAllBytes());
         TreeMap<String, Records.Item> all = new TreeMap<>();
         for (Object o : d.list("records")) {
           List<?> l = (List<?>) o;
@@ -142,9 +142,9 @@
     List<String> open = new ArrayList<>();
     for (Map.Entry<String, Object> e : records.entrySet()) {
       if (e.getKey().startsWith("w/j/")) {
-        Doc spec = Doc.of(Doc.of(e.getValue()).raw("spec"));
+        Document spec = Document.of(Document.of(e.getValue()).raw("spec"));
         w.users.describe(new TreeMap<>(spec.without()));
-        if (!spec.text("shape").equals("daemon") && !Doc.of(e.getValue()).flag("off")) {
+        if (!spec.text("shape").equals("daemon") && !Document.of(e.getValue()).flag("off")) {
           open.add(spec.text("ref"));
         }
       }
@@ -159,7 +159,7 @@
     }
     assertEquals(List.of(), w.broken());
     assertNull(w.diverged());
-    assertTrue(w.state().keys().contains(Roster.DONE));
+    assertTrue(w.state().keys().contains(NodeRegistry.DONE));
   }
 
   /**
@@ -193,11 +193,11 @@
       throws BadMessage {
     Set<String> all = into.computeIfAbsent(key.substring(0, 3), k -> new TreeSet<>());
     all.add("form " + Form.of(value));
-    Doc d = Form.read(value, 9);
+    Document d = Form.read(value, 9);
     for (Map.Entry<String, Object> e : d.without().entrySet()) {
       all.add(e.getKey());
       if (e.getKey().equals("spec")) {
-        Doc.of(e.getValue()).without().keySet().forEach(f -> all.add("spec." + f));
+        Document.of(e.getValue()).without().keySet().forEach(f -> all.add("spec." + f));
       }
       for (Object run : e.getKey().equals("g") ? (List<?>) e.getValue() : List.of()) {
         for (Object entry : (List<?>) ((List<?>) run).get(1)) {
@@ -289,7 +289,7 @@
       for (String key : w.state().keys()) {
         if (Job.isChunk(key)) {
           // What ran has ended with its worker's lease.
-          Object v = Pack.decode(Pack.encode(w.state().value(key)));
+          Object v = MessageCodec.decode(MessageCodec.encode(w.state().value(key)));
           assertEquals(List.of(), Form.read(v, Form.NUMBERED).list("live"), key);
         }
       }
@@ -302,7 +302,7 @@
     int open = 0;
     for (Map.Entry<String, Records.Item> e : r.all().entrySet()) {
       if (e.getKey().startsWith("w/j/")) {
-        Doc spec = Doc.of(Doc.of(e.getValue().value()).raw("spec"));
+        Document spec = Document.of(Document.of(e.getValue().value()).raw("spec"));
         w.users.describe(new TreeMap<>(spec.without()));
         open++;
       }
@@ -388,7 +388,7 @@
           x.body(),
           a -> {
             try {
-              x.reply(a.status(), Pack.decode(a.body()));
+              x.reply(a.status(), MessageCodec.decode(a.body()));
             } catch (BadMessage e) {
               throw new AssertionError(e);
             }
@@ -441,7 +441,7 @@
       w.run(8000);
       assertEquals(0, l.run(new LevelCommand(), "without", "n1"));
       w.run(1000);
-      assertEquals(List.of("n1"), w.tables("n0").roster().word().without());
+      assertEquals(List.of("n1"), w.tables("n0").registry().word().without());
       assertEquals(0, l.run(new LevelCommand(), "without", "n1", "--undo"));
       String file = dir.resolve("kept").toString();
       assertEquals(0, l.run(new StateCommand(), "dump", file));
--- a/src/test/java/wickdrift/sim/PipelineTest.java
+++ b/src/test/java/wickdrift/sim/PipelineTest.java
@@ -24,8 +24,8 @@
 import wickdrift.bookkeeping.level.Gate;
 import wickdrift.bookkeeping.level.Range;
 import wickdrift.protocol.BadMessage;
-import wickdrift.protocol.Doc;
-import wickdrift.protocol.Pack;
+import wickdrift.protocol.Document;
+import wickdrift.protocol.MessageCodec;
 import wickdrift.transport.Caller.Answer;
 
 /**
@@ -288,7 +288,7 @@
         what.equals("text")
             ? value
             : what.equals("number") ? 7 : what.equals("odd id") ? List.of(value) : List.of(1));
-    assertEquals(400, w.users.ask("n0", "POST", "/api/jobs", Pack.encode(job)).status());
+    assertEquals(400, w.users.ask("n0", "POST", "/api/jobs", MessageCodec.encode(job)).status());
   }
 
   /** Before all have the new build nothing is written that the old one would read and run. */
@@ -342,7 +342,7 @@
 
   private static String phase(Answer a) {
     try {
-      return Doc.parse(a.body()).text("phase");
+      return Document.parse(a.body()).text("phase");
     } catch (BadMessage e) {
       throw new AssertionError(e);
     }
@@ -423,9 +423,9 @@
     check(w);
   }
 
-  private static boolean endsOne(Doc txn, String... ids) {
+  private static boolean endsOne(Document txn, String... ids) {
     try {
-      for (Doc t : txn.docs("then")) {
+      for (Document t : txn.docs("then")) {
         String key = t.textOrNull("write");
         boolean end = t.raw("v") instanceof Map<?, ?> m && m.containsKey("over");
         if (end && Arrays.stream(ids).anyMatch(i -> key.equals("w/j/" + i))) {
--- a/src/test/java/wickdrift/sim/RolloutTest.java
+++ b/src/test/java/wickdrift/sim/RolloutTest.java
@@ -17,17 +17,17 @@
 import org.junit.jupiter.params.provider.EnumSource;
 import org.junit.jupiter.params.provider.ValueSource;
 import wickdrift.bookkeeping.Job;
-import wickdrift.bookkeeping.Part;
+import wickdrift.bookkeeping.Partition;
 import wickdrift.bookkeeping.Tables;
 import wickdrift.bookkeeping.View;
 import wickdrift.bookkeeping.level.Form;
 import wickdrift.bookkeeping.level.Gate;
+import wickdrift.bookkeeping.level.NodeRegistry;
 import wickdrift.bookkeeping.level.Range;
-import wickdrift.bookkeeping.level.Roster;
 import wickdrift.bookkeeping.level.Word;
 import wickdrift.protocol.BadMessage;
-import wickdrift.protocol.Doc;
-import wickdrift.protocol.Pack;
+import wickdrift.protocol.Document;
+import wickdrift.protocol.MessageCodec;
 import wickdrift.transport.Caller.Answer;
 
 /**
@@ -109,11 +109,11 @@
   }
 
   private static void nothingOldIsLeft(SimWorld w) throws BadMessage {
-    assertNotNull(w.state().value(Roster.DONE));
+    assertNotNull(w.state().value(NodeRegistry.DONE));
     for (String key : w.state().keys()) {
       assertEquals(
           Tables.formOf(key) == Form.FIRST ? Form.FIRST : Form.NUMBERED,
-          Form.of(Pack.decode(Pack.encode(w.state().value(key)))),
+          Form.of(MessageCodec.decode(MessageCodec.encode(w.state().value(key)))),
           key);
     }
   }
@@ -176,10 +176,10 @@
 
   /** Which transaction of the rollout's actors meets a fault. */
   enum Step {
-    ANNOUNCES(Roster.PREFIX),
+    ANNOUNCES(NodeRegistry.PREFIX),
     RISES(View.KEY),
     CONVERTS("w/l/"),
-    DONE(Roster.DONE);
+    DONE(NodeRegistry.DONE);
 
     final String prefix;
 
@@ -187,9 +187,9 @@
       this.prefix = prefix;
     }
 
-    boolean is(Doc txn) {
+    boolean is(Document txn) {
       try {
-        for (Doc t : txn.docs("then")) {
+        for (Document t : txn.docs("then")) {
           String key = t.textOrNull("write");
           boolean newForm = t.raw("v") instanceof List<?>;
           if (key != null && key.startsWith(prefix)) {
@@ -317,7 +317,7 @@
     // A limit so large that nobody gives of its share: that rewrites a part too.
     SimWorld w = new SimWorld(355, 8, 20, "aaa", 10_000);
     w.run(10_000);
-    Doc[] held = new Doc[1];
+    Document[] held = new Document[1];
     w.state().fate =
         (from, d) -> {
           if (held[0] == null && from.equals("n1") && places(d)) {
@@ -342,9 +342,9 @@
     assertEquals(List.of(), w.broken());
   }
 
-  private static boolean places(Doc txn) {
+  private static boolean places(Document txn) {
     try {
-      for (Doc t : txn.docs("then")) {
+      for (Document t : txn.docs("then")) {
         String key = t.textOrNull("write");
         if (key != null && key.startsWith("w/l/")) {
           List<?> runs = Form.read(t.raw("v"), Form.NUMBERED).list("g");
@@ -359,10 +359,15 @@
     }
   }
 
-  private static int late(SimWorld w, Doc txn) {
+  private static int late(SimWorld w, Document txn) {
     int[] status = new int[1];
     w.state()
-        .serve("n1", "POST", "/commit", Pack.encode(txn.rawMap()), a -> status[0] = a.status());
+        .serve(
+            "n1",
+            "POST",
+            "/commit",
+            MessageCodec.encode(txn.rawMap()),
+            a -> status[0] = a.status());
     return status[0];
   }
 
@@ -451,7 +456,7 @@
               case "live" -> w.state().force("w/m/n1", Map.of("inc", "x", "zone", "a"));
               case "back" -> w.state().force("w/m/n3", Map.of("inc", "x", "zone", "a"));
               case "announced" -> w.state().force("w/c/3", less);
-              default -> w.state().force(Roster.LIST, Roster.listToStore(w.nodes));
+              default -> w.state().force(NodeRegistry.LIST, NodeRegistry.listToStore(w.nodes));
             }
             w.clock.after(60, () -> assertEquals(1, level(w, from), what));
           }
@@ -494,14 +499,14 @@
   /** What all may use together, as the parts tell it. */
   private static double shares(SimWorld w) throws BadMessage {
     double sum = 0;
-    List<?> first = Doc.of(w.state().value(Roster.LIST)).list("names");
+    List<?> first = Document.of(w.state().value(NodeRegistry.LIST)).list("names");
     TreeMap<String, Boolean> all = new TreeMap<>();
     first.forEach(n -> all.put((String) n, true));
     w.tables("n0").parts().keySet().forEach(n -> all.put(n, true));
     for (String n : all.keySet()) {
-      Part p = w.tables("n0").part(n);
+      Partition p = w.tables("n0").part(n);
       sum += first.contains(n) ? w.setup.gpusMax() / first.size() : 0;
-      sum += p == null ? 0 : p.shares().getOrDefault("vision", Part.Share.NONE).gpus();
+      sum += p == null ? 0 : p.shares().getOrDefault("vision", Partition.Share.NONE).gpus();
     }
     return sum;
   }
@@ -583,7 +588,7 @@
     untilLevel(w, NEW);
     w.run(8000);
     assertTrue(w.tables("n0").view().members().keySet().containsAll(List.of("n1", "n3")));
-    assertEquals(3, w.tables("n0").roster().number("n3"));
+    assertEquals(3, w.tables("n0").registry().number("n3"));
     assertEquals(List.of(), w.broken());
   }
 
@@ -609,7 +614,7 @@
     untilLevel(w, NEW);
     w.run(10_000);
     assertEquals(List.of("n0", "n1", "n5"), List.copyOf(w.tables("n0").view().members().keySet()));
-    assertEquals(3, w.tables("n0").roster().number("n5"));
+    assertEquals(3, w.tables("n0").registry().number("n5"));
   }
 
   @ParameterizedTest
@@ -717,12 +722,14 @@
     w.run(5000);
     for (String key : List.of(View.KEY, "w/p/n0", "w/j/req-000001", "w/c/1", "w/c/word")) {
       Object v = w.state().value(key);
-      int form = v == null ? 1 : Form.of(Pack.decode(Pack.encode(v)));
+      int form = v == null ? 1 : Form.of(MessageCodec.decode(MessageCodec.encode(v)));
       Map<String, Object> more = new TreeMap<>(Map.of("later", 7L));
       more.putAll(
-          v == null ? Word.NONE.toStore() : Form.read(Pack.decode(Pack.encode(v)), form).without());
+          v == null
+              ? Word.NONE.toStore()
+              : Form.read(MessageCodec.decode(MessageCodec.encode(v)), form).without());
       if (key.startsWith("w/j/")) {
-        Map<String, Object> spec = new TreeMap<>(Doc.of(more.get("spec")).without());
+        Map<String, Object> spec = new TreeMap<>(Document.of(more.get("spec")).without());
         spec.put("later", 8L);
         more.put("spec", spec);
       }
@@ -738,15 +745,15 @@
     for (String key : List.of(View.KEY, "w/p/n0", "w/c/1")) {
       assertEquals(7L, read(w, key).raw("later"), key);
     }
-    Doc job = read(w, Job.key("req-000001"));
+    Document job = read(w, Job.key("req-000001"));
     assertTrue(job.flag("off"));
     assertEquals(7L, job.raw("later"));
-    assertEquals(8L, Doc.of(job.raw("spec")).raw("later"));
+    assertEquals(8L, Document.of(job.raw("spec")).raw("later"));
     assertEquals(4, read(w, "w/c/1").texts("peers").size());
   }
 
-  private static Doc read(SimWorld w, String key) throws BadMessage {
-    return Form.read(Pack.decode(Pack.encode(w.state().value(key))), Form.NUMBERED);
+  private static Document read(SimWorld w, String key) throws BadMessage {
+    return Form.read(MessageCodec.decode(MessageCodec.encode(w.state().value(key))), Form.NUMBERED);
   }
 
   /** Told to end, a controller gives its lease back: the others need not wait for its end. */
--- a/src/test/java/wickdrift/sim/SimCloud.java
+++ b/src/test/java/wickdrift/sim/SimCloud.java
@@ -9,7 +9,7 @@
 import java.util.TreeMap;
 import java.util.function.Consumer;
 import wickdrift.protocol.BadMessage;
-import wickdrift.protocol.Doc;
+import wickdrift.protocol.Document;
 import wickdrift.transport.Caller.Answer;
 
 /** A stand-in for the cloud: rents machines, boots them, and lists them late. */
@@ -126,7 +126,7 @@
                             "regions",
                             SimWorld.ZONES)))));
       } else if (path.equals("/hosts/delete")) {
-        for (String n : Doc.parse(body).texts("hosts")) {
+        for (String n : Document.parse(body).texts("hosts")) {
           deleted++;
           booting.remove(n);
           if (hosts.containsKey(n) && hosts.get(n).goneMs == Long.MAX_VALUE) {
@@ -139,7 +139,7 @@
         }
         done.accept(SimState.answer(200, Map.of()));
       } else if (path.equals("/hosts")) {
-        Doc d = Doc.parse(body);
+        Document d = Document.parse(body);
         List<String> names = claims.get(d.text("claim"));
         if (names == null) {
           names = new ArrayList<>();
--- a/src/test/java/wickdrift/sim/SimState.java
+++ b/src/test/java/wickdrift/sim/SimState.java
@@ -16,10 +16,10 @@
 import wickdrift.bookkeeping.View;
 import wickdrift.bookkeeping.level.Form;
 import wickdrift.bookkeeping.level.Gate;
-import wickdrift.bookkeeping.level.Roster;
+import wickdrift.bookkeeping.level.NodeRegistry;
 import wickdrift.protocol.BadMessage;
-import wickdrift.protocol.Doc;
-import wickdrift.protocol.Pack;
+import wickdrift.protocol.Document;
+import wickdrift.protocol.MessageCodec;
 import wickdrift.transport.Caller.Answer;
 
 /** A stand-in for the state service: stamps, conditions, leases, watches, outages. */
@@ -100,7 +100,7 @@
   }
 
   /** Decides on each transaction as it arrives, by its sender and itself. */
-  BiFunction<String, Doc, Fate> fate = (from, d) -> Fate.APPLIED;
+  BiFunction<String, Document, Fate> fate = (from, d) -> Fate.APPLIED;
 
   /** Who sent transactions; a test clears it. */
   final Set<String> writers = new HashSet<>();
@@ -190,7 +190,7 @@
     entries.forEach(
         (k, e) -> {
           try {
-            Object value = Pack.decode(Pack.encode(e.value));
+            Object value = MessageCodec.decode(MessageCodec.encode(e.value));
             out.add(new Ledger.Change(k, value, e.stamp));
           } catch (BadMessage x) {
             throw new AssertionError(x);
@@ -311,7 +311,7 @@
   }
 
   static Answer answer(int status, Object body) {
-    return new Answer(status, Pack.encode(body));
+    return new Answer(status, MessageCodec.encode(body));
   }
 
   @Override
@@ -364,7 +364,7 @@
                 ? answer(404, Map.of("ledgerRev", rev))
                 : answer(200, Map.of("key", path.substring(7), "v", e.value, "stamp", e.stamp)));
       } else if (path.equals("/commit")) {
-        Doc d = asBuilt(from, Doc.parse(body));
+        Document d = asBuilt(from, Document.parse(body));
         Fate f = fate.apply(from, d);
         Answer a = f == Fate.LOST ? null : commit(d);
         if (f == Fate.APPLIED) {
@@ -372,7 +372,7 @@
         }
       } else if (path.equals("/grants")) {
         long l = ++leases;
-        long life = Doc.parse(body).count("lifeMs");
+        long life = Document.parse(body).count("lifeMs");
         leaseLives.put(l, life);
         leaseEnds.put(l, clock.nowMs() + life);
         done.accept(answer(200, Map.of("tether", l)));
@@ -448,12 +448,12 @@
   }
 
   /** What every transaction that is applied must have been conditional on. */
-  private void fencing(Doc d) throws BadMessage {
+  private void fencing(Document d) throws BadMessage {
     Set<String> when = new HashSet<>();
-    for (Doc w : d.docs("when")) {
+    for (Document w : d.docs("when")) {
       when.add(w.text("key"));
     }
-    for (Doc t : d.docs("then")) {
+    for (Document t : d.docs("then")) {
       String key = t.textOrNull("write") == null ? t.text("delete") : t.text("write");
       if (key.startsWith("w/j/") && !when.contains(key)) {
         unfenced.add(key + " without its own stamp");
@@ -464,10 +464,10 @@
           unfenced.add(key + " without its own stamp");
         }
       }
-      if (key.equals(Roster.DONE) && t.raw("v") != null) {
+      if (key.equals(NodeRegistry.DONE) && t.raw("v") != null) {
         for (Map.Entry<String, Entry> e : entries.entrySet()) {
           // A store that is being restored has a text in place of the view.
-          Object v = Pack.decode(Pack.encode(e.getValue().value));
+          Object v = MessageCodec.decode(MessageCodec.encode(e.getValue().value));
           boolean old =
               !(v instanceof String)
                   && Math.min(Form.NUMBERED, Tables.formOf(e.getKey())) > Form.of(v);
@@ -507,12 +507,12 @@
   }
 
   /** What of a transaction is larger than it may be, or null. */
-  private String oversized(Doc d) throws BadMessage {
+  private String oversized(Document d) throws BadMessage {
     if (d.docs("when").size() > 4 * txnOps || d.docs("then").size() > txnOps) {
       return d.docs("when").size() + " conditions, " + d.docs("then").size() + " changes";
     }
-    for (Doc t : d.docs("then")) {
-      if (Pack.jsonSize(t.raw("v")) > valueBytes) {
+    for (Document t : d.docs("then")) {
+      if (MessageCodec.jsonSize(t.raw("v")) > valueBytes) {
         return t.text("write");
       }
     }
@@ -520,12 +520,14 @@
   }
 
   private long level() throws BadMessage {
-    return Form.read(Pack.decode(Pack.encode(value("w/v"))), Form.NUMBERED).count("level", 1);
+    return Form.read(MessageCodec.decode(MessageCodec.encode(value("w/v"))), Form.NUMBERED)
+        .count("level", 1);
   }
 
   /** Whether a leader may take machines of that part together with others'. */
   private boolean mayBeTaken(String part) throws BadMessage {
-    Doc view = Form.read(Pack.decode(Pack.encode(value("w/v"))), Form.NUMBERED);
+    Document view =
+        Form.read(MessageCodec.decode(MessageCodec.encode(value("w/v"))), Form.NUMBERED);
     return view.count("level", 1) >= Gate.TAKES.level()
         && !part.equals("w/p/" + view.text("leader"));
   }
@@ -533,7 +535,10 @@
   private boolean inView(String node) throws BadMessage {
     Object view = value("w/v");
     return view != null
-        && Doc.of(Form.read(Pack.decode(Pack.encode(view)), Form.NUMBERED).raw("members")).raw(node)
+        && Document.of(
+                    Form.read(MessageCodec.decode(MessageCodec.encode(view)), Form.NUMBERED)
+                        .raw("members"))
+                .raw(node)
             != null;
   }
 
@@ -543,28 +548,28 @@
   }
 
   /** What a build that knows no levels would have sent in place of this. */
-  private Doc asBuilt(String from, Doc d) throws BadMessage {
+  private Document asBuilt(String from, Document d) throws BadMessage {
     if (!levelless.contains(from)) {
       return d;
     }
     List<Object> when = new ArrayList<>();
-    for (Doc w : d.docs("when")) {
+    for (Document w : d.docs("when")) {
       if (!w.text("key").startsWith("w/c/")) {
         when.add(w.rawMap());
       }
     }
     List<Object> then = new ArrayList<>();
-    for (Doc t : d.docs("then")) {
+    for (Document t : d.docs("then")) {
       String key = t.textOrNull("write") == null ? t.text("delete") : t.text("write");
       if (key.startsWith("w/m/")) {
         Map<String, Object> op = new LinkedHashMap<>(t.without());
-        op.put("v", Doc.of(t.raw("v")).without("least", "most"));
+        op.put("v", Document.of(t.raw("v")).without("least", "most"));
         then.add(op);
       } else if (!key.startsWith("w/c/")) {
         then.add(t.rawMap());
       }
     }
-    return Doc.of(Map.of("when", when, "then", then));
+    return Document.of(Map.of("when", when, "then", then));
   }
 
   /** A record as it is, or null. */
@@ -586,17 +591,17 @@
     wake();
   }
 
-  private Answer commit(Doc d) throws BadMessage {
+  private Answer commit(Document d) throws BadMessage {
     commits++;
     count(d.docs("then").size());
     List<Object> failed = new ArrayList<>();
-    for (Doc w : d.docs("when")) {
+    for (Document w : d.docs("when")) {
       Entry e = entries.get(w.text("key"));
       if ((e == null ? 0 : e.stamp) != w.count("stamp")) {
         failed.add(w.text("key"));
       }
     }
-    for (Doc t : d.docs("then")) {
+    for (Document t : d.docs("then")) {
       long lease = t.count("tether", 0);
       if (lease > 0 && !leaseEnds.containsKey(lease)) {
         return answer(400, Map.of("error", "no such lease"));
@@ -615,7 +620,7 @@
     }
     fencing(d);
     rev++;
-    for (Doc t : d.docs("then")) {
+    for (Document t : d.docs("then")) {
       String key = t.textOrNull("write");
       if (key != null) {
         put(key, t.raw("v"), t.count("tether", 0));
--- a/src/test/java/wickdrift/sim/SimUsers.java
+++ b/src/test/java/wickdrift/sim/SimUsers.java
@@ -10,9 +10,9 @@
 import java.util.function.Consumer;
 import java.util.function.IntToDoubleFunction;
 import wickdrift.protocol.BadMessage;
-import wickdrift.protocol.Doc;
+import wickdrift.protocol.Document;
 import wickdrift.protocol.JobSpec;
-import wickdrift.protocol.Pack;
+import wickdrift.protocol.MessageCodec;
 import wickdrift.transport.Caller.Answer;
 
 /**
@@ -54,10 +54,10 @@
 
   /** Tells the workers of a job: users hand them its description themselves. */
   public byte[] describe(Map<String, Object> job) {
-    byte[] body = Pack.encode(job);
+    byte[] body = MessageCodec.encode(job);
     submissions.put((String) job.get("ref"), body);
     try {
-      world.specs.put((String) job.get("ref"), JobSpec.parse(Doc.parse(body)));
+      world.specs.put((String) job.get("ref"), JobSpec.parse(Document.parse(body)));
     } catch (BadMessage e) {
       throw new AssertionError(e);
     }
@@ -106,7 +106,7 @@
 
   /** A user repeats a submission, whatever has become of it. */
   void submitAgain(String id, Map<String, Object> job) {
-    submissions.put(id, Pack.encode(job));
+    submissions.put(id, MessageCodec.encode(job));
     submitAgain(anyNode(), id, () -> {});
   }
 
@@ -192,7 +192,7 @@
 
   private static String phase(Answer a) {
     try {
-      return Doc.parse(a.body()).text("phase");
+      return Document.parse(a.body()).text("phase");
     } catch (BadMessage e) {
       throw new AssertionError(e);
     }
--- a/src/test/java/wickdrift/sim/SimWorker.java
+++ b/src/test/java/wickdrift/sim/SimWorker.java
@@ -9,9 +9,9 @@
 import java.util.Set;
 import java.util.function.Consumer;
 import wickdrift.protocol.BadMessage;
-import wickdrift.protocol.Doc;
+import wickdrift.protocol.Document;
 import wickdrift.protocol.JobSpec;
-import wickdrift.protocol.Pack;
+import wickdrift.protocol.MessageCodec;
 import wickdrift.transport.Caller;
 import wickdrift.transport.Caller.Answer;
 
@@ -264,7 +264,7 @@
         world.nodes.get(node % world.nodes.size()),
         "POST",
         "/hello",
-        Pack.encode(message()),
+        MessageCodec.encode(message()),
         4000,
         a -> answered(a, sent, session));
   }
@@ -277,7 +277,7 @@
     }
     try {
       if (a.status() == 200) {
-        Doc d = Doc.parse(a.body());
+        Document d = Document.parse(a.body());
         long token = d.count("epoch");
         // A higher token is a change, told at once, but no more often than twice a lease.
         boolean tell = false;
@@ -293,7 +293,7 @@
         return;
       }
       if (a.status() == 421) {
-        String up = Doc.parse(a.body()).textOrNull("upstream");
+        String up = Document.parse(a.body()).textOrNull("upstream");
         int i = up == null ? -1 : world.nodes.indexOf(up);
         if (i >= 0 && i != node) {
           node = i;
@@ -308,8 +308,8 @@
     again(1000);
   }
 
-  private void orders(Doc d) throws BadMessage {
-    for (Doc o : d.docs("orders")) {
+  private void orders(Document d) throws BadMessage {
+    for (Document o : d.docs("orders")) {
       String id = o.text("shard");
       int attempt = (int) o.count("try");
       Task t = tasks.get(id);
@@ -425,7 +425,7 @@
         done.accept(SimState.answer(200, message()));
         return;
       }
-      Doc d = Doc.parse(body);
+      Document d = Document.parse(body);
       long token = d.count("epoch");
       if (token < epoch || d.count("tenure") != tenure) {
         done.accept(SimState.answer(409, message()));
--- a/src/test/java/wickdrift/sim/SimWorld.java
+++ b/src/test/java/wickdrift/sim/SimWorld.java
@@ -24,12 +24,12 @@
 import wickdrift.coordination.Tuning;
 import wickdrift.daemon.Controller;
 import wickdrift.daemon.Metrics;
-import wickdrift.daemon.Settings;
 import wickdrift.protocol.BadMessage;
-import wickdrift.protocol.Doc;
+import wickdrift.protocol.Document;
 import wickdrift.protocol.JobSpec;
-import wickdrift.protocol.Pack;
+import wickdrift.protocol.MessageCodec;
 import wickdrift.protocol.PeerFrame;
+import wickdrift.settings.Settings;
 import wickdrift.transport.Caller;
 import wickdrift.transport.Caller.Answer;
 import wickdrift.transport.Exchange;
@@ -607,7 +607,7 @@
     m.put("shards", List.of());
     Answer[] got = new Answer[1];
     net.caller("10.1.9.9:1", () -> true)
-        .call(node, "POST", "/hello", Pack.encode(m), 4000, a -> got[0] = a);
+        .call(node, "POST", "/hello", MessageCodec.encode(m), 4000, a -> got[0] = a);
     return got;
   }
 
@@ -627,7 +627,7 @@
     try {
       Answer[] got = new Answer[1];
       running.get(node).controller.handle(exchange("GET", "/metrics", null, a -> got[0] = a));
-      Object v = Doc.parse(got[0].body()).raw(name + ".VALUE");
+      Object v = Document.parse(got[0].body()).raw(name + ".VALUE");
       return ((Number) v).doubleValue();
     } catch (BadMessage e) {
       throw new AssertionError(e);
--- a/src/test/java/wickdrift/sim/TakesTest.java
+++ b/src/test/java/wickdrift/sim/TakesTest.java
@@ -11,7 +11,7 @@
 import org.junit.jupiter.params.provider.ValueSource;
 import wickdrift.bookkeeping.Tables;
 import wickdrift.protocol.BadMessage;
-import wickdrift.protocol.Doc;
+import wickdrift.protocol.Document;
 
 /**
  * The leader takes machines of the parts' owners. What that costs must not grow with the number of
@@ -53,7 +53,7 @@
     w.state().fate =
         (from, d) -> {
           try {
-            for (Doc t : d.docs("then")) {
+            for (Document t : d.docs("then")) {
               String key = t.textOrNull("write");
               if (key != null && (key.startsWith("w/p/") || key.equals(Tables.TAKES_KEY))) {
                 records[0]++;
--- a/src/test/java/wickdrift/transport/SocketsTest.java
+++ b/src/test/java/wickdrift/transport/SocketsTest.java
@@ -23,7 +23,7 @@
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
-import wickdrift.protocol.Pack;
+import wickdrift.protocol.MessageCodec;
 
 /** More workers than sockets: neither side of a controller may be kept from the others by them. */
 class SocketsTest {
@@ -58,7 +58,7 @@
       for (int c = in.read(); c >= 0; c = in.read()) {
         got.append((char) c);
         if (got.indexOf("\r\n\r\n") >= 0) {
-          in.readNBytes(Pack.encode(BODY).length);
+          in.readNBytes(MessageCodec.encode(BODY).length);
           return got.toString();
         }
       }
