--- /dev/null
+++ b/src/main/java/wickdrift/coordination/AwaitedJobs.java
@@ -0,0 +1,100 @@
+package wickdrift.coordination;
+
+import java.util.List;
+import wickdrift.bookkeeping.Job;
+import wickdrift.bookkeeping.JobHistory;
+import wickdrift.bookkeeping.Ledger;
+import wickdrift.bookkeeping.Tables;
+import wickdrift.protocol.JobSpec;
+
+/** Whether the jobs that a submission awaits were accepted, and can be awaited. */
+final class AwaitedJobs {
+  private static final long BARRIER_MS = 1500;
+
+  /** What was found. Where nothing can be said yet the user is sent away. */
+  interface Outcome {
+    void known(Submission s);
+
+    void refused(Submission s, String why);
+  }
+
+  private final Ledger ledger;
+  private final Tables tables;
+  private final JobHistory history;
+
+  AwaitedJobs(Ledger ledger, Tables tables, JobHistory history) {
+    this.ledger = ledger;
+    this.tables = tables;
+    this.history = history;
+  }
+
+  /**
+   * Takes a submission on once all that it names are known to have been accepted. That one was not
+   * is said only when the state service has said so since the question came: the tables lag.
+   */
+  void check(Submission s, Outcome outcome) {
+    if (unknownNames(s.spec()).isEmpty()) {
+      named(s, outcome);
+      return;
+    }
+    ledger.barrier(
+        BARRIER_MS,
+        ok -> {
+          List<String> unknown = unknownNames(s.spec());
+          if (unknown.isEmpty()) {
+            named(s, outcome);
+          } else if (!ok) {
+            Replies.later(s.exchange());
+          } else {
+            readNames(s, unknown, outcome);
+          }
+        });
+  }
+
+  private List<String> unknownNames(JobSpec spec) {
+    return spec.awaits().stream()
+        .filter(a -> tables.job(a) == null && tables.finished(a) == null)
+        .toList();
+  }
+
+  private void readNames(Submission s, List<String> unknown, Outcome outcome) {
+    int[] left = {unknown.size()};
+    String[] never = new String[1];
+    boolean[] unsaid = new boolean[1];
+    for (String id : unknown) {
+      history.ask(
+          id,
+          a -> {
+            if (a == JobHistory.Answer.NONE) {
+              unsaid[0] = true;
+            } else if (a == JobHistory.Answer.NOT_OVER
+                && tables.job(id) == null
+                && tables.finished(id) == null) {
+              never[0] = id;
+            }
+            if (--left[0] > 0) {
+              return;
+            }
+            if (unsaid[0]) {
+              Replies.later(s.exchange());
+            } else if (never[0] != null) {
+              outcome.refused(s, "awaits " + never[0] + ", which was never accepted");
+            } else {
+              named(s, outcome);
+            }
+          });
+    }
+  }
+
+  /** All names are of accepted jobs. One that is never done can't be awaited. */
+  private void named(Submission s, Outcome outcome) {
+    for (String id : s.spec().awaits()) {
+      Job j = tables.job(id);
+      if (j != null && j.spec().shape() == JobSpec.Shape.SERVICE && !j.withdrawn()) {
+        outcome.refused(s, "awaits " + id + ", a service, which is never done");
+        return;
+      }
+    }
+    outcome.known(s);
+  }
+}
--- /dev/null
+++ b/src/main/java/wickdrift/coordination/Submission.java
@@ -0,0 +1,7 @@
+package wickdrift.coordination;
+
+import wickdrift.protocol.JobSpec;
+import wickdrift.transport.Exchange;
+
+/** A submission that waits for its answer. */
+record Submission(Exchange exchange, JobSpec spec, long sinceMs) {}
--- /dev/null
+++ b/src/main/java/wickdrift/coordination/Withdrawals.java
@@ -0,0 +1,97 @@
+package wickdrift.coordination;
+
+import java.util.Map;
+import wickdrift.bookkeeping.Job;
+import wickdrift.bookkeeping.Ledger;
+import wickdrift.bookkeeping.Tables;
+import wickdrift.bookkeeping.Txn;
+import wickdrift.transport.Exchange;
+import wickdrift.transport.Timers;
+
+/** Cancels jobs for their users. */
+final class Withdrawals {
+  private static final long BARRIER_MS = 1500;
+  private static final int TRIES = 6;
+  private static final long RETRY_MS = 120;
+
+  private final Timers timers;
+  private final Ledger ledger;
+  private final Tables tables;
+  private final JobStatus status;
+
+  Withdrawals(Timers timers, Ledger ledger, Tables tables, JobStatus status) {
+    this.timers = timers;
+    this.ledger = ledger;
+    this.tables = tables;
+    this.status = status;
+  }
+
+  void withdraw(Exchange x, String id) {
+    if (ledger.phase() != Ledger.Phase.FOLLOWING) {
+      Replies.later(x);
+      return;
+    }
+    withdraw(x, id, TRIES);
+  }
+
+  private void withdraw(Exchange x, String id, int tries) {
+    if (tables.finished(id) != null) {
+      x.reply(200, Map.of("ref", id, "phase", tables.finished(id).phase()));
+      return;
+    }
+    ledger.barrier(
+        BARRIER_MS,
+        ok -> {
+          Job job = tables.job(id);
+          if (!ok || tries == 0) {
+            Replies.later(x);
+          } else if (job == null) {
+            status.answerStatus(x, id);
+          } else if (job.withdrawn()) {
+            status.tellWithdrawn(x, id);
+          } else {
+            commitWithdrawal(x, job, tries);
+          }
+        });
+  }
+
+  private void commitWithdrawal(Exchange x, Job job, int tries) {
+    Txn txn =
+        new Txn()
+            .when(job.key(), job.stamp())
+            .write(job.key(), job.toStore(job.part(), timers.wallMs()));
+    ledger.commit(
+        txn,
+        Ledger.Rank.USER,
+        r -> {
+          switch (r.outcome()) {
+            // Whom to ask is known once the tables hold what was placed before.
+            case OK ->
+                ledger.barrier(
+                    BARRIER_MS,
+                    ok -> {
+                      if (ok) {
+                        status.tellWithdrawn(x, job.id());
+                      } else {
+                        Replies.later(x);
+                      }
+                    });
+            case FAILED -> withdraw(x, job.id(), tries - 1);
+            case REFUSED -> {
+              if (ledger.reachable()) {
+                timers.after(RETRY_MS, () -> withdraw(x, job.id(), tries - 1));
+              } else {
+                Replies.later(x);
+              }
+            }
+            case UNKNOWN -> {
+              if (r.settled()) {
+                withdraw(x, job.id(), tries - 1);
+              } else {
+                Replies.later(x);
+              }
+            }
+          }
+        });
+  }
+}
