--- a/src/main/java/wickdrift/bookkeeping/Entry.java
+++ b/src/main/java/wickdrift/bookkeeping/Entry.java
@@ -50,6 +50,7 @@
     return new ArrayList<>(List.of(of));
   }
 
+  /** The log entry of a machine's phase. */
   public static List<Object> machine(String name, Machine.Info info) {
     if (info == null) {
       return start(FORGOTTEN, name);
--- a/src/main/java/wickdrift/bookkeeping/Job.java
+++ b/src/main/java/wickdrift/bookkeeping/Job.java
@@ -546,6 +546,7 @@
       case WAITING -> waiting += by;
       case LIVE -> live += by;
       case DONE -> done += by;
+      default -> throw new AssertionError(phase);
     }
   }
 
--- a/src/main/java/wickdrift/bookkeeping/Ledger.java
+++ b/src/main/java/wickdrift/bookkeeping/Ledger.java
@@ -207,6 +207,7 @@
 
   private record RevWaiter(long rev, Runnable done) {}
 
+  /** A client that loads nothing until it is started. */
   public Ledger(
       Timers timers,
       Caller caller,
@@ -629,6 +630,7 @@
   /** Reads one key: an empty value with {@code ok} means it is not there. */
   public record Read(boolean ok, Document value, long stamp) {}
 
+  /** Reads one key as it is in the state service now. */
   public void read(String key, Consumer<Read> done) {
     call(
         "GET",
@@ -781,6 +783,7 @@
 
   // ---- leases ----
 
+  /** Asks for a lease; {@code done} gets its id, or 0 if there was no answer. */
   public void grant(long lifeMs, Consumer<Long> done) {
     call(
         "POST",
@@ -797,6 +800,7 @@
         });
   }
 
+  /** Renews a lease; {@code done} gets the status of the answer. */
   public void extend(long tether, Consumer<Integer> done) {
     call(
         "POST",
--- a/src/main/java/wickdrift/bookkeeping/Names.java
+++ b/src/main/java/wickdrift/bookkeeping/Names.java
@@ -10,6 +10,7 @@
   private final Object2IntHashMap<String> numbers = new Object2IntHashMap<>(MISSING);
   private final List<String> names = new ArrayList<>();
 
+  /** The dense index of a name, a new one if it is not known. */
   public int of(String name) {
     int n = numbers.getValue(name);
     if (n == MISSING) {
--- a/src/main/java/wickdrift/bookkeeping/Page.java
+++ b/src/main/java/wickdrift/bookkeeping/Page.java
@@ -68,6 +68,7 @@
     }
   }
 
+  /** Reads a stored page, in whatever form. */
   public static Page parse(String key, Object value, long stamp) throws BadMessage {
     Document d = Form.read(value, Form.NUMBERED);
     List<Run> runs = new ArrayList<>();
--- a/src/main/java/wickdrift/bookkeeping/Partition.java
+++ b/src/main/java/wickdrift/bookkeeping/Partition.java
@@ -73,6 +73,7 @@
     return new Partition(epoch, taken, s, stamp, form, extra);
   }
 
+  /** The record as it is stored, in its form. */
   public Object toStore() {
     Map<String, Object> m = new LinkedHashMap<>(extra);
     m.put("epoch", epoch);
@@ -83,6 +84,7 @@
     return Form.wrap(form, m);
   }
 
+  /** Reads a stored record, in whatever form. */
   public static Partition parse(Object value, long stamp) throws BadMessage {
     Document d = Form.read(value, Form.NUMBERED);
     Map<String, Share> shares = new LinkedHashMap<>();
--- a/src/main/java/wickdrift/bookkeeping/Tables.java
+++ b/src/main/java/wickdrift/bookkeeping/Tables.java
@@ -492,6 +492,7 @@
   /** What must be stored before a page may go: chunks of jobs, and shelves of machines. */
   public record Needed(Map<Job, Set<Integer>> chunks, Set<String> shelves) {}
 
+  /** What a page still speaks of that no later record holds. */
   public Needed needed(Page p) {
     Needed n = new Needed(new LinkedHashMap<>(), new LinkedHashSet<>());
     for (Page.Run r : p.runs()) {
--- a/src/main/java/wickdrift/bookkeeping/Txn.java
+++ b/src/main/java/wickdrift/bookkeeping/Txn.java
@@ -11,6 +11,7 @@
   private final Map<String, Long> when = new LinkedHashMap<>();
   private final Map<String, Map<String, Object>> then = new LinkedHashMap<>();
 
+  /** Adds a condition: the key has this stamp; 0: it does not exist. */
   public Txn when(String key, long stamp) {
     Long old = when.put(key, stamp);
     if (old != null && old != stamp) {
@@ -23,6 +24,7 @@
     return write(key, value, 0);
   }
 
+  /** Adds a write, tied to a lease unless that is 0. */
   public Txn write(String key, Object value, long tether) {
     Map<String, Object> op = new LinkedHashMap<>();
     op.put("write", key);
@@ -95,6 +97,7 @@
     return "a record " + key.substring(0, Math.min(4, key.length()));
   }
 
+  /** The body of the request. */
   public Map<String, Object> toWire() {
     List<Object> w = new ArrayList<>();
     when.forEach((k, s) -> w.add(Map.of("key", k, "stamp", s)));
--- a/src/main/java/wickdrift/bookkeeping/View.java
+++ b/src/main/java/wickdrift/bookkeeping/View.java
@@ -67,6 +67,7 @@
     return new View(epoch, others, newLeader, where, level, since, extra);
   }
 
+  /** The record as it is stored, in the form of its level. */
   public Object toStore() {
     Map<String, Object> m = new LinkedHashMap<>(extra);
     if (level > 1) {
--- a/src/main/java/wickdrift/bookkeeping/level/Announcement.java
+++ b/src/main/java/wickdrift/bookkeeping/level/Announcement.java
@@ -40,6 +40,7 @@
     return new Announcement(number, name, other, List.copyOf(otherPeers), stamp, extra);
   }
 
+  /** The record as it is stored. */
   public Map<String, Object> toStore() {
     Map<String, Object> m = new LinkedHashMap<>(extra);
     m.put("name", name);
--- a/src/main/java/wickdrift/bookkeeping/level/NodeRegistry.java
+++ b/src/main/java/wickdrift/bookkeeping/level/NodeRegistry.java
@@ -39,6 +39,7 @@
     reset();
   }
 
+  /** Forgets everything, before a load. */
   public void reset() {
     announced.clear();
     list = null;
--- a/src/main/java/wickdrift/bookkeeping/level/Word.java
+++ b/src/main/java/wickdrift/bookkeeping/level/Word.java
@@ -26,6 +26,7 @@
     return m;
   }
 
+  /** Reads the record of an operator's command, of that stamp. */
   public static Word parse(Document d, long stamp) throws BadMessage {
     return new Word(
         List.copyOf(d.texts("held")),
--- a/src/main/java/wickdrift/coordination/Confirmations.java
+++ b/src/main/java/wickdrift/coordination/Confirmations.java
@@ -79,6 +79,7 @@
   private long kept;
   private long unkept;
 
+  /** Nothing is asked until somebody waits for an answer. */
   public Confirmations(
       Timers timers,
       Ledger ledger,
--- a/src/main/java/wickdrift/coordination/Fleet.java
+++ b/src/main/java/wickdrift/coordination/Fleet.java
@@ -96,6 +96,7 @@
   private long listedMs = Long.MIN_VALUE;
   private long toldMs;
 
+  /** Rents nothing before it is started and leads. */
   public Fleet(
       Timers timers,
       Caller caller,
--- a/src/main/java/wickdrift/coordination/FreeCapacity.java
+++ b/src/main/java/wickdrift/coordination/FreeCapacity.java
@@ -94,6 +94,7 @@
     return fetched != null ? Long.MAX_VALUE : fetchesUntilMs;
   }
 
+  /** Takes what one task needs. */
   public void book(JobSpec s) {
     if (!hasImage(s)) {
       fetched = s.image();
--- a/src/main/java/wickdrift/coordination/Membership.java
+++ b/src/main/java/wickdrift/coordination/Membership.java
@@ -98,6 +98,7 @@
   private String said;
   private double toldWrites;
 
+  /** Asks for no lease before it is started. */
   public Membership(
       Timers timers,
       Ledger ledger,
@@ -123,6 +124,7 @@
     tick();
   }
 
+  /** What this node may do now. */
   public Standing standing() {
     View v = tables.view();
     // What can't be read whole, or stands at a level that this build does not speak, proves
--- a/src/main/java/wickdrift/coordination/PauseDetector.java
+++ b/src/main/java/wickdrift/coordination/PauseDetector.java
@@ -38,6 +38,7 @@
     this.listeningSinceMs = lastMs;
   }
 
+  /** Begins to beat. */
   public void start() {
     // Whatever lies between making the process and its first turn is no pause.
     lastMs = timers.nowMs();
--- a/src/main/java/wickdrift/coordination/Relay.java
+++ b/src/main/java/wickdrift/coordination/Relay.java
@@ -55,6 +55,7 @@
     return true;
   }
 
+  /** A peer's answer to a report that was passed on. */
   public void answered(PeerFrame.Answered a) {
     Exchange x = pending.remove(a.id());
     if (x == null) {
--- a/src/main/java/wickdrift/coordination/Reporting.java
+++ b/src/main/java/wickdrift/coordination/Reporting.java
@@ -113,6 +113,7 @@
   private final long leaseMs;
   private Set<String> owned = new HashSet<>();
 
+  /** Answers no report before the tables are loaded. */
   public Reporting(
       Timers timers,
       Ledger ledger,
--- a/src/main/java/wickdrift/coordination/SchedulingState.java
+++ b/src/main/java/wickdrift/coordination/SchedulingState.java
@@ -41,6 +41,7 @@
   private long epoch = -1;
   private int typesSeen;
 
+  /** An empty state, brought up to date by {@link #update}. */
   public SchedulingState(Timers timers, Tables tables, Types types, Settings settings) {
     this.timers = timers;
     this.tables = tables;
--- a/src/main/java/wickdrift/coordination/Submissions.java
+++ b/src/main/java/wickdrift/coordination/Submissions.java
@@ -370,6 +370,7 @@
           batch.values().forEach(l -> l.forEach(s -> Replies.later(s.exchange())));
         }
       }
+      default -> throw new AssertionError(r.outcome());
     }
     pump();
   }
--- a/src/main/java/wickdrift/coordination/TransactionPipeline.java
+++ b/src/main/java/wickdrift/coordination/TransactionPipeline.java
@@ -35,6 +35,9 @@
   /** So many ends may wait in their jobs' records; a load reads them all. */
   private static final int MOVES_LATE_MOST = 2000;
 
+  /** However much there is to write, so often a node looks whether another lacks share. */
+  private static final long GIFT_OVERDUE_MS = 2000;
+
   /** A page, and a record beside it. */
   private static final int LEAST_CHANGES = 2;
 
@@ -78,6 +81,7 @@
   private long settledAtMs;
   private long leadSettledAtMs;
   private long lastCycleMs;
+  private long giftLookMs;
   private long transactions;
   private long drafted;
   private long unpaid;
@@ -88,6 +92,7 @@
   /** Whether a timer will wake us when the leader's jobs that were passed over may be placed. */
   private boolean postponed;
 
+  /** Writes nothing before it is started. */
   public TransactionPipeline(
       Timers timers,
       Ledger ledger,
@@ -292,6 +297,14 @@
     }
     drafted++;
     TransactionBuilder draft = new TransactionBuilder(tables, node, payable, most, pageBytes);
+    if (giftOverdue()) {
+      // By itself: what is placed beside it was decided by the share that is given away.
+      draftGift(draft);
+      if (!draft.empty()) {
+        commit(draft);
+        return;
+      }
+    }
     draftExits(draft);
     draftEnds(draft);
     draftRecords(draft);
@@ -324,6 +337,10 @@
       }
       return;
     }
+    commit(draft);
+  }
+
+  private void commit(TransactionBuilder draft) {
     phase = Phase.BUSY;
     transactions++;
     boolean places = draft.places();
@@ -331,6 +348,14 @@
     ledger.commit(txn, Ledger.Rank.WORK, r -> committed(r, places));
   }
 
+  /**
+   * Whether other work has kept this node from giving share away for so long that somebody may wait
+   * beside room for it.
+   */
+  private boolean giftOverdue() {
+    return settled() && timers.nowMs() - giftLookMs > GIFT_OVERDUE_MS;
+  }
+
   private void committed(Ledger.Result r, boolean places) {
     switch (r.outcome()) {
       case OK -> ledger.whenAt(r.rev(), this::ready);
@@ -349,6 +374,7 @@
           afterBarrier(this::ready);
         }
       }
+      default -> throw new AssertionError(r.outcome());
     }
   }
 
@@ -575,8 +601,9 @@
     }
   }
 
-  /** Only while nothing else is to be written: then nothing of ours is about to use the share. */
+  /** In a transaction of its own: nothing of ours is about to use the share. */
   private void draftGift(TransactionBuilder draft) {
+    giftLookMs = timers.nowMs();
     Quota quota = new Quota(settings, tables);
     quota.saveUp(scheduling.queue().waiting(), timers.wallMs());
     Quota.Gift g = quota.gift(membership.leads(), scheduling.queue().waiting());
--- a/src/main/java/wickdrift/coordination/Tuning.java
+++ b/src/main/java/wickdrift/coordination/Tuning.java
@@ -42,6 +42,7 @@
   private static final long SLACK_MS = 300;
   private static final long MEMBER_LEASE_MS = 4000;
 
+  /** The defaults for a deployment. */
   public static Tuning defaults(Settings s) {
     long lease = (long) (s.workers().leaseS() * 1000);
     double cancel = s.workers().cancelS() * 1000;
--- a/src/main/java/wickdrift/coordination/TypeInfo.java
+++ b/src/main/java/wickdrift/coordination/TypeInfo.java
@@ -18,6 +18,7 @@
     double bootS,
     List<String> zones) {
 
+  /** Reads a machine type of the cloud's list. */
   public static TypeInfo parse(Document d) throws BadMessage {
     return new TypeInfo(
         d.text("sku"),
--- a/src/main/java/wickdrift/coordination/Withdrawals.java
+++ b/src/main/java/wickdrift/coordination/Withdrawals.java
@@ -91,6 +91,7 @@
                 Replies.later(x);
               }
             }
+            default -> throw new AssertionError(r.outcome());
           }
         });
   }
--- a/src/main/java/wickdrift/daemon/Controller.java
+++ b/src/main/java/wickdrift/daemon/Controller.java
@@ -206,6 +206,7 @@
     return tables;
   }
 
+  /** Begins to load the tables, and everything that runs by timers. */
   public void start() {
     pauseDetector.start();
     ledger.start();
@@ -252,6 +253,7 @@
     pipeline.wake();
   }
 
+  /** Takes a frame that came in on the link between controllers. */
   public void peerFrame(ByteBuffer bytes) {
     pauseDetector.beat();
     PeerFrame frame;
--- a/src/main/java/wickdrift/daemon/Main.java
+++ b/src/main/java/wickdrift/daemon/Main.java
@@ -19,6 +19,7 @@
     spec.commandLine().usage(System.err);
   }
 
+  /** Starts what the command line names. */
   public static void main(String[] args) {
     logging();
     CommandLine line = new CommandLine(new Main());
--- a/src/main/java/wickdrift/daemon/Metrics.java
+++ b/src/main/java/wickdrift/daemon/Metrics.java
@@ -23,6 +23,7 @@
     Gauge.builder("wickdrift." + name, value).register(registry);
   }
 
+  /** All figures as they are now, by name. */
   public Map<String, Object> snapshot() {
     Map<String, Object> out = new TreeMap<>();
     for (Meter m : registry.getMeters()) {
--- a/src/main/java/wickdrift/operator/Snapshot.java
+++ b/src/main/java/wickdrift/operator/Snapshot.java
@@ -38,6 +38,7 @@
 
   private Snapshot() {}
 
+  /** Writes a snapshot of all records. */
   public static void write(Records records, OutputStream out) throws IOException {
     out.write(MAGIC);
     out.write(FORM);
--- a/src/main/java/wickdrift/protocol/Document.java
+++ b/src/main/java/wickdrift/protocol/Document.java
@@ -45,6 +45,7 @@
     return map;
   }
 
+  /** A text that must be there. */
   public String text(String key) throws BadMessage {
     String s = textOrNull(key);
     if (s == null) {
@@ -53,6 +54,7 @@
     return s;
   }
 
+  /** A text, or null if it is absent or null. */
   public String textOrNull(String key) throws BadMessage {
     Object v = map.get(key);
     if (v == null) {
@@ -64,6 +66,7 @@
     throw new BadMessage(key + " is not text");
   }
 
+  /** A whole number that must be there. */
   public long count(String key) throws BadMessage {
     Object v = map.get(key);
     if (v == null) {
@@ -98,6 +101,7 @@
     return d == null ? otherwise : d;
   }
 
+  /** A decimal number, or null if it is absent or null. */
   public Double amountOrNull(String key) throws BadMessage {
     Object v = map.get(key);
     if (v == null) {
@@ -112,6 +116,7 @@
     throw new BadMessage(key + " is not an amount");
   }
 
+  /** A boolean that must be there. */
   public boolean flag(String key) throws BadMessage {
     Object v = map.get(key);
     if (v instanceof Boolean b) {
@@ -124,6 +129,7 @@
     return map.get(key) == null ? otherwise : flag(key);
   }
 
+  /** A list; an empty one if it is absent or null. */
   public List<?> list(String key) throws BadMessage {
     Object v = map.get(key);
     if (v == null) {
@@ -135,6 +141,7 @@
     throw new BadMessage(key + " is not a list");
   }
 
+  /** A list of maps; an empty one if it is absent or null. */
   public List<Document> docs(String key) throws BadMessage {
     List<Document> out = new ArrayList<>();
     for (Object o : list(key)) {
@@ -143,6 +150,7 @@
     return out;
   }
 
+  /** A list of texts; an empty one if it is absent or null. */
   public List<String> texts(String key) throws BadMessage {
     List<String> out = new ArrayList<>();
     for (Object o : list(key)) {
--- a/src/main/java/wickdrift/protocol/JobSpec.java
+++ b/src/main/java/wickdrift/protocol/JobSpec.java
@@ -96,6 +96,7 @@
     return REQUIRED.stream().filter(f -> submitted.raw(f) == null).findFirst().orElse(null);
   }
 
+  /** Reads a submission; what is lacking or out of range is named. */
   public static JobSpec parse(Document d) throws BadMessage {
     String id = d.text("ref");
     if (!validId(id)) {
@@ -221,6 +222,7 @@
         "awaits");
   }
 
+  /** The submission as a job's record holds it. */
   public Map<String, Object> toStore() {
     Map<String, Object> m = new LinkedHashMap<>();
     m.put("ref", id);
--- a/src/main/java/wickdrift/protocol/MessageCodec.java
+++ b/src/main/java/wickdrift/protocol/MessageCodec.java
@@ -21,6 +21,7 @@
 
   private MessageCodec() {}
 
+  /** A value as MessagePack. */
   public static byte[] encode(Object value) {
     try (MessageBufferPacker packer = MessagePack.newDefaultBufferPacker()) {
       write(packer, value);
@@ -87,6 +88,7 @@
     return String.valueOf(value).length();
   }
 
+  /** The value that a whole MessagePack body holds. */
   public static Object decode(byte[] body) throws BadMessage {
     try (MessageUnpacker unpacker = MessagePack.newDefaultUnpacker(body)) {
       Object value = read(unpacker, 0, body.length);
--- a/src/main/java/wickdrift/protocol/Report.java
+++ b/src/main/java/wickdrift/protocol/Report.java
@@ -31,6 +31,7 @@
     }
   }
 
+  /** One attempt of a task as its worker shows it. */
   public record Entry(String job, int index, int attempt, Phase phase, String why, boolean saved) {
     public String task() {
       return job + "/" + index;
@@ -44,6 +45,7 @@
   public static final String BUSY = "busy";
   public static final String UNKNOWN = "unknown";
 
+  /** Reads a report; what is lacking or out of range is named. */
   public static Report parse(Document d) throws BadMessage {
     List<Entry> tasks = new ArrayList<>();
     for (Document t : d.docs("shards")) {
--- a/src/main/java/wickdrift/settings/Settings.java
+++ b/src/main/java/wickdrift/settings/Settings.java
@@ -38,11 +38,14 @@
   /** A limit of 0 means none; a guarantee of 0 means none is given. */
   public record Team(String name, double cpus, double cpusMax, double gpus, double gpusMax) {}
 
+  /** What is expected of a class of jobs. */
   public record Objective(String kind, String jobClass, double withinS, double share) {}
 
+  /** The workers' times, in seconds. */
   public record Workers(
       double reportS, double leaseS, double gangWaitS, double gangPeerS, double cancelS) {}
 
+  /** Requests a second that the cloud takes, and how late its list is. */
   public record CloudLimits(double rps, double listLagS) {}
 
   /** A view, the part of one that comes, its lasting record, and the first list. */
@@ -77,6 +80,7 @@
     return zones;
   }
 
+  /** Reads the platform's settings file. */
   public static Settings load(Path file) throws Invalid {
     UnmodifiableConfig c;
     try (Reader r = Files.newBufferedReader(file)) {
@@ -89,6 +93,7 @@
     return parse(c);
   }
 
+  /** Reads settings; the first that is wrong is named. */
   public static Settings parse(UnmodifiableConfig c) throws Invalid {
     String node = text(c, "host_name");
     List<Peer> peers = new ArrayList<>();
--- a/src/test/java/wickdrift/sim/Loopback.java
+++ b/src/test/java/wickdrift/sim/Loopback.java
@@ -413,6 +413,7 @@
     rest(STEP_MS);
   }
 
+  /** Plays one rollout with real processes. */
   public static void main(String[] args) throws Exception {
     Path old = Path.of(args[0]).toAbsolutePath();
     Path next = Path.of(args[1]).toAbsolutePath();
--- a/src/test/java/wickdrift/sim/SimClock.java
+++ b/src/test/java/wickdrift/sim/SimClock.java
@@ -31,6 +31,7 @@
     events.add(new Event(now + Math.max(0, delayMs), seq++, action));
   }
 
+  /** Runs everything that is due up to a moment. */
   public void runUntil(long until) {
     while (!events.isEmpty() && events.peek().at <= until) {
       Event e = events.poll();
--- a/src/test/java/wickdrift/sim/SimJobs.java
+++ b/src/test/java/wickdrift/sim/SimJobs.java
@@ -9,6 +9,7 @@
 public final class SimJobs {
   private SimJobs() {}
 
+  /** A job of the team vision: its class is called as its shape. */
   public static Map<String, Object> job(
       int number, String shape, int tasks, double gpus, double seconds) {
     Map<String, Object> m = new LinkedHashMap<>();
--- a/src/test/java/wickdrift/sim/SimNet.java
+++ b/src/test/java/wickdrift/sim/SimNet.java
@@ -100,6 +100,7 @@
     }
   }
 
+  /** Joins two hosts again; what was held back arrives. */
   public void heal(String a, String b) {
     cuts.remove(link(a, b));
     List<Runnable> late = held.remove(link(a, b));
--- a/src/test/java/wickdrift/sim/SimState.java
+++ b/src/test/java/wickdrift/sim/SimState.java
@@ -119,6 +119,7 @@
   private long allowedAtMs;
   private int overWritten;
 
+  /** An empty store that takes so many changes a second. */
   public SimState(SimClock clock, double writeRps) {
     this.clock = clock;
     this.writeRps = writeRps;
@@ -127,6 +128,7 @@
     sweep();
   }
 
+  /** The store is away for all, or back. */
   public void outage(boolean on) {
     out = on;
     if (!on) {
@@ -171,6 +173,7 @@
     slowWritesMs = ms;
   }
 
+  /** The store refuses one node alone, or serves it again. */
   public void refuse(String node, boolean on) {
     if (on) {
       refused.add(node);
--- a/src/test/java/wickdrift/sim/SimWorld.java
+++ b/src/test/java/wickdrift/sim/SimWorld.java
@@ -326,6 +326,7 @@
     }
   }
 
+  /** Starts a controller's process. */
   public void startNode(String name) {
     Node n = new Node();
     Timers timers =
