--- a/src/test/java/wickdrift/sim/FaultRun.java
+++ b/src/test/java/wickdrift/sim/FaultRun.java
@@ -14,8 +14,8 @@
   /** Jobs that each run has. */
   static final int JOBS = 30;
 
-  /** Numbers from here on are of jobs that a scenario submits beside those. */
-  static final int MORE = 100;
+  /** Numbers from here on are of jobs that scenarios submit beside those. */
+  private static final int MORE = 100;
 
   private static final long FAULTS_OVER_MS = 130_000;
   private static final long CALM_MS = 250_000;
@@ -27,6 +27,7 @@
   boolean reached;
 
   private final TreeSet<String> submitted = new TreeSet<>();
+  private int nextNumber = MORE;
 
   FaultRun(SimWorld world, Random random) {
     this.world = world;
@@ -100,11 +101,16 @@
     world.users.submit(job, cancelAfterMs);
   }
 
+  /** A number that no job has yet. */
+  int nextNumber() {
+    return nextNumber++;
+  }
+
   /** Small jobs of both teams, beside those of every run. */
   void submitMore(int count, long fromMs, int spanMs) {
     for (int i = 0; i < count; i++) {
       Map<String, Object> job =
-          SimJobs.job(MORE + i, "batch", 1 + i % 2, 1, 8 + random.nextInt(20));
+          SimJobs.job(nextNumber(), "batch", 1 + i % 2, 1, 8 + random.nextInt(20));
       job.put("owner", i % 2 == 0 ? "vision" : "sound");
       at(fromMs + random.nextInt(spanMs), () -> submit(job, 0));
     }
@@ -238,6 +244,12 @@
     at(forMs, world::healMachines);
   }
 
+  /** A machine that is back at once, with nothing on it. */
+  void restartMachine(int i) {
+    List<SimWorker> all = world.workers();
+    all.get(i % all.size()).restart();
+  }
+
   void killMachines(int count) {
     for (int i = 0; i < count; i++) {
       world.killMachine(i);
--- a/src/test/java/wickdrift/sim/FaultScenario.java
+++ b/src/test/java/wickdrift/sim/FaultScenario.java
@@ -279,7 +279,7 @@
           long at = 22_000 + 17_000L * i;
           run.at(at - 1500, () -> run.world.hangMachine(n, 9000));
           run.at(at - 1000, () -> run.world.killMachine(n + 4));
-          run.at(at - 800, () -> run.world.workers().get(n + 8).restart());
+          run.at(at - 800, () -> run.restartMachine(n + 8));
           run.at(at, () -> run.endLeader(n % 2 == 1));
           run.at(at + 500, () -> run.cancelRunning(2));
         }
@@ -326,7 +326,7 @@
       setup -> setup.machines(16).writeRps(50),
       run -> {
         for (int i = 0; i < 240; i++) {
-          int number = FaultRun.MORE + i;
+          int number = run.nextNumber();
           long off = i % 4 == 0 ? 1 + run.random.nextInt(9000) : 0;
           double seconds = 3 + run.random.nextInt(9);
           run.at(
