--- a/src/main/java/wickdrift/coordination/Fleet.java
+++ b/src/main/java/wickdrift/coordination/Fleet.java
@@ -16,7 +16,9 @@
 import wickdrift.bookkeeping.Job;
 import wickdrift.bookkeeping.Ledger;
 import wickdrift.bookkeeping.Machine;
+import wickdrift.bookkeeping.Partition.Share;
 import wickdrift.bookkeeping.Tables;
+import wickdrift.bookkeeping.Usage;
 import wickdrift.bookkeeping.View;
 import wickdrift.protocol.BadMessage;
 import wickdrift.protocol.Document;
@@ -557,6 +559,7 @@
             timers.nowMs(),
             settings,
             types,
+            tables.usage(),
             rooms,
             toKinds(coming),
             this::pick);
@@ -751,6 +754,7 @@
         long nowMs,
         Settings settings,
         Types types,
+        Usage usage,
         List<FreeCapacity> rooms,
         List<Virtual> coming,
         Picker picker) {
@@ -765,6 +769,8 @@
       Map<Kind, Integer> wanted = new LinkedHashMap<>();
       Map<String, Integer> perZone = new HashMap<>();
       bins.forEach(b -> perZone.merge(b.zone, 1, Integer::sum));
+      Map<String, Share> leftOfLimit = new HashMap<>();
+      Set<String> savedFor = new HashSet<>();
       int seen = 0;
       int fresh = 0;
       for (Job job : waiting) {
@@ -775,6 +781,19 @@
         // What seems to fail everywhere is tried, not provided for.
         boolean one = job.suspect() && job.spec().shape() != JobSpec.Shape.GANG;
         int most = one ? 1 : job.waiting();
+        Share need = new Share(job.spec().cpus(), job.spec().gpus());
+        Share left =
+            leftOfLimit.computeIfAbsent(team.name(), k -> leftOf(team, usage.of(team.name())));
+        int allowed = tasksWithin(left, need);
+        // What its team's limit forbids has no use for a machine: it runs where others have ended.
+        // But for the first gang that waits for it: the limit is saved up for that one.
+        boolean gang = job.spec().shape() == JobSpec.Shape.GANG;
+        if (!gang) {
+          most = Math.min(most, allowed);
+        } else if (allowed < most && !savedFor.add(team.name())) {
+          continue;
+        }
+        leftOfLimit.put(team.name(), left.minus(need.times(most)));
         // Its tasks are alike: where one did not fit, the next does not either.
         int from = 0;
         for (int n = 0; n < most; n++) {
@@ -808,5 +827,19 @@
       }
       return wanted;
     }
+
+    /** What a team may use beyond what it does; without end where it has no limit. */
+    private static Share leftOf(Settings.Team team, Share used) {
+      return new Share(
+          team.cpusMax() > 0 ? team.cpusMax() - used.cpus() : Double.POSITIVE_INFINITY,
+          team.gpusMax() > 0 ? team.gpusMax() - used.gpus() : Double.POSITIVE_INFINITY);
+    }
+
+    private static int tasksWithin(Share left, Share need) {
+      double byCpus = need.cpus() > 0 ? left.cpus() / need.cpus() : Double.POSITIVE_INFINITY;
+      double byGpus = need.gpus() > 0 ? left.gpus() / need.gpus() : Double.POSITIVE_INFINITY;
+      double tasks = Math.floor(Math.min(byCpus, byGpus) + FreeCapacity.EPS);
+      return (int) Math.max(0, Math.min(Integer.MAX_VALUE, tasks));
+    }
   }
 }
--- a/src/test/java/wickdrift/sim/LimitSharesTest.java
+++ b/src/test/java/wickdrift/sim/LimitSharesTest.java
@@ -45,4 +45,19 @@
     assertTrue(w.users.accepted.size() < SHORT_JOBS, "the controllers were not busy");
     assertEquals(List.of(), w.broken());
   }
+
+  /** Tasks that a team's limit forbids have no use for a machine: none is rented for them. */
+  @ParameterizedTest
+  @ValueSource(strings = {"batch", "ensemble"})
+  void nothingIsRentedForWhatALimitForbids(String shape) {
+    SimWorld w = new SimWorld(new SimSetup(5, 0, 30).controllers("aab").gpusMax(8));
+    w.run(8000);
+    for (int i = 0; i < 12; i++) {
+      w.users.submit(SimJobs.job(i, shape, 2, 2, 300), 0);
+    }
+    w.run(90_000);
+    assertEquals(4, w.starts(), "as many tasks as the limit allows run");
+    assertTrue(w.cloud.rented <= 3, "rented " + w.cloud.rented);
+    assertEquals(List.of(), w.broken());
+  }
 }
