A gang whose members fit side by side starts on fewer machines than it has members

A zone counted as having room for a one-zone gang only with as many machines as members: a gang of two small tasks beside one empty machine was never placed, whatever it waited. GangsOnFewMachinesTest: 7 cases of 7 fail without.

--- a/src/main/java/wickdrift/coordination/CapacityIndex.java
+++ b/src/main/java/wickdrift/coordination/CapacityIndex.java
@@ -510,6 +510,21 @@
     return n;
   }
 
+  /** Whether so many tasks have room at once, several of them on one machine too. */
+  boolean holds(JobSpec s, Predicate<Cell> allowed, int tasks) {
+    int left = tasks;
+    for (Cell c : cells) {
+      if (!c.allows(s) || !allowed.test(c)) {
+        continue;
+      }
+      for (int i = c.all.upTo(mostLoad(s, c.type)) - 1; i >= 0 && left > 0; i--) {
+        looked++;
+        left -= c.all.get(i).tasksThatFit(s, left);
+      }
+    }
+    return left <= 0;
+  }
+
   List<String> zones() {
     Set<String> out = new HashSet<>();
     cells.forEach(c -> out.add(c.zone));
--- a/src/main/java/wickdrift/coordination/FreeCapacity.java
+++ b/src/main/java/wickdrift/coordination/FreeCapacity.java
@@ -81,6 +81,18 @@
     return fits(s) && (!fetching || hasImage(s));
   }
 
+  /** How many tasks of a kind fit here side by side, {@code most} at most. */
+  int tasksThatFit(JobSpec s, int most) {
+    if (!fitsWithFetch(s)) {
+      return 0;
+    }
+    double n = most;
+    n = s.cpus() > 0 ? Math.min(n, (freeCpus() + EPS) / s.cpus()) : n;
+    n = s.gpus() > 0 ? Math.min(n, (freeGpus() + EPS) / s.gpus()) : n;
+    n = s.memoryGb() > 0 ? Math.min(n, (freeMemoryGb() + EPS) / s.memoryGb()) : n;
+    return (int) n;
+  }
+
   /** Looks whether it fetches at this time; the index calls it while the room is not listed. */
   void fetches(long nowMs) {
     fetching = fetched != null || fetchesUntilMs > nowMs;
--- a/src/main/java/wickdrift/coordination/Placing.java
+++ b/src/main/java/wickdrift/coordination/Placing.java
@@ -484,7 +484,8 @@
       Map<String, Integer> room = new HashMap<>();
       for (String z : rooms.zones()) {
         room.put(z, rooms.count(spec, c -> c.zone.equals(z), ZONE_COUNT * waiting));
-        if (room.get(z) >= waiting) {
+        boolean fits = room.get(z) >= waiting || rooms.holds(spec, c -> c.zone.equals(z), waiting);
+        if (fits) {
           tries.add(z);
         }
       }
--- /dev/null
+++ b/src/test/java/wickdrift/sim/GangsOnFewMachinesTest.java
@@ -0,0 +1,23 @@
+package wickdrift.sim;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.util.List;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/** Gangs whose members fit side by side start on fewer machines than they have members. */
+class GangsOnFewMachinesTest {
+  @ParameterizedTest(name = "{1} gangs of {0} on {2} machines")
+  @CsvSource({"2, 1, 1", "4, 1, 1", "2, 2, 2", "3, 2, 2", "4, 2, 2", "2, 4, 2", "3, 4, 4"})
+  void startBesideEachOther(int tasks, int gangs, int machines) {
+    SimWorld w = new SimWorld(510 + tasks, machines, machines, "aab", 60);
+    w.run(8000);
+    for (int i = 0; i < gangs; i++) {
+      w.users.submit(SimJobs.job(i, "ensemble", tasks, 1, 300), 0);
+    }
+    w.run(25_000);
+    assertEquals(gangs * tasks, w.starts(), "members that started");
+    assertEquals(List.of(), w.broken());
+  }
+}
