--- a/src/main/java/wickdrift/coordination/Placing.java
+++ b/src/main/java/wickdrift/coordination/Placing.java
@@ -90,7 +90,7 @@
     this.tables = tables;
     this.scheduling = scheduling;
     this.rooms = scheduling.rooms();
-    this.reservations = new Reservations(tables, scheduling, tuning, limits);
+    this.reservations = new Reservations(tables, scheduling, types, tuning, limits);
     this.givingWay = new VictimSelection(rooms, types, reservations, tuning, settings);
     this.tuning = tuning;
     this.settings = settings;
@@ -220,7 +220,7 @@
       }
     }
     if (leader && leadSettled.getAsBoolean()) {
-      reservations.draft(draft, v, now);
+      reservations.draft(draft, quota, v, now);
     }
     if (draft.touches(Tables.TAKES_KEY)) {
       takenMs = now;
--- a/src/main/java/wickdrift/coordination/Quota.java
+++ b/src/main/java/wickdrift/coordination/Quota.java
@@ -41,7 +41,12 @@
   /** A gang for which a limit had no room for so long has it saved up, and rests as long after. */
   private static final long SAVE_AFTER_MS = 30_000;
 
-  private static final long SAVE_MS = 120_000;
+  /** Below the time that a job may wait beside room for it: the team's others wait for so long. */
+  private static final long SAVE_MS = 75_000;
+
+  /** Of what a gang needs. */
+  private static final double SAVED_PART = 0.25;
+
   private final Tables tables;
   private final Settings settings;
   private final String node;
@@ -100,7 +105,7 @@
    * A gang starts whole, so a team whose limit is always used up by small work would never start
    * it: what ends is taken by the next small task at once. So the limit is saved up for the first
    * gang in the order of service that has waited for a while: the team's other jobs start only what
-   * leaves room for it. For two minutes, then the others have two: one that can't start for other
+   * leaves room for it. For a while, then the others have as long: one that can't start for other
    * reasons is not to hold them for ever. All controllers draw the same from the tables.
    *
    * @param wallMs the time of day
@@ -142,6 +147,16 @@
     return tables.usage().of(team).plus(booked.getOrDefault(team, Share.NONE));
   }
 
+  /**
+   * Whether a team's limit is saved up for this job now, and some of it is free already. While it
+   * is held by others' long tasks the job is not about to start.
+   */
+  boolean savingFor(Job job) {
+    Share part = of(job.spec()).times(job.waiting() * SAVED_PART);
+    String team = job.spec().team();
+    return saved.get(team) == job && covers(teams.get(team), limit(team).minus(total(team)), part);
+  }
+
   /** Whether a job's task may start, and leaves what is saved up for another. */
   boolean allows(Job job) {
     Job first = saved.get(job.spec().team());
@@ -164,6 +179,27 @@
     return t == null || covers(t, left(spec.team(), node), of(spec).times(n));
   }
 
+  /** What each team's limit leaves beside what is in use: gangs are given it in their order. */
+  final class Remainder {
+    private final Map<String, Share> left = new HashMap<>();
+
+    /** Takes what so many tasks need, if the limit leaves it. */
+    boolean take(JobSpec spec, int tasks) {
+      Settings.Team team = teams.get(spec.team());
+      if (team == null) {
+        return true;
+      }
+      Share now =
+          left.computeIfAbsent(spec.team(), k -> limit(spec.team()).minus(total(spec.team())));
+      Share need = of(spec).times(tasks);
+      if (!covers(team, now, need)) {
+        return false;
+      }
+      left.put(spec.team(), now.minus(need));
+      return true;
+    }
+  }
+
   private static boolean covers(Settings.Team t, Share left, Share need) {
     return (t.cpusMax() == 0 || need.cpus() <= left.cpus() + FreeCapacity.EPS)
         && (t.gpusMax() == 0 || need.gpus() <= left.gpus() + FreeCapacity.EPS);
--- a/src/main/java/wickdrift/coordination/Reservations.java
+++ b/src/main/java/wickdrift/coordination/Reservations.java
@@ -23,6 +23,7 @@
   private final Tables tables;
   private final SchedulingState scheduling;
   private final CapacityIndex rooms;
+  private final Types types;
   private final Tuning tuning;
   private final Limits limits;
 
@@ -31,7 +32,9 @@
 
   private long nextMarksMs;
 
-  Reservations(Tables tables, SchedulingState scheduling, Tuning tuning, Limits limits) {
+  Reservations(
+      Tables tables, SchedulingState scheduling, Types types, Tuning tuning, Limits limits) {
+    this.types = types;
     this.tables = tables;
     this.scheduling = scheduling;
     this.rooms = scheduling.rooms();
@@ -53,21 +56,14 @@
    * A gang that has waited for a while marks the machines that will be empty soonest. Marks are in
    * the part records, so that their owners place nothing there; here is only whose they are.
    */
-  void draft(TransactionBuilder draft, View v, long now) {
+  void draft(TransactionBuilder draft, Quota quota, View v, long now) {
     if (now < nextMarksMs) {
       return;
     }
     nextMarksMs = now + MARKS_MS;
-    Map<String, Job> waitingGangs = new LinkedHashMap<>();
-    for (Job job : scheduling.queue().waiting()) {
-      if (job.spec().shape() == JobSpec.Shape.GANG
-          && job.part().equals(Job.LEADER)
-          && job.live() == 0
-          && draft.live(job) == 0
-          && !job.suspect()) {
-        waitingGangs.put(job.id(), job);
-      }
-    }
+    List<Job> gangs = waitingGangs(draft);
+    FleetSize size = gangs.isEmpty() ? null : new FleetSize(tables, types);
+    Map<String, Job> waitingGangs = couldStart(gangs, size, quota);
     reservations.keySet().retainAll(waitingGangs.keySet());
     for (List<Machine> l : reservations.values()) {
       l.removeIf(m -> m.phase() != Machine.Phase.UP);
@@ -76,7 +72,7 @@
     reservations.values().forEach(marked::addAll);
     for (Job job : waitingGangs.values()) {
       if (now - job.waitingSinceMs(now) >= tuning.markWaitMs()) {
-        mark(job, marked, now);
+        mark(job, size, marked, now);
       }
     }
     Map<String, List<String>> wanted = new HashMap<>();
@@ -96,19 +92,54 @@
     }
   }
 
+  private List<Job> waitingGangs(TransactionBuilder draft) {
+    List<Job> gangs = new ArrayList<>();
+    for (Job job : scheduling.queue().waiting()) {
+      if (job.spec().shape() == JobSpec.Shape.GANG
+          && job.part().equals(Job.LEADER)
+          && job.live() == 0
+          && draft.live(job) == 0
+          && !job.suspect()) {
+        gangs.add(job);
+      }
+    }
+    return gangs;
+  }
+
+  /**
+   * Those that may keep machines from others. One that its team's limit forbids could not use them,
+   * unless the limit is being saved up for it; nor could one that there are too few machines for,
+   * whatever makes way.
+   */
+  private static Map<String, Job> couldStart(List<Job> gangs, FleetSize size, Quota quota) {
+    Quota.Remainder remainder = quota.new Remainder();
+    Map<String, Job> out = new LinkedHashMap<>();
+    for (Job job : gangs) {
+      boolean enough = size.holds(job.spec(), job.waiting());
+      if (enough && (remainder.take(job.spec(), job.waiting()) || quota.savingFor(job))) {
+        out.put(job.id(), job);
+      }
+    }
+    return out;
+  }
+
   /** So many names leave room in a part's record for its shares, whatever the limit of a value. */
   private int maxMarks() {
     return limits.valueBytes() / 2 / MARK_BYTES;
   }
 
-  private void mark(Job job, Set<Machine> marked, long now) {
+  private void mark(Job job, FleetSize size, Set<Machine> marked, long now) {
     List<Machine> mine = reservations.computeIfAbsent(job.id(), k -> new ArrayList<>());
     while (mine.size() < job.waiting() && marked.size() < maxMarks()) {
-      String zone = job.spec().oneZone() && !mine.isEmpty() ? mine.get(0).info().zone() : null;
+      boolean oneZone = job.spec().oneZone();
+      String zone = oneZone && !mine.isEmpty() ? mine.get(0).info().zone() : null;
       Soonest s = new Soonest(now);
       rooms.each(
           job.spec(),
-          c -> zone == null || zone.equals(c.zone),
+          c ->
+              zone != null
+                  ? zone.equals(c.zone)
+                  : !oneZone || size.holds(job.spec(), c.zone, job.waiting()),
           r -> {
             if (!marked.contains(r.machine())) {
               s.look(r.machine());
--- a/src/test/java/wickdrift/sim/LimitSharesTest.java
+++ b/src/test/java/wickdrift/sim/LimitSharesTest.java
@@ -60,4 +60,24 @@
     assertTrue(w.cloud.rented <= 3, "rented " + w.cloud.rented);
     assertEquals(List.of(), w.broken());
   }
+
+  /** A gang that its team's limit forbids keeps no machine from others. */
+  @ParameterizedTest
+  @ValueSource(ints = {1, 2, 3})
+  void aGangAtItsTeamsLimitKeepsNoMachine(int gangs) {
+    SimWorld w = new SimWorld(new SimSetup(60 + gangs, 4, 4).controllers("aab").gpusMax(8));
+    w.run(8000);
+    w.users.submit(SimJobs.job(1, "batch", 2, 4, 400), 0);
+    w.run(8000);
+    for (int i = 0; i < gangs; i++) {
+      w.users.submit(SimJobs.job(10 + i, "ensemble", 1 + i % 2, 4, 100), 0);
+    }
+    w.run(20_000);
+    Map<String, Object> other = SimJobs.job(2, "batch", 8, 1, 100);
+    other.put("owner", "sound");
+    w.users.submit(other, 0);
+    w.run(30_000);
+    assertEquals(2 + 8, w.starts(), "tasks that started");
+    assertEquals(List.of(), w.broken());
+  }
 }
