Read once more: one count of tasks that fit, one place for what users' requests share

How many tasks so much room holds was worked out in FreeCapacity, TypeInfo and Fleet.Demand; it is FreeCapacity.tasksIn now. In Demand the rounding slack of 1e-6 is added to what is left before the division, as Quota does, and not after it; nothing else changes. The time limits and the 503 of users' requests stood in up to four classes; they are in UserRequests, which Replies became.

--- a/src/main/java/wickdrift/coordination/AwaitedJobs.java
+++ b/src/main/java/wickdrift/coordination/AwaitedJobs.java
@@ -9,7 +9,6 @@
 
 /** Whether the jobs that a submission awaits were accepted, and can be awaited. */
 final class AwaitedJobs {
-  private static final long BARRIER_MS = 1500;
 
   /** What was found. Where nothing can be said yet the user is sent away. */
   interface Outcome {
@@ -38,13 +37,13 @@
       return;
     }
     ledger.barrier(
-        BARRIER_MS,
+        UserRequests.BARRIER_MS,
         ok -> {
           List<String> unknown = unknownNames(s.spec());
           if (unknown.isEmpty()) {
             named(s, outcome);
           } else if (!ok) {
-            Replies.later(s.exchange());
+            UserRequests.later(s.exchange());
           } else {
             readNames(s, unknown, outcome);
           }
@@ -76,7 +75,7 @@
               return;
             }
             if (unsaid[0]) {
-              Replies.later(s.exchange());
+              UserRequests.later(s.exchange());
             } else if (never[0] != null) {
               outcome.refused(s, "awaits " + never[0] + ", which was never accepted");
             } else {
--- a/src/main/java/wickdrift/coordination/Fleet.java
+++ b/src/main/java/wickdrift/coordination/Fleet.java
@@ -784,7 +784,8 @@
         Share need = new Share(job.spec().cpus(), job.spec().gpus());
         Share left =
             leftOfLimit.computeIfAbsent(team.name(), k -> leftOf(team, usage.of(team.name())));
-        int allowed = tasksWithin(left, need);
+        int allowed =
+            FreeCapacity.tasksIn(job.spec(), left.cpus(), left.gpus(), Double.POSITIVE_INFINITY);
         // What its team's limit forbids has no use for a machine: it runs where others have ended.
         // But for the first gang that waits for it: the limit is saved up for that one.
         boolean gang = job.spec().shape() == JobSpec.Shape.GANG;
@@ -834,12 +835,5 @@
           team.cpusMax() > 0 ? team.cpusMax() - used.cpus() : Double.POSITIVE_INFINITY,
           team.gpusMax() > 0 ? team.gpusMax() - used.gpus() : Double.POSITIVE_INFINITY);
     }
-
-    private static int tasksWithin(Share left, Share need) {
-      double byCpus = need.cpus() > 0 ? left.cpus() / need.cpus() : Double.POSITIVE_INFINITY;
-      double byGpus = need.gpus() > 0 ? left.gpus() / need.gpus() : Double.POSITIVE_INFINITY;
-      double tasks = Math.floor(Math.min(byCpus, byGpus) + FreeCapacity.EPS);
-      return (int) Math.max(0, Math.min(Integer.MAX_VALUE, tasks));
-    }
   }
 }
--- a/src/main/java/wickdrift/coordination/FreeCapacity.java
+++ b/src/main/java/wickdrift/coordination/FreeCapacity.java
@@ -86,11 +86,16 @@
     if (!fitsWithFetch(s)) {
       return 0;
     }
-    double n = most;
-    n = s.cpus() > 0 ? Math.min(n, (freeCpus() + EPS) / s.cpus()) : n;
-    n = s.gpus() > 0 ? Math.min(n, (freeGpus() + EPS) / s.gpus()) : n;
-    n = s.memoryGb() > 0 ? Math.min(n, (freeMemoryGb() + EPS) / s.memoryGb()) : n;
-    return (int) n;
+    return Math.min(most, tasksIn(s, freeCpus(), freeGpus(), freeMemoryGb()));
+  }
+
+  /** How many tasks of a kind so much has room for. */
+  static int tasksIn(JobSpec s, double cpus, double gpus, double memoryGb) {
+    double n = Integer.MAX_VALUE;
+    n = s.cpus() > 0 ? Math.min(n, (cpus + EPS) / s.cpus()) : n;
+    n = s.gpus() > 0 ? Math.min(n, (gpus + EPS) / s.gpus()) : n;
+    n = s.memoryGb() > 0 ? Math.min(n, (memoryGb + EPS) / s.memoryGb()) : n;
+    return (int) Math.max(0, n);
   }
 
   /** Looks whether it fetches at this time; the index calls it while the room is not listed. */
--- a/src/main/java/wickdrift/coordination/JobStatus.java
+++ b/src/main/java/wickdrift/coordination/JobStatus.java
@@ -23,7 +23,6 @@
  */
 final class JobStatus {
   private static final Logger LOG = LoggerFactory.getLogger(JobStatus.class);
-  private static final long BARRIER_MS = 1500;
   private static final int LOOK_UPS_MOST = 64;
 
   private final Timers timers;
@@ -69,7 +68,7 @@
   void poll(Exchange x, String id) {
     if (pauseDetector.lateMs() > tuning.busyMs() && tables.finished(id) == null) {
       shed++;
-      Replies.later(x);
+      UserRequests.later(x);
     } else {
       status(x, id);
     }
@@ -84,16 +83,16 @@
       return;
     }
     if (ledger.phase() != Ledger.Phase.FOLLOWING) {
-      Replies.later(x);
+      UserRequests.later(x);
       return;
     }
     ledger.barrier(
-        BARRIER_MS,
+        UserRequests.BARRIER_MS,
         ok -> {
           if (ok) {
             answerStatus(x, id);
           } else {
-            Replies.later(x);
+            UserRequests.later(x);
           }
         });
   }
@@ -111,7 +110,7 @@
     }
     if (job.stage() == Job.Stage.UNCLEAR && !job.withdrawn()) {
       // It may have been withdrawn with one that it awaits, and someone may have been told so.
-      Replies.later(x);
+      UserRequests.later(x);
       return;
     }
     if (job.withdrawn()) {
@@ -135,7 +134,7 @@
       read(id, List.of(x));
     } else {
       shed++;
-      Replies.later(x);
+      UserRequests.later(x);
     }
   }
 
@@ -150,7 +149,7 @@
           }
           for (Exchange x : asking) {
             if (!r.ok()) {
-              Replies.later(x);
+              UserRequests.later(x);
             } else if (r.value() == null) {
               x.reply(404, Map.of("error", "no such job"));
             } else {
@@ -172,7 +171,7 @@
       answerFinal(x, id, how);
     } catch (BadMessage e) {
       LOG.error("unreadable final record of {}: {}", id, e.getMessage());
-      Replies.later(x);
+      UserRequests.later(x);
     }
   }
 
@@ -189,7 +188,7 @@
           if (fin != null) {
             answerFinal(x, id, fin);
           } else if (!kept) {
-            Replies.later(x);
+            UserRequests.later(x);
           } else {
             int done = job == null ? 0 : job.done();
             x.reply(
--- a/src/main/java/wickdrift/coordination/Submissions.java
+++ b/src/main/java/wickdrift/coordination/Submissions.java
@@ -25,8 +25,6 @@
  */
 final class Submissions {
   private static final int MAX_QUEUE = 300;
-  private static final long BARRIER_MS = 1500;
-  private static final long RETRY_MS = 120;
   private static final long GIVE_UP_MS = 3000;
 
   /** A user tries for a minute: nobody is sent away for a large part of that. */
@@ -118,7 +116,7 @@
       return;
     }
     if (!ready.getAsBoolean() || !ledger.reachable() || leaving.getAsBoolean()) {
-      Replies.later(x);
+      UserRequests.later(x);
       return;
     }
     Submission s = new Submission(x, spec, timers.nowMs());
@@ -129,7 +127,7 @@
       enqueue(s);
     } else if (!tables.open(Gate.AWAITS)) {
       // An older build would read the record, and run the job too early.
-      Replies.later(x);
+      UserRequests.later(x);
     } else {
       awaited.check(s, onNames);
     }
@@ -191,14 +189,14 @@
           } else if (r.outcome() == Ledger.Outcome.REFUSED
               && ledger.reachable()
               && timers.nowMs() - s.sinceMs() < GIVE_UP_MS) {
-            timers.after(RETRY_MS, () -> writeNames(s, more, open));
+            timers.after(UserRequests.RETRY_MS, () -> writeNames(s, more, open));
           } else if (r.outcome() == Ledger.Outcome.FAILED) {
             busy = false;
             status.status(s.exchange(), id);
             pump();
           } else {
             busy = false;
-            Replies.later(s.exchange());
+            UserRequests.later(s.exchange());
             pump();
           }
         });
@@ -306,10 +304,10 @@
 
   private void refuse(Submission s, int code, String why) {
     ledger.barrier(
-        BARRIER_MS,
+        UserRequests.BARRIER_MS,
         ok -> {
           if (!ok) {
-            Replies.later(s.exchange());
+            UserRequests.later(s.exchange());
           } else if (tables.job(s.spec().id()) != null || tables.finished(s.spec().id()) != null) {
             status.answerStatus(s.exchange(), s.spec().id());
           } else {
@@ -317,7 +315,7 @@
                 Job.finalKey(s.spec().id()),
                 read -> {
                   if (!read.ok()) {
-                    Replies.later(s.exchange());
+                    UserRequests.later(s.exchange());
                   } else if (read.value() != null) {
                     status.answerFinal(s.exchange(), s.spec().id(), read.value());
                   } else {
@@ -352,14 +350,14 @@
           putBack(batch);
           busy = true;
           timers.after(
-              RETRY_MS,
+              UserRequests.RETRY_MS,
               () -> {
                 busy = false;
                 pump();
               });
           return;
         }
-        batch.values().forEach(l -> l.forEach(s -> Replies.later(s.exchange())));
+        batch.values().forEach(l -> l.forEach(s -> UserRequests.later(s.exchange())));
       }
       // Sent again: who finds a job's record there answers by it, and of two that are carried out
       // only one finds it absent.
@@ -367,7 +365,7 @@
         if (ledger.reachable()) {
           putBack(batch);
         } else {
-          batch.values().forEach(l -> l.forEach(s -> Replies.later(s.exchange())));
+          batch.values().forEach(l -> l.forEach(s -> UserRequests.later(s.exchange())));
         }
       }
       default -> throw new AssertionError(r.outcome());
--- a/src/main/java/wickdrift/coordination/TypeInfo.java
+++ b/src/main/java/wickdrift/coordination/TypeInfo.java
@@ -44,10 +44,6 @@
 
   /** How many tasks of a kind an empty machine holds. */
   int tasksThatFit(JobSpec s) {
-    double n = Integer.MAX_VALUE;
-    n = s.cpus() > 0 ? Math.min(n, (cpus + FreeCapacity.EPS) / s.cpus()) : n;
-    n = s.gpus() > 0 ? Math.min(n, (gpus + FreeCapacity.EPS) / s.gpus()) : n;
-    n = s.memoryGb() > 0 ? Math.min(n, (memoryGb + FreeCapacity.EPS) / s.memoryGb()) : n;
-    return (int) n;
+    return FreeCapacity.tasksIn(s, cpus, gpus, memoryGb);
   }
 }
--- a/src/main/java/wickdrift/coordination/Withdrawals.java
+++ b/src/main/java/wickdrift/coordination/Withdrawals.java
@@ -10,9 +10,7 @@
 
 /** Cancels jobs for their users. */
 final class Withdrawals {
-  private static final long BARRIER_MS = 1500;
   private static final int TRIES = 6;
-  private static final long RETRY_MS = 120;
 
   private final Timers timers;
   private final Ledger ledger;
@@ -28,7 +26,7 @@
 
   void withdraw(Exchange x, String id) {
     if (ledger.phase() != Ledger.Phase.FOLLOWING) {
-      Replies.later(x);
+      UserRequests.later(x);
       return;
     }
     withdraw(x, id, TRIES);
@@ -40,11 +38,11 @@
       return;
     }
     ledger.barrier(
-        BARRIER_MS,
+        UserRequests.BARRIER_MS,
         ok -> {
           Job job = tables.job(id);
           if (!ok || tries == 0) {
-            Replies.later(x);
+            UserRequests.later(x);
           } else if (job == null) {
             status.answerStatus(x, id);
           } else if (job.withdrawn()) {
@@ -68,27 +66,27 @@
             // Whom to ask is known once the tables hold what was placed before.
             case OK ->
                 ledger.barrier(
-                    BARRIER_MS,
+                    UserRequests.BARRIER_MS,
                     ok -> {
                       if (ok) {
                         status.tellWithdrawn(x, job.id());
                       } else {
-                        Replies.later(x);
+                        UserRequests.later(x);
                       }
                     });
             case FAILED -> withdraw(x, job.id(), tries - 1);
             case REFUSED -> {
               if (ledger.reachable()) {
-                timers.after(RETRY_MS, () -> withdraw(x, job.id(), tries - 1));
+                timers.after(UserRequests.RETRY_MS, () -> withdraw(x, job.id(), tries - 1));
               } else {
-                Replies.later(x);
+                UserRequests.later(x);
               }
             }
             case UNKNOWN -> {
               if (r.settled()) {
                 withdraw(x, job.id(), tries - 1);
               } else {
-                Replies.later(x);
+                UserRequests.later(x);
               }
             }
             default -> throw new AssertionError(r.outcome());
