Commands that may still arrive are kept by command, and a restart is no proof of an end

Cause 1: what stood for a run that was sent straight to a worker was kept by attempt. A second run of the same attempt that was answered removed it while the first was under way; the attempt was then ended or confirmed as cancelled and cleared, and the first run started it again. Cause 2: an attempt that a report no longer showed in the same session was taken for over, though that means that the worker began anew and forgot the highest epoch; a run that was held up started it again.

WorkerCommands is now the one place that knows what may still arrive at a worker and answers with a typed verdict; clears, ends and confirmations ask it. SafetyMonitor asserts the invariants at run time, with a bounded record of recent events. The answer to a late report carries the halts of cancelled jobs, as it renews the lease.

--- a/src/main/java/wickdrift/bookkeeping/Machine.java
+++ b/src/main/java/wickdrift/bookkeeping/Machine.java
@@ -435,8 +435,7 @@
 
   /** Whether a report is older than one that came by itself: nobody waits for its answer. */
   public boolean hasOwnNewerThan(Report r) {
-    return own != null
-        && (r.tenure() < own.tenure() || r.tenure() == own.tenure() && r.tick() <= own.tick());
+    return own != null && r.notNewerThan(own);
   }
 
   /**
@@ -448,6 +447,7 @@
    */
   public void restarted(long epochNow) {
     trustedFrom = epochNow + 1;
+    synced = false;
     shownEpoch = -1;
     report = null;
     own = null;
--- /dev/null
+++ b/src/main/java/wickdrift/coordination/CommandPlanner.java
@@ -0,0 +1,342 @@
+package wickdrift.coordination;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import wickdrift.bookkeeping.Job;
+import wickdrift.bookkeeping.Machine;
+import wickdrift.bookkeeping.Tables;
+import wickdrift.bookkeeping.TaskState;
+import wickdrift.coordination.commands.CommandEvent;
+import wickdrift.coordination.commands.SafetyMonitor;
+import wickdrift.coordination.commands.SafetyMonitor.Invariant;
+import wickdrift.coordination.commands.TaskAttempt;
+import wickdrift.coordination.commands.Verdict;
+import wickdrift.coordination.commands.WorkerCommands;
+import wickdrift.protocol.Order;
+import wickdrift.protocol.Report;
+import wickdrift.transport.Timers;
+
+/**
+ * What a worker is told: the difference between what the tables want on its machine and what its
+ * report shows, so any command may be lost or repeated. What the report proves to be over is handed
+ * to the pipeline.
+ */
+final class CommandPlanner {
+  private static final Logger LOG = LoggerFactory.getLogger(CommandPlanner.class);
+
+  /** So often at most a gang member is told to go on waiting for the others. */
+  private static final int WAITS_MOST = 12;
+
+  /**
+   * What a report allows.
+   *
+   * @param authority this node surely holds authority; if not, nothing new is started and nothing
+   *     is drawn from the report
+   * @param own the report came by itself, so all answers to earlier ones have arrived or never
+   *     will; only then does absence prove anything
+   */
+  record Scope(boolean authority, boolean own) {}
+
+  private final Timers timers;
+  private final Tables tables;
+  private final TransactionPipeline pipeline;
+  private final Membership membership;
+  private final WorkerLinks links;
+  private final SafetyMonitor monitor;
+
+  CommandPlanner(
+      Timers timers,
+      Tables tables,
+      TransactionPipeline pipeline,
+      Membership membership,
+      WorkerLinks links) {
+    this.timers = timers;
+    this.tables = tables;
+    this.pipeline = pipeline;
+    this.membership = membership;
+    this.links = links;
+    this.monitor = links.monitor();
+  }
+
+  /** One pass over a machine's report. */
+  private final class Pass {
+    final Machine machine;
+    final Report report;
+    final Scope scope;
+    final WorkerCommands commands;
+    final Map<String, Report.Entry> shown = new HashMap<>();
+    final List<Order> orders = new ArrayList<>();
+
+    Pass(Machine machine, Report report, Scope scope) {
+      this.machine = machine;
+      this.report = report;
+      this.scope = scope;
+      this.commands = links.commands(machine);
+    }
+
+    CommandEvent event(CommandEvent.Kind kind, TaskAttempt attempt, String reason) {
+      return links.event(kind, machine, attempt, report, tables.view().epoch(), reason);
+    }
+
+    void note(CommandEvent.Kind kind, TaskAttempt attempt, String reason) {
+      links.note(kind, machine, attempt, report, tables.view().epoch(), reason);
+    }
+  }
+
+  /** What the worker is told after a report. */
+  List<Order> plan(Machine machine, Report report, Scope scope) {
+    Pass pass = new Pass(machine, report, scope);
+    for (Report.Entry entry : report.tasks()) {
+      pass.shown.put(entry.task(), entry);
+      planShown(pass, entry);
+    }
+    if (scope.authority) {
+      planBooked(pass);
+    }
+    return pass.orders;
+  }
+
+  /**
+   * Halts alone, of jobs that are called off: for an answer to a report that is not the newest,
+   * which renews the worker's lease all the same. A renewal without them would let a cancelled task
+   * go on for another lease.
+   */
+  List<Order> haltsOfCancelled(Machine machine) {
+    return plan(machine, machine.report(), new Scope(false, false)).stream()
+        .filter(order -> order instanceof Order.Halt)
+        .toList();
+  }
+
+  // ---- what the report shows ----
+
+  private void planShown(Pass pass, Report.Entry entry) {
+    Job job = tables.job(entry.job());
+    TaskState state = job == null || entry.index() >= job.size() ? null : job.task(entry.index());
+    boolean booked =
+        state != null
+            && state.live()
+            && state.machine() == pass.machine
+            && state.attempt() == entry.attempt();
+    boolean exited = entry.phase() == Report.Phase.EXITED;
+    if (!booked) {
+      planUnbooked(pass, entry);
+    } else if (exited) {
+      planExited(pass, job, state, entry);
+    } else {
+      if (entry.phase() != Report.Phase.FETCHING) {
+        pass.machine.imageReady(job.spec().image(), job.spec().imageGb(), timers.nowMs());
+      }
+      halt(pass, job, state, entry);
+    }
+  }
+
+  /** Nothing durable stands for it: it is over, or was never to be. */
+  private void planUnbooked(Pass pass, Report.Entry entry) {
+    if (entry.phase() != Report.Phase.EXITED) {
+      if (pass.scope.authority || tables.foretold(entry.job())) {
+        addHalt(pass, entry, 0, "not booked");
+      }
+      return;
+    }
+    TaskAttempt attempt = attempt(entry);
+    Verdict verdict = pass.commands.mayClear(attempt, pass.scope.own, pass.machine.synced());
+    if (verdict.allowed()) {
+      addClear(pass, entry, verdict);
+    }
+  }
+
+  private void planExited(Pass pass, Job job, TaskState state, Report.Entry entry) {
+    boolean alone = Report.ALONE.equals(entry.why());
+    if (alone && pass.scope.authority && goesOnWaiting(pass, job, state, entry)) {
+      if (pass.scope.own) {
+        // Under the same attempt, on the same machine: its mates keep the images they fetch. It is
+        // wanted, so a run that is still outstanding does no harm after the clear.
+        pass.commands.waited(attempt(entry));
+        pass.orders.add(new Order.Clear(entry.job(), entry.index(), entry.attempt()));
+        pass.orders.add(new Order.Run(entry.job(), entry.index(), entry.attempt()));
+      }
+      return;
+    }
+    if (alone && !pass.machine.synced()) {
+      // Of all ends only this one may be followed by the same attempt running again, and whoever
+      // shows an older epoch may be a copy from before that.
+      return;
+    }
+    // Told to go on waiting, it may start once more until a report of its own comes: by then the
+    // answer that tells it so has arrived, or never will.
+    boolean over = pass.scope.own || pass.commands.waits(attempt(entry)) == 0;
+    if (pass.scope.authority && over) {
+      exited(pass, job, entry);
+    }
+  }
+
+  /**
+   * A member of a gang gave up waiting for the others, which still fetch: an image may take longer
+   * on one machine than a gang waits on another. Were the attempt over for that, the others would
+   * give up their fetches and begin anew, again and again. It goes on waiting, so often at most.
+   */
+  private boolean goesOnWaiting(Pass pass, Job job, TaskState state, Report.Entry entry) {
+    return !job.calledOff()
+        && state.stop() == TaskState.Stop.NONE
+        && job.live() == job.size()
+        && !pipeline.exiting(job, entry.index(), entry.attempt())
+        && pass.commands.waits(attempt(entry)) < WAITS_MOST;
+  }
+
+  private void halt(Pass pass, Job job, TaskState state, Report.Entry entry) {
+    if (job.calledOff()) {
+      addHalt(pass, entry, 0, "job called off");
+    } else if (state.stop() == TaskState.Stop.KILL) {
+      addHalt(pass, entry, 0, "to be stopped");
+    } else if (state.stop() == TaskState.Stop.SAVE && entry.phase() != Report.Phase.SAVING) {
+      addHalt(pass, entry, job.spec().saveS() + 1, "to save and stop");
+    }
+  }
+
+  private void exited(Pass pass, Job job, Report.Entry entry) {
+    if (!pipeline.exited(job, entry.index(), entry.attempt(), pass.machine, entry.why())) {
+      // Reported again until it is cleared: it failed once.
+      return;
+    }
+    pass.note(CommandEvent.Kind.ATTEMPT_ENDED, attempt(entry), "shown as " + entry.why());
+    String machine = pass.machine.name();
+    if (Report.ERROR.equals(entry.why())) {
+      // Told once a round by all of a suspect's tasks together.
+      if (!job.suspect()) {
+        LOG.info("{} failed on {}", entry.task(), machine);
+      }
+    } else if (Report.FULL.equals(entry.why())
+        || Report.UNKNOWN.equals(entry.why())
+        || Report.BUSY.equals(entry.why())) {
+      LOG.info("{} refused {}: {}", machine, entry.task(), entry.why());
+      job.refused(timers.nowMs());
+    }
+  }
+
+  // ---- what is booked on the machine ----
+
+  private void planBooked(Pass pass) {
+    if (pass.scope.own) {
+      Set<String> booked = new HashSet<>();
+      pass.machine.live().forEach(slot -> booked.add(slot.task()));
+      pass.commands.retain(booked);
+    }
+    for (Machine.Slot slot : pass.machine.live()) {
+      Report.Entry entry = pass.shown.get(slot.task());
+      TaskAttempt attempt = attempt(slot);
+      if (entry != null && entry.attempt() == attempt.attempt()) {
+        boolean first = pass.commands.seen(attempt, pass.report.tick(), pass.report.tenure());
+        if (first && pass.scope.own) {
+          // It was told to run this, and does.
+          pass.machine.hears();
+        }
+      } else if (entry == null && !exiting(slot)) {
+        // Where another attempt is here still, ours starts when it is gone; and what is known to be
+        // over must not start again while that is being written.
+        if (planAbsent(pass, slot, attempt) == Verdict.WORKER_RESTARTED) {
+          pass.orders.clear();
+          links.restarted(pass.machine, pass.report, tables.view().epoch());
+          return;
+        }
+      }
+    }
+  }
+
+  private boolean exiting(Machine.Slot slot) {
+    return pipeline.exiting(slot.job(), slot.index(), slot.state().attempt());
+  }
+
+  /** The report does not show an attempt that is booked here. */
+  private Verdict planAbsent(Pass pass, Machine.Slot slot, TaskAttempt attempt) {
+    Machine machine = pass.machine;
+    Report report = pass.report;
+    boolean deaf = machine.deafSinceMs() > 0;
+    Verdict verdict =
+        pass.commands.mayEnd(
+            attempt,
+            new WorkerCommands.Absence(
+                pass.scope.own, machine.synced(), report.tenure(), deaf, slot.unwanted()));
+    if (verdict == Verdict.PROVED) {
+      lost(pass, slot, attempt, verdict);
+    } else if (pass.commands.wasSeen(attempt) || slot.unwanted()) {
+      if (verdict == Verdict.DIRECT_RUN_UNANSWERED) {
+        pass.note(CommandEvent.Kind.END_REFUSED, attempt, verdict.name());
+      }
+    } else if (deaf) {
+      // Nothing reaches it: what is told now could only come late. Its next session proves that it
+      // has not got this.
+      if (!pass.commands.knows(attempt)) {
+        pass.commands.sent(attempt, report.tick(), report.tenure(), timers.nowMs());
+      }
+    } else if (machine.phase() != Machine.Phase.GONE
+        && (pass.scope.own || !pass.commands.sentAfter(attempt, report.tick()))) {
+      addRun(pass, slot, attempt);
+    }
+    return verdict;
+  }
+
+  /** The attempt is not on its machine any more, without a trace. */
+  private void lost(Pass pass, Machine.Slot slot, TaskAttempt attempt, Verdict verdict) {
+    CommandEvent event = pass.event(CommandEvent.Kind.ATTEMPT_ENDED, attempt, "absent: " + verdict);
+    boolean proved = pass.scope.own && !pass.commands.runOutstanding(attempt);
+    if (!monitor.check(Invariant.NO_END_WITHOUT_PROOF, proved, event)) {
+      return;
+    }
+    if (pipeline.exited(slot.job(), slot.index(), attempt.attempt(), pass.machine, null)) {
+      links.record(event);
+      if (pass.commands.wasSeen(attempt)) {
+        LOG.info(
+            "{} has lost {}, tenure {}", pass.machine.name(), attempt.task(), pass.report.tenure());
+      }
+    }
+  }
+
+  // ---- commands, checked once more before they are handed out ----
+
+  private void addRun(Pass pass, Machine.Slot slot, TaskAttempt attempt) {
+    CommandEvent.Kind kind =
+        pass.scope.own ? CommandEvent.Kind.RUN_IN_ANSWER : CommandEvent.Kind.RUN_DIRECT;
+    CommandEvent event = pass.event(kind, attempt, "booked, not shown");
+    boolean cancelled = slot.job().calledOff();
+    boolean booked = slot.state().live() && slot.state().machine() == pass.machine;
+    boolean holdsLease = membership.standing() == Membership.Standing.MEMBER;
+    if (!monitor.check(Invariant.NO_START_OF_A_CANCELLED_JOB, !cancelled, event)
+        || !monitor.check(Invariant.NO_START_OF_AN_ENDED_ATTEMPT, booked && !exiting(slot), event)
+        || !monitor.check(Invariant.NO_START_WITHOUT_A_LEASE, holdsLease, event)) {
+      return;
+    }
+    Report report = pass.report;
+    pass.commands.sent(attempt, report.tick(), report.tenure(), timers.nowMs());
+    pass.orders.add(new Order.Run(slot.job().id(), slot.index(), attempt.attempt()));
+    links.record(event);
+  }
+
+  private void addHalt(Pass pass, Report.Entry entry, double graceS, String reason) {
+    pass.orders.add(new Order.Halt(entry.job(), entry.index(), entry.attempt(), graceS));
+    pass.note(CommandEvent.Kind.HALT, attempt(entry), reason);
+  }
+
+  private void addClear(Pass pass, Report.Entry entry, Verdict verdict) {
+    TaskAttempt attempt = attempt(entry);
+    CommandEvent event = pass.event(CommandEvent.Kind.CLEAR, attempt, verdict.name());
+    boolean nothingArrives = !pass.commands.runOutstanding(attempt);
+    if (monitor.check(Invariant.NO_CLEAR_WHILE_A_RUN_MAY_ARRIVE, nothingArrives, event)) {
+      pass.orders.add(new Order.Clear(entry.job(), entry.index(), entry.attempt()));
+      links.record(event);
+    }
+  }
+
+  private static TaskAttempt attempt(Report.Entry entry) {
+    return new TaskAttempt(entry.task(), entry.attempt());
+  }
+
+  private static TaskAttempt attempt(Machine.Slot slot) {
+    return new TaskAttempt(slot.task(), slot.state().attempt());
+  }
+}
--- /dev/null
+++ b/src/main/java/wickdrift/coordination/SilenceWatch.java
@@ -0,0 +1,154 @@
+package wickdrift.coordination;
+
+import java.util.ArrayList;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import wickdrift.bookkeeping.Machine;
+import wickdrift.bookkeeping.Tables;
+import wickdrift.bookkeeping.View;
+import wickdrift.coordination.commands.CommandEvent;
+import wickdrift.coordination.commands.TaskAttempt;
+import wickdrift.coordination.commands.WorkerCommands;
+import wickdrift.transport.Timers;
+
+/**
+ * Looks regularly for machines that are silent or deaf, for workers whose lease has surely ended,
+ * and for commands that only a higher epoch can make void.
+ */
+final class SilenceWatch {
+  private static final Logger LOG = LoggerFactory.getLogger(SilenceWatch.class);
+  private static final long PERIOD_MS = 500;
+
+  /** A run that is unanswered for so long, and unwanted, is made void by a higher epoch. */
+  private static final long UNCERTAIN_MS = 5000;
+
+  /** A new epoch has time to reach the workers before a higher one is proposed. */
+  private static final long EPOCH_SETTLES_MS = 2000;
+
+  private final Timers timers;
+  private final Tables tables;
+  private final Membership membership;
+  private final TransactionPipeline pipeline;
+  private final Tuning tuning;
+  private final PauseDetector pauseDetector;
+  private final Zones zones;
+  private final WorkerLinks links;
+  private final String node;
+  private long epoch;
+  private long epochSinceMs;
+
+  SilenceWatch(
+      Timers timers,
+      Tables tables,
+      Membership membership,
+      TransactionPipeline pipeline,
+      Tuning tuning,
+      PauseDetector pauseDetector,
+      Zones zones,
+      WorkerLinks links,
+      String node) {
+    this.timers = timers;
+    this.tables = tables;
+    this.membership = membership;
+    this.pipeline = pipeline;
+    this.tuning = tuning;
+    this.pauseDetector = pauseDetector;
+    this.zones = zones;
+    this.links = links;
+    this.node = node;
+  }
+
+  void start() {
+    watch();
+  }
+
+  /** An epoch has begun, as this node knows it. */
+  void epochBegins(long newEpoch, long nowMs) {
+    epoch = newEpoch;
+    epochSinceMs = nowMs;
+  }
+
+  private void watch() {
+    timers.after(PERIOD_MS, this::watch);
+    View view = tables.view();
+    if (view == null || membership.standing() != Membership.Standing.MEMBER) {
+      return;
+    }
+    long now = timers.nowMs();
+    boolean needsHigherEpoch = false;
+    for (Machine machine : new ArrayList<>(tables.machines())) {
+      boolean up = machine.phase() == Machine.Phase.UP;
+      boolean lost = machine.phase() == Machine.Phase.LOST;
+      if (up || lost) {
+        zones.recorded(machine.info().zone(), lost);
+      }
+      if (node.equals(machine.owner(view))) {
+        silence(machine, up, up || lost, now);
+        lapse(machine, view, now);
+        needsHigherEpoch |= needsHigherEpoch(machine, view, now);
+      }
+    }
+    zones.judge(pauseDetector.listeningSinceMs(), now);
+    if (needsHigherEpoch) {
+      // Only a higher epoch, shown by the worker, proves that a command can't arrive any more.
+      membership.raiseEpoch();
+    }
+  }
+
+  private void silence(Machine machine, boolean up, boolean known, long now) {
+    // A change of view is no news of a machine that was ours before: with one every few seconds
+    // none would ever be found silent.
+    long silent = now - Math.max(machine.silentSinceMs(), pauseDetector.listeningSinceMs());
+    if (known && silent > tuning.quietMs()) {
+      machine.quiet();
+      zones.silent(machine.info().zone());
+    }
+    boolean deaf = machine.deafSinceMs() > 0 && now - machine.deafSinceMs() > tuning.lostMs();
+    if (up && (deaf || silent > tuning.lostMs()) && !pipeline.recording(machine)) {
+      LOG.info("{} is {}", machine.name(), deaf ? "deaf: nothing reaches it" : "silent");
+      pipeline.record(machine, machine.info().with(Machine.Phase.LOST, timers.wallMs()));
+    }
+  }
+
+  private void lapse(Machine machine, View view, long now) {
+    long base = machine.lapseBaseMs();
+    if (!machine.live().isEmpty() && base > 0 && now - base > tuning.lapseMs()) {
+      // No one can have renewed its lease since: the worker has killed all it had.
+      links.note(
+          CommandEvent.Kind.LEASE_LAPSED,
+          machine,
+          machine.report(),
+          view.epoch(),
+          "not renewed for " + (now - base) + " ms");
+      pipeline.lapsed(machine);
+      links.forgetRuns(machine);
+    }
+  }
+
+  private boolean needsHigherEpoch(Machine machine, View view, long now) {
+    // One that has begun anew is trusted again with a higher token; no more often than that has
+    // time to reach the workers.
+    boolean anew = machine.trustedFrom() > view.epoch() && now - epochSinceMs > EPOCH_SETTLES_MS;
+    return anew || uncertainStop(machine, now);
+  }
+
+  /**
+   * Whether an attempt is to be stopped while a run for it may still arrive; or has ended and can't
+   * be cleared for that, for longer than a lease: what is not cleared makes reports grow.
+   */
+  private boolean uncertainStop(Machine machine, long now) {
+    WorkerCommands commands = links.known(machine);
+    if (commands == null
+        || commands.quiet()
+        || now - machine.heardMs() > DirectCommands.ANSWER_MS) {
+      return false;
+    }
+    for (Machine.Slot slot : machine.live()) {
+      TaskAttempt attempt = new TaskAttempt(slot.task(), slot.state().attempt());
+      if (slot.unwanted() && commands.outstandingFor(attempt, epoch, UNCERTAIN_MS, now)) {
+        return true;
+      }
+    }
+    return commands.clearOverdue(epoch, tuning.lapseMs(), now);
+  }
+}
--- /dev/null
+++ b/src/main/java/wickdrift/coordination/commands/CommandEvent.java
@@ -0,0 +1,32 @@
+package wickdrift.coordination.commands;
+
+/**
+ * One step of a worker's commands: what was sent, answered, ended or refused, and on what ground.
+ *
+ * @param reason a verdict, an exit reason or a status; never null
+ */
+public record CommandEvent(
+    long atMs,
+    Kind kind,
+    String machine,
+    TaskAttempt attempt,
+    long epoch,
+    long session,
+    long tick,
+    String reason) {
+  /** What happened. */
+  public enum Kind {
+    RUN_IN_ANSWER,
+    RUN_DIRECT,
+    HALT,
+    CLEAR,
+    DIRECT_ANSWERED,
+    DIRECT_UNANSWERED,
+    ATTEMPT_ENDED,
+    END_REFUSED,
+    LEASE_LAPSED,
+    WORKER_RESTARTED,
+    CONFIRMATION,
+    VIOLATION
+  }
+}
--- a/src/main/java/wickdrift/daemon/Controller.java
+++ b/src/main/java/wickdrift/daemon/Controller.java
@@ -22,6 +22,7 @@
 import wickdrift.coordination.TransactionPipeline;
 import wickdrift.coordination.Tuning;
 import wickdrift.coordination.Types;
+import wickdrift.coordination.WorkerLinks;
 import wickdrift.coordination.Zones;
 import wickdrift.protocol.BadMessage;
 import wickdrift.protocol.JobSpec;
@@ -118,6 +119,7 @@
         new TransactionPipeline(
             timers, ledger, tables, scheduling, types, membership, tuning, settings);
     Zones zones = new Zones(tuning.quietMs());
+    WorkerLinks links = new WorkerLinks(timers);
     reporting =
         new Reporting(
             timers,
@@ -130,6 +132,7 @@
             relay,
             pauseDetector,
             zones,
+            links,
             (long) (settings.workers().leaseS() * 1000),
             settings.node(),
             malformed);
@@ -167,6 +170,10 @@
     // In this order: what was drawn from silence is dropped after nothing is decided any more.
     pauseDetector.onWaking(ms -> membership.woke());
     pauseDetector.onWaking(ms -> pipeline.woke());
+    registerMetrics(limits, links);
+  }
+
+  private void registerMetrics(Limits limits, WorkerLinks links) {
     metrics.watch("rooms.looked", () -> scheduling.looked());
     metrics.watch("tasks.placed", pipeline::placed);
     metrics.watch("transactions", pipeline::transactions);
@@ -197,6 +204,10 @@
     metrics.watch("state.malformed", () -> malformed.count(MalformedMessages.Sender.STATE_SERVICE));
     metrics.watch("cloud.malformed", () -> malformed.count(MalformedMessages.Sender.CLOUD));
     metrics.watch("workers.malformed", () -> malformed.count(MalformedMessages.Sender.WORKER));
+    metrics.watch("workers.restarted", links::restarts);
+    metrics.watch("commands.unanswered", links::unanswered);
+    metrics.watch("commands.uncertain.machines", links::uncertain);
+    metrics.watch("invariants.violated", links.monitor()::violations);
     metrics.watch("withdrawals.kept", confirmations::kept);
     metrics.watch("withdrawals.unkept", confirmations::unkept);
   }
--- a/src/main/java/wickdrift/protocol/Report.java
+++ b/src/main/java/wickdrift/protocol/Report.java
@@ -45,6 +45,11 @@
   public static final String BUSY = "busy";
   public static final String UNKNOWN = "unknown";
 
+  /** Whether a report of the same worker was made no earlier than this one. */
+  public boolean notNewerThan(Report other) {
+    return tenure < other.tenure || tenure == other.tenure && tick <= other.tick;
+  }
+
   /** Reads a report; what is lacking or out of range is named. */
   public static Report parse(Document d) throws BadMessage {
     List<Entry> tasks = new ArrayList<>();
--- /dev/null
+++ b/src/test/java/wickdrift/coordination/commands/WorkerCommandsTest.java
@@ -0,0 +1,124 @@
+package wickdrift.coordination.commands;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/** Which knowledge of a worker's commands proves what. */
+class WorkerCommandsTest {
+  private static final TaskAttempt ATTEMPT = new TaskAttempt("req-000001/0", 1);
+  private static final String JOB = "req-000001";
+  private static final long EPOCH = 7;
+  private static final long SESSION = 3;
+
+  /**
+   * Steps, and what they prove. {@code A}, {@code B}: the attempt's run is sent straight; {@code
+   * a}, {@code b}: that command is answered; {@code r}: it is sent with the answer to a report;
+   * {@code s}: a report shows the attempt; {@code e}: the worker shows a higher epoch; {@code n}:
+   * it shows the next session; {@code R}: it has begun anew.
+   */
+  @ParameterizedTest(name = "{0}: clear {1}, end {2}, confirm {3}")
+  @CsvSource({
+    "-,     PROVED,                PROVED,                PROVED",
+    "r,     PROVED,                PROVED,                ANSWER_UNDER_WAY",
+    "rs,    PROVED,                WORKER_RESTARTED,      PROVED",
+    "rsn,   PROVED,                PROVED,                PROVED",
+    "rsR,   PROVED,                PROVED,                PROVED",
+    "A,     DIRECT_RUN_UNANSWERED, DIRECT_RUN_UNANSWERED, DIRECT_RUN_UNANSWERED",
+    "Aa,    PROVED,                PROVED,                PROVED",
+    "Ae,    PROVED,                PROVED,                PROVED",
+    "An,    PROVED,                PROVED,                PROVED",
+    "Ars,   DIRECT_RUN_UNANSWERED, WORKER_RESTARTED,      DIRECT_RUN_UNANSWERED",
+    "AR,    DIRECT_RUN_UNANSWERED, DIRECT_RUN_UNANSWERED, DIRECT_RUN_UNANSWERED",
+    "ArsR,  DIRECT_RUN_UNANSWERED, DIRECT_RUN_UNANSWERED, DIRECT_RUN_UNANSWERED",
+    "ArsRe, PROVED,                PROVED,                PROVED",
+    // The answer to one command tells nothing of another.
+    "ABb,   DIRECT_RUN_UNANSWERED, DIRECT_RUN_UNANSWERED, DIRECT_RUN_UNANSWERED",
+    "ABa,   DIRECT_RUN_UNANSWERED, DIRECT_RUN_UNANSWERED, DIRECT_RUN_UNANSWERED",
+    "ABba,  PROVED,                PROVED,                PROVED"
+  })
+  void whatIsProvedOfAnAttemptThatIsToEnd(
+      String steps, Verdict clear, Verdict end, Verdict confirm) {
+    WorkerCommands commands = new WorkerCommands();
+    WorkerCommands.DirectRuns first = direct();
+    WorkerCommands.DirectRuns second = direct();
+    long session = SESSION;
+    for (char step : steps.toCharArray()) {
+      switch (step) {
+        case 'A' -> commands.sentDirectly(first);
+        case 'B' -> commands.sentDirectly(second);
+        case 'a' -> commands.answered(first);
+        case 'b' -> commands.answered(second);
+        case 'r' -> commands.sent(ATTEMPT, 1, SESSION, 0);
+        case 's' -> commands.seen(ATTEMPT, 2, SESSION);
+        case 'e' -> commands.shown(EPOCH + 1, session);
+        case 'n' -> commands.shown(EPOCH, ++session);
+        case 'R' -> commands.workerRestarted();
+        default -> assertEquals('-', step);
+      }
+    }
+    assertEquals(clear, commands.mayClear(ATTEMPT, true, true));
+    assertEquals(
+        end,
+        commands.mayEnd(ATTEMPT, new WorkerCommands.Absence(true, true, session, false, true)));
+    assertEquals(confirm, commands.mayStartNothingOf(JOB));
+  }
+
+  private static WorkerCommands.DirectRuns direct() {
+    return new WorkerCommands.DirectRuns(EPOCH, SESSION, 0, List.of(ATTEMPT));
+  }
+
+  /** What a report proves of an attempt that was sent with an answer in session 3 and not seen. */
+  @ParameterizedTest
+  @CsvSource({
+    "false, true,  3, false, true,  NOT_AN_OWN_REPORT",
+    "true,  true,  3, false, true,  PROVED",
+    "true,  false, 3, false, true,  EPOCH_NOT_SHOWN",
+    "true,  false, 4, false, true,  PROVED",
+    "true,  true,  3, false, false, SESSION_GOES_ON",
+    "true,  true,  4, false, false, SESSION_GOES_ON",
+    "true,  true,  3, true,  false, SESSION_GOES_ON",
+    "true,  true,  4, true,  false, PROVED"
+  })
+  void whatAbsenceProves(
+      boolean own, boolean epochShown, long session, boolean deaf, boolean unwanted, Verdict is) {
+    WorkerCommands commands = new WorkerCommands();
+    commands.sent(ATTEMPT, 1, SESSION, 0);
+    assertEquals(
+        is,
+        commands.mayEnd(
+            ATTEMPT, new WorkerCommands.Absence(own, epochShown, session, deaf, unwanted)));
+  }
+
+  @Test
+  void aClearIsRefusedWithoutAnOwnReportOrTheEpoch() {
+    WorkerCommands commands = new WorkerCommands();
+    assertEquals(Verdict.NOT_AN_OWN_REPORT, commands.mayClear(ATTEMPT, false, true));
+    assertEquals(Verdict.EPOCH_NOT_SHOWN, commands.mayClear(ATTEMPT, true, false));
+  }
+
+  @Test
+  void anotherJobWhoseNameBeginsAlikeIsNotConcerned() {
+    WorkerCommands commands = new WorkerCommands();
+    commands.sentDirectly(
+        new WorkerCommands.DirectRuns(EPOCH, SESSION, 0, List.of(new TaskAttempt(JOB + "0/0", 1))));
+    assertEquals(Verdict.PROVED, commands.mayStartNothingOf(JOB));
+  }
+
+  @Test
+  void aRefusedClearIsOverdueUntilAHigherEpochIsShown() {
+    WorkerCommands commands = new WorkerCommands();
+    commands.sentDirectly(direct());
+    assertFalse(commands.clearOverdue(EPOCH, 100, 200), "no clear was refused yet");
+    commands.mayClear(ATTEMPT, true, true);
+    assertFalse(commands.clearOverdue(EPOCH, 100, 100));
+    assertTrue(commands.clearOverdue(EPOCH, 100, 101));
+    commands.shown(EPOCH + 1, SESSION);
+    assertFalse(commands.clearOverdue(EPOCH, 100, 200));
+  }
+}
