--- a/src/main/java/wickdrift/daemon/Controller.java
+++ b/src/main/java/wickdrift/daemon/Controller.java
@@ -170,10 +170,10 @@
     // In this order: what was drawn from silence is dropped after nothing is decided any more.
     pauseDetector.onWaking(ms -> membership.woke());
     pauseDetector.onWaking(ms -> pipeline.woke());
-    registerMetrics(limits, links);
+    registerMetrics(limits, links, settings.node());
   }
 
-  private void registerMetrics(Limits limits, WorkerLinks links) {
+  private void registerMetrics(Limits limits, WorkerLinks links, String node) {
     metrics.watch("rooms.looked", () -> scheduling.looked());
     metrics.watch("tasks.placed", pipeline::placed);
     metrics.watch("transactions", pipeline::transactions);
@@ -190,7 +190,7 @@
     metrics.watch("stages.delay.ms", () -> pipeline.stageDelayMs(90));
     metrics.watch("jobs.over", () -> tables.over().size());
     metrics.watch("jobs.unclear", () -> tables.dependencies().unknown().size());
-    metrics.watch("log.pages", () -> tables.log(settings.node()).size());
+    metrics.watch("log.pages", () -> tables.log(node).size());
     metrics.watch("polls.shed", admission::shed);
     metrics.watch("loop.late.ms", pauseDetector::lateMs);
     metrics.watch("loop.pauses", pauseDetector::pauses);
