--- a/src/test/java/wickdrift/sim/Loopback.java
+++ b/src/test/java/wickdrift/sim/Loopback.java
@@ -1,33 +1,18 @@
 package wickdrift.sim;
 
-import io.netty.channel.Channel;
-import java.io.File;
-import java.io.IOException;
-import java.net.InetAddress;
-import java.net.InetSocketAddress;
-import java.net.ServerSocket;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.HashMap;
-import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Set;
 import java.util.TreeMap;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
-import java.util.function.Consumer;
 import java.util.function.Supplier;
-import wickdrift.bookkeeping.Tables;
 import wickdrift.bookkeeping.level.Range;
 import wickdrift.protocol.BadMessage;
-import wickdrift.protocol.MessageCodec;
 import wickdrift.transport.Caller.Answer;
-import wickdrift.transport.EventLoop;
-import wickdrift.transport.Exchange;
-import wickdrift.transport.HttpClient;
-import wickdrift.transport.HttpServer;
 
 /**
  * Real controller processes of two builds on loopback, against this project's own state service,
@@ -47,162 +32,34 @@
 
   private static final List<String> NAMES = List.of("n0", "n1", "n2");
 
-  private final EventLoop loop = new EventLoop();
-  private final HttpClient client = new HttpClient(loop.group(), 500, Set.of());
+  private final LoopbackStage stage;
   private final SimWorld world;
-  private final Path dir;
-  private final Map<String, String> ports = new HashMap<>();
-  private final Map<String, Process> processes = new TreeMap<>();
   private final Map<String, Integer> seenOn = new HashMap<>();
-  private final long startedMs = System.nanoTime() / 1_000_000;
   private double lostReplicaS;
   private double replicaS;
   private int kills;
 
   private Loopback(Path dir) throws Exception {
-    this.dir = dir;
-    world =
-        ask(
-            () -> {
-              SimWorld w = new SimWorld(7, 10, 30, "aab", 60);
-              w.nodes.forEach(w::kill);
-              w.next = "[cluster.state.next]\nvalue_kb = 2.0\ntxn_ops = 4\nwrite_rps = 40.0";
-              return w;
-            });
-    ask(
-        () -> {
-          world.net.opened = this::open;
-          open(SimWorld.STATE);
-          open(SimWorld.CLOUD);
-          for (SimWorker w : world.workers()) {
-            open(w.address);
-          }
-          world.published = a -> ports.getOrDefault(a, a);
-          return null;
-        });
-    for (String n : NAMES) {
-      ports.put(n, "127.0.0.1:" + freePort());
-      ports.put("back:" + n, "127.0.0.1:" + freePort());
-      String front = ports.get(n);
-      world.net.outside.put(
-          n,
-          (address, method, path, body, timeoutMs, done) ->
-              client.call(front, method, path, body, timeoutMs, done));
-    }
-    loop.run(this::turn);
+    stage = new LoopbackStage(new SimSetup(7, 10, 30).controllers("aab"), dir);
+    world = stage.world;
+    world.next = "[cluster.state.next]\nvalue_kb = 2.0\ntxn_ops = 4\nwrite_rps = 40.0";
+    stage.awaitPorts();
   }
 
   private <T> T ask(Supplier<T> what) throws Exception {
-    CompletableFuture<T> got = new CompletableFuture<>();
-    loop.run(
-        () -> {
-          try {
-            got.complete(what.get());
-          } catch (RuntimeException e) {
-            got.completeExceptionally(e);
-          }
-        });
-    return got.get(20, TimeUnit.SECONDS);
-  }
-
-  private static int freePort() throws IOException {
-    try (ServerSocket s = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-      return s.getLocalPort();
-    }
-  }
-
-  /** Simulated time follows real time. */
-  private void turn() {
-    loop.after(5, this::turn);
-    world.clock.runUntil(1000 + System.nanoTime() / 1_000_000 - startedMs);
-  }
-
-  private void open(String address) {
-    if (ports.containsKey(address) || NAMES.contains(address) || address.startsWith("peer:")) {
-      return;
-    }
-    try {
-      // Bound from another thread: the loop's own may not wait for itself.
-      CompletableFuture<Channel> bound = new CompletableFuture<>();
-      int port = freePort();
-      Thread t =
-          new Thread(
-              () -> {
-                try {
-                  bound.complete(
-                      new HttpServer(loop.group(), 400, x -> serve(address, x))
-                          .listen(new InetSocketAddress(InetAddress.getLoopbackAddress(), port)));
-                } catch (IOException | InterruptedException e) {
-                  bound.completeExceptionally(e);
-                }
-              });
-      t.setDaemon(true);
-      t.start();
-      ports.put(address, "127.0.0.1:" + port);
-    } catch (IOException e) {
-      throw new IllegalStateException(e);
-    }
-  }
-
-  private void serve(String address, Exchange x) {
-    SimNet.Server s = world.net.at(address);
-    if (s == null) {
-      return;
-    }
-    Consumer<Answer> done =
-        a -> {
-          try {
-            x.reply(a.status(), a.body() == null ? Map.of() : MessageCodec.decode(a.body()));
-          } catch (BadMessage e) {
-            throw new IllegalStateException(e);
-          }
-        };
-    s.serve("real", x.method(), x.path(), x.body(), done);
+    return stage.ask(what);
   }
 
   // ---- processes ----
 
   private void start(String node, Path jar) throws Exception {
-    String text = ask(() -> world.settingsText(node, SimWorld.STATE));
-    Map<String, String> to = new LinkedHashMap<>();
-    to.put(SimWorld.STATE, ports.get(SimWorld.STATE));
-    to.put(SimWorld.CLOUD, ports.get(SimWorld.CLOUD));
-    for (int i = 0; i < NODES; i++) {
-      to.put("10.0.0." + i + ":1", ports.get("n" + i));
-      to.put("10.0.1." + i + ":1", ports.get("back:n" + i));
-    }
-    for (Map.Entry<String, String> e : to.entrySet()) {
-      text = text.replace("\"" + e.getKey() + "\"", "\"" + e.getValue() + "\"");
-    }
-    Path config = dir.resolve(node + ".toml");
-    Files.writeString(config, text);
-    ProcessBuilder b =
-        new ProcessBuilder(
-            Path.of(System.getProperty("java.home"), "bin", "java").toString(),
-            "-Xmx112m",
-            "-jar",
-            jar.toString(),
-            "serve",
-            "--config",
-            config.toString());
-    b.environment().put("LOG_LEVEL", "info");
-    b.redirectErrorStream(true);
-    b.redirectOutput(ProcessBuilder.Redirect.appendTo(new File(dir.toFile(), node + ".log")));
-    processes.put(node, b.start());
+    stage.start(node, jar);
   }
 
   private void end(String node, boolean orderly) throws Exception {
-    Process p = processes.get(node);
     long at = System.nanoTime();
-    if (orderly) {
-      p.destroy();
-    } else {
-      kills++;
-      p.destroyForcibly();
-    }
-    if (!p.waitFor(8, TimeUnit.SECONDS)) {
-      throw new IllegalStateException(node + " does not end");
-    }
+    kills += orderly ? 0 : 1;
+    stage.process(node).end(orderly);
     say(
         "%s %s after %d ms",
         node, orderly ? "ended" : "killed", (System.nanoTime() - at) / 1_000_000);
@@ -224,12 +81,7 @@
   }
 
   private int level() throws Exception {
-    return ask(
-        () -> {
-          Tables t = new Tables(NAMES, Range.BUILD, () -> {});
-          t.load(world.state().all(), world.state().rev());
-          return t.level();
-        });
+    return ask(() -> stage.stored().level());
   }
 
   // ---- load and what is measured ----
@@ -268,7 +120,8 @@
 
   private int status(String node, String method, String path, byte[] body) throws Exception {
     CompletableFuture<Answer> got = new CompletableFuture<>();
-    loop.run(() -> client.call(ports.get(node), method, path, body, 3000, got::complete));
+    stage.loop.run(
+        () -> world.net.outside.get(node).call(node, method, path, body, 3000, got::complete));
     return got.get(5, TimeUnit.SECONDS).status();
   }
 
@@ -424,7 +277,7 @@
     try {
       ok = l.play(old, next, same);
     } finally {
-      l.processes.values().forEach(Process::destroyForcibly);
+      l.stage.close();
     }
     say(ok ? "no rule broken, every accepted job ended once" : "FAILED");
     System.exit(ok ? 0 : 1);
--- /dev/null
+++ b/src/test/java/wickdrift/sim/LoopbackStage.java
@@ -0,0 +1,294 @@
+package wickdrift.sim;
+
+import io.netty.channel.Channel;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
+import wickdrift.bookkeeping.Tables;
+import wickdrift.bookkeeping.level.Range;
+import wickdrift.protocol.BadMessage;
+import wickdrift.protocol.MessageCodec;
+import wickdrift.transport.Caller;
+import wickdrift.transport.Caller.Answer;
+import wickdrift.transport.EventLoop;
+import wickdrift.transport.Exchange;
+import wickdrift.transport.HttpClient;
+import wickdrift.transport.HttpServer;
+
+/**
+ * Real controller processes on loopback, among this project's own stand-ins for the state service,
+ * the cloud, workers and users, which live in this process and in real time. Whatever crosses a
+ * link passes the simulated network of the stand-ins, so its faults hold for real processes too;
+ * links between controllers pass a {@link TcpProxy} for each direction.
+ */
+final class LoopbackStage implements AutoCloseable {
+  private static final long TURN_MS = 5;
+  private static final long ASK_S = 30;
+  private static final int CONNECTIONS = 4000;
+
+  /** A watch is held open for up to a minute; whoever sends a request gives up by itself. */
+  private static final long REQUEST_MS = 70_000;
+
+  private static final long SIM_START_MS = 1000;
+
+  final EventLoop loop = new EventLoop();
+  final SimWorld world;
+  final Path folder;
+  private final HttpClient client = new HttpClient(loop.group(), CONNECTIONS, Set.of());
+  private final Map<String, String> addresses = new HashMap<>();
+  private final Map<String, ControllerProcess> processes = new TreeMap<>();
+  private final Map<String, TcpProxy> peerLinks = new HashMap<>();
+  private final List<CompletableFuture<Channel>> bindings = new ArrayList<>();
+  private final long startedNs = System.nanoTime();
+  private long lastTurnNs;
+  private long longestStallMs;
+
+  /**
+   * Opens all ports; no process is started yet.
+   *
+   * @param setup of the stand-ins, and of what the controllers' settings say
+   * @param folder for settings files and logs
+   */
+  LoopbackStage(SimSetup setup, Path folder) throws Exception {
+    this.folder = Files.createDirectories(folder);
+    world = ask(() -> new SimWorld(setup));
+    ask(this::connect);
+    loop.run(this::turn);
+  }
+
+  private Void connect() {
+    world.nodes.forEach(world::kill);
+    for (String node : world.nodes) {
+      addresses.put(node, loopback(LoopbackPorts.free()));
+      addresses.put(back(node), loopback(LoopbackPorts.free()));
+      world.net.outside.put(node, this::callProcess);
+    }
+    for (String from : world.nodes) {
+      for (String to : world.nodes) {
+        if (!from.equals(to)) {
+          String address = loopback(LoopbackPorts.free());
+          addresses.put(link(from, to), address);
+          peerLinks.put(
+              link(from, to),
+              new TcpProxy(
+                  loop.group(),
+                  HttpClient.parse(address),
+                  HttpClient.parse(addresses.get(back(to)))));
+        }
+      }
+    }
+    world.net.opened = this::open;
+    open(SimWorld.STATE);
+    open(SimWorld.CLOUD);
+    world.workers().forEach(worker -> open(worker.address));
+    world.published = (address, node) -> addresses.getOrDefault(seenBy(address, node), address);
+    return null;
+  }
+
+  private static String loopback(int port) {
+    return "127.0.0.1:" + port;
+  }
+
+  private static String back(String node) {
+    return "back:" + node;
+  }
+
+  private static String link(String from, String to) {
+    return from + ">" + to;
+  }
+
+  /** Each controller reaches a stand-in at an address of its own, which tells who calls. */
+  private static String seenBy(String address, String node) {
+    return address + "@" + node;
+  }
+
+  /** What a stand-in's or a controller's real address is. */
+  String address(String name) {
+    return addresses.get(name);
+  }
+
+  /** Runs something on the loop that owns the stand-ins, and waits for it. */
+  <T> T ask(Supplier<T> what) throws Exception {
+    CompletableFuture<T> got = new CompletableFuture<>();
+    loop.run(
+        () -> {
+          try {
+            got.complete(what.get());
+          } catch (RuntimeException | Error e) {
+            got.completeExceptionally(e);
+          }
+        });
+    return got.get(ASK_S, TimeUnit.SECONDS);
+  }
+
+  // ---- time ----
+
+  /** Simulated time follows real time. */
+  private void turn() {
+    long now = System.nanoTime();
+    if (lastTurnNs > 0) {
+      longestStallMs = Math.max(longestStallMs, (now - lastTurnNs) / 1_000_000);
+    }
+    lastTurnNs = now;
+    loop.after(TURN_MS, this::turn);
+    runUntil(SIM_START_MS + (now - startedNs) / 1_000_000);
+  }
+
+  private void runUntil(long ms) {
+    if (ms > world.clock.nowMs()) {
+      world.clock.runUntil(ms);
+    }
+  }
+
+  /** The longest time for which the stand-ins stood still: no timing within it can be judged. */
+  long longestStallMs() {
+    return longestStallMs;
+  }
+
+  // ---- messages ----
+
+  private void callProcess(
+      String node,
+      String method,
+      String path,
+      byte[] body,
+      long timeoutMs,
+      java.util.function.Consumer<Answer> done) {
+    boolean ofUser = path.startsWith("/api/");
+    client.call(
+        addresses.get(node),
+        method,
+        path,
+        body,
+        timeoutMs,
+        answer -> {
+          if (ofUser) {
+            // What was asked before this answer came is older than it, also within a millisecond.
+            runUntil(world.clock.nowMs() + 1);
+          }
+          done.accept(answer);
+        });
+  }
+
+  private void open(String address) {
+    if (world.nodes.contains(address) || address.startsWith("peer:")) {
+      return;
+    }
+    for (String node : world.nodes) {
+      int port = LoopbackPorts.free();
+      if (addresses.putIfAbsent(seenBy(address, node), loopback(port)) == null) {
+        bind(port, address, node);
+      }
+    }
+  }
+
+  /** From another thread: the loop's own may not wait for itself. */
+  private void bind(int port, String address, String node) {
+    CompletableFuture<Channel> bound = new CompletableFuture<>();
+    bindings.add(bound);
+    Caller caller = world.net.caller(node, () -> true);
+    Thread binder =
+        new Thread(
+            () -> {
+              try {
+                bound.complete(
+                    new HttpServer(loop.group(), CONNECTIONS, x -> pass(caller, address, x))
+                        .listen(new InetSocketAddress(InetAddress.getLoopbackAddress(), port)));
+              } catch (IOException | InterruptedException e) {
+                bound.completeExceptionally(e);
+              }
+            });
+    binder.setDaemon(true);
+    binder.start();
+  }
+
+  private void pass(Caller caller, String address, Exchange x) {
+    caller.call(address, x.method(), x.path(), x.body(), REQUEST_MS, answer -> reply(x, answer));
+  }
+
+  private static void reply(Exchange x, Answer answer) {
+    if (answer.status() == 0) {
+      return;
+    }
+    try {
+      boolean empty = answer.body() == null || answer.body().length == 0;
+      x.reply(answer.status(), empty ? Map.of() : MessageCodec.decode(answer.body()));
+    } catch (BadMessage e) {
+      throw new IllegalStateException(e);
+    }
+  }
+
+  /** What becomes of what one controller sends to another. */
+  void peerLink(String from, String to, TcpProxy.Mode mode) {
+    peerLinks.get(link(from, to)).mode(mode);
+  }
+
+  // ---- processes ----
+
+  /** Waits until every port is open. */
+  void awaitPorts() throws Exception {
+    for (CompletableFuture<Channel> bound : ask(() -> List.copyOf(bindings))) {
+      bound.get(ASK_S, TimeUnit.SECONDS);
+    }
+  }
+
+  /** Starts a controller's process. */
+  void start(String node, Path jar) throws Exception {
+    String text = ask(() -> world.settingsText(node, SimWorld.STATE));
+    Map<String, String> real = new LinkedHashMap<>();
+    real.put(SimWorld.STATE, addresses.get(seenBy(SimWorld.STATE, node)));
+    real.put(SimWorld.CLOUD, addresses.get(seenBy(SimWorld.CLOUD, node)));
+    for (int i = 0; i < world.nodes.size(); i++) {
+      String other = world.nodes.get(i);
+      boolean self = other.equals(node);
+      real.put("10.0.0." + i + ":1", addresses.get(other));
+      real.put("10.0.1." + i + ":1", addresses.get(self ? back(node) : link(node, other)));
+    }
+    for (Map.Entry<String, String> e : real.entrySet()) {
+      text = text.replace("\"" + e.getKey() + "\"", "\"" + e.getValue() + "\"");
+    }
+    Path settings = folder.resolve(node + ".toml");
+    Files.writeString(settings, text);
+    synchronized (processes) {
+      processes.put(node, ControllerProcess.start(jar, settings, log(node)));
+    }
+  }
+
+  /** Where a controller's log is. */
+  Path log(String node) {
+    return folder.resolve(node + ".log");
+  }
+
+  ControllerProcess process(String node) {
+    synchronized (processes) {
+      return processes.get(node);
+    }
+  }
+
+  /** What the state service holds, as a controller would read it. */
+  Tables stored() {
+    Tables tables = new Tables(world.nodes, Range.BUILD, () -> {});
+    tables.load(world.state().all(), world.state().rev());
+    return tables;
+  }
+
+  @Override
+  public void close() {
+    synchronized (processes) {
+      processes.values().forEach(ControllerProcess::destroy);
+    }
+    loop.group().shutdownGracefully(0, 1, TimeUnit.SECONDS);
+  }
+}
--- a/src/test/java/wickdrift/sim/SimNet.java
+++ b/src/test/java/wickdrift/sim/SimNet.java
@@ -16,6 +16,11 @@
   /** What listens at an address. */
   public interface Server {
     void serve(String from, String method, String path, byte[] body, Consumer<Caller.Answer> done);
+
+    /** Grows when what listens begins anew: what was on its way to the one before is lost. */
+    default long life() {
+      return 0;
+    }
   }
 
   private final SimClock clock;
@@ -54,12 +59,23 @@
     /** It waits, unanswered, until {@link #releaseHeld} is called. */
     HELD,
     /** It arrives, and its answer does not. */
-    ANSWER_LOST
+    ANSWER_LOST,
+    /** It arrives so much later as {@link FaultScript#lateMs} says, and nobody gets an answer. */
+    LATE,
+    /** It never arrives. */
+    LOST,
+    /** The connection is reset. */
+    RESET
   }
 
   /** Decides the fate of each request. */
   interface FaultScript {
     Fate fateOf(String from, String to, String path, byte[] body);
+
+    /** How late the next request that is {@link Fate#LATE} arrives. */
+    default long lateMs() {
+      return 0;
+    }
   }
 
   FaultScript script = (from, to, path, body) -> Fate.DELIVERED;
@@ -69,6 +85,9 @@
   /** Hosts whose answers arrive as something that nobody can read. */
   final Set<String> garbled = new HashSet<>();
 
+  /** How long a copy or a late request may take at a real process. */
+  private static final long OUTSIDE_MS = 5000;
+
   private static final byte[] GARBLED = {(byte) 0xc1, 7, 7};
 
   /** Of this share of the reports a copy is kept until somebody releases it. */
@@ -137,15 +156,41 @@
       String to = copies.to.get(random.nextInt(copies.to.size()));
       clock.after(
           (long) (random.nextDouble() * copies.withinMs),
-          () -> {
-            Server s = servers.get(to);
-            if (s != null) {
-              s.serve(from, method, path, body, a -> {});
-            }
-          });
+          () -> deliver(from, to, method, path, body, a -> {}));
+    }
+  }
+
+  /** Hands a request to whatever is at an address. */
+  private void deliver(
+      String from,
+      String to,
+      String method,
+      String path,
+      byte[] body,
+      Consumer<Caller.Answer> done) {
+    Caller process = outside.get(to);
+    Server server = servers.get(to);
+    if (process != null) {
+      process.call(to, method, path, body, OUTSIDE_MS, done);
+    } else if (server != null) {
+      server.serve(from, method, path, body, done);
     }
   }
 
+  private void deliverLate(String from, String to, String method, String path, byte[] body) {
+    Server server = servers.get(to);
+    long life = server == null ? 0 : server.life();
+    clock.after(
+        script.lateMs(),
+        () -> {
+          Server now = servers.get(to);
+          // A connection to one that began anew meanwhile is gone, with all that was on its way.
+          if (now == null || now.life() == life) {
+            deliver(from, to, method, path, body, a -> {});
+          }
+        });
+  }
+
   private void keep(String from, String path, byte[] body) {
     if (keepShare > 0 && path.equals("/hello") && random.nextDouble() < keepShare) {
       kept.add(new Kept(from, path, body));
@@ -177,13 +222,7 @@
   }
 
   private void hold(String from, String to, String method, String path, byte[] body) {
-    heldByScript.add(
-        () -> {
-          Server server = servers.get(to);
-          if (server != null) {
-            server.serve(from, method, path, body, answer -> {});
-          }
-        });
+    heldByScript.add(() -> deliver(from, to, method, path, body, answer -> {}));
   }
 
   private boolean holdUp(String from, String address, String method, String path, byte[] body) {
@@ -238,8 +277,13 @@
         return;
       }
       Fate fate = script.fateOf(from, address, path, body);
-      if (fate == Fate.HELD) {
-        hold(from, address, method, path, body);
+      switch (fate) {
+        case HELD -> hold(from, address, method, path, body);
+        case LATE -> deliverLate(from, address, method, path, body);
+        case RESET -> clock.after(1, () -> once.accept(Caller.Answer.NONE));
+        default -> {}
+      }
+      if (fate != Fate.DELIVERED && fate != Fate.ANSWER_LOST) {
         return;
       }
       send(
@@ -247,7 +291,8 @@
           address,
           () -> {
             if (outside.containsKey(address)) {
-              outside.get(address).call(address, method, path, body, timeoutMs, once);
+              Consumer<Caller.Answer> got = fate == Fate.ANSWER_LOST ? a -> {} : once;
+              outside.get(address).call(address, method, path, body, timeoutMs, got);
               return;
             }
             Server s = servers.get(address);
--- a/src/test/java/wickdrift/sim/SimRules.java
+++ b/src/test/java/wickdrift/sim/SimRules.java
@@ -37,6 +37,7 @@
 
   private void broke(String what) {
     broken.add(world.clock.nowMs() + " " + what);
+    world.history.add("BROKEN " + what);
   }
 
   private static String job(String task) {
@@ -45,6 +46,7 @@
 
   void started(SimWorker.Task t) {
     starts++;
+    world.history.add("on " + t.machine() + ": " + t.id + " attempt " + t.attempt);
     SimWorker.Task other = on.get(t.id);
     if (other != null && !other.machine().equals(t.machine())) {
       broke("ran_twice " + t.id + " on " + t.machine() + " and " + other.machine());
@@ -88,6 +90,7 @@
       broke("ran_cancelled " + t.id + " until now");
     }
     on.remove(t.id, t);
+    world.history.add("off " + t.machine() + ": " + t.id + " attempt " + t.attempt + " " + t.why);
   }
 
   void done(SimWorker.Task t) {
@@ -104,6 +107,11 @@
     }
   }
 
+  /** A user was told of a job that nobody has submitted. */
+  void invented(String job) {
+    broke("invented " + job);
+  }
+
   /** A user was told that a job is accepted. */
   void accepted(String job) {
     acceptedAt.putIfAbsent(job, world.clock.nowMs());
@@ -115,7 +123,9 @@
   }
 
   void withdrawn(String job) {
-    withdrawnAt.putIfAbsent(job, world.clock.nowMs());
+    if (withdrawnAt.putIfAbsent(job, world.clock.nowMs()) == null) {
+      world.history.add("told withdrawn: " + job);
+    }
   }
 
   /**
--- a/src/test/java/wickdrift/sim/SimSetup.java
+++ b/src/test/java/wickdrift/sim/SimSetup.java
@@ -12,6 +12,8 @@
   private double gpusMax = 60;
   private double soundGpusMax;
   private double cancelS = 36;
+  private double leaseS = 16;
+  private double reportS = 2.5;
   private UnaryOperator<Tuning> tuning = t -> t.withLog(2, 900);
   private int txnOps;
   private double writeRps = SimState.WRITES;
@@ -93,6 +95,21 @@
     return this;
   }
 
+  double leaseS() {
+    return leaseS;
+  }
+
+  double reportS() {
+    return reportS;
+  }
+
+  /** How long a worker's lease lasts, and how often it reports. */
+  SimSetup workers(double leaseSeconds, double reportSeconds) {
+    leaseS = leaseSeconds;
+    reportS = reportSeconds;
+    return this;
+  }
+
   UnaryOperator<Tuning> tuning() {
     return tuning;
   }
--- a/src/test/java/wickdrift/sim/SimWorker.java
+++ b/src/test/java/wickdrift/sim/SimWorker.java
@@ -122,6 +122,11 @@
     return lives * 1_000_000L + tenure;
   }
 
+  @Override
+  public long life() {
+    return lives;
+  }
+
   /** The machine is back at once, under its name, with nothing on it, and counts from one again. */
   void restart() {
     tasks.values().forEach(this::off);
@@ -230,7 +235,7 @@
     }
   }
 
-  private Map<String, Object> message() {
+  private Map<String, Object> message(String to) {
     tick++;
     List<Object> list = new ArrayList<>();
     for (Task t : tasks.values()) {
@@ -245,7 +250,7 @@
     }
     Map<String, Object> m = new LinkedHashMap<>();
     m.put("host", name);
-    m.put("address", world.published.apply(address));
+    m.put("address", world.published.apply(address, to));
     m.put("flavour", "g4");
     m.put("region", zone);
     m.put("reclaimable", spot);
@@ -270,11 +275,12 @@
     }
     long sent = clock.nowMs();
     long session = session();
+    String to = world.nodes.get(node % world.nodes.size());
     caller.call(
-        world.nodes.get(node % world.nodes.size()),
+        to,
         "POST",
         "/hello",
-        MessageCodec.encode(message()),
+        MessageCodec.encode(message(to)),
         4000,
         a -> answered(a, sent, session));
   }
@@ -432,18 +438,18 @@
     }
     try {
       if (path.equals("/show")) {
-        done.accept(SimState.answer(200, message()));
+        done.accept(SimState.answer(200, message(from)));
         return;
       }
       Document d = Document.parse(body);
       long token = d.count("epoch");
       if (token < epoch || d.count("tenure") != tenure) {
-        done.accept(SimState.answer(409, message()));
+        done.accept(SimState.answer(409, message(from)));
         return;
       }
       epoch = token;
       orders(d);
-      done.accept(SimState.answer(200, message()));
+      done.accept(SimState.answer(200, message(from)));
     } catch (BadMessage e) {
       done.accept(SimState.answer(400, Map.of()));
     }
--- a/src/test/java/wickdrift/sim/SimWorld.java
+++ b/src/test/java/wickdrift/sim/SimWorld.java
@@ -11,10 +11,10 @@
 import java.util.Map;
 import java.util.Random;
 import java.util.Set;
+import java.util.function.BinaryOperator;
 import java.util.function.Consumer;
 import java.util.function.Predicate;
 import java.util.function.ToDoubleFunction;
-import java.util.function.UnaryOperator;
 import wickdrift.bookkeeping.Job;
 import wickdrift.bookkeeping.Limits;
 import wickdrift.bookkeeping.Machine;
@@ -53,8 +53,8 @@
   final SimCloud cloud;
   final SimSetup setup;
   final Map<String, JobSpec> specs = new HashMap<>();
-  final long leaseMs = 16_000;
-  final long reportMs = 2_500;
+  final long leaseMs;
+  final long reportMs;
   final long cancelMs;
   int refusals;
 
@@ -73,8 +73,11 @@
   /** How much longer than its job says a task of an array runs, by its name. */
   ToDoubleFunction<String> pace = task -> 1;
 
-  /** What a worker says that its address is. */
-  UnaryOperator<String> published = a -> a;
+  /** What a worker of that address says to a node that its address is. */
+  BinaryOperator<String> published = (address, node) -> address;
+
+  /** What happened, for whoever looks for the cause of a broken rule. */
+  final SimHistory history = new SimHistory(clock);
 
   private final Map<String, Node> running = new HashMap<>();
 
@@ -123,6 +126,8 @@
   SimWorld(SimSetup setup) {
     this.setup = setup;
     cancelMs = (long) (setup.cancelS() * 1000);
+    leaseMs = (long) (setup.leaseS() * 1000);
+    reportMs = (long) (setup.reportS() * 1000);
     for (int i = 0; i < setup.controllers().length(); i++) {
       nodes.add("n" + i);
     }
@@ -280,8 +285,8 @@
         within_s = 1.0
         share = 0.9
         [cluster.workers]
-        report_s = 2.5
-        lease_s = 16.0
+        report_s = %s
+        lease_s = %s
         gang_wait_s = 30.0
         gang_peer_s = 5.0
         cancel_s = %s
@@ -302,6 +307,8 @@
                 names.size(),
                 setup.gpusMax(),
                 setup.soundGpusMax(),
+                setup.reportS(),
+                setup.leaseS(),
                 setup.cancelS(),
                 state.writeRpsAtFirst,
                 state.txnOpsAtFirst(),
--- /dev/null
+++ b/src/test/java/wickdrift/sim/SoakLoad.java
@@ -0,0 +1,147 @@
+package wickdrift.sim;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+
+/**
+ * What the users of a soak do: short and long one-task jobs, arrays, gangs and services of two
+ * teams that come to their limits; cancellations at any time, also at the end of a task; repeated
+ * submissions; questions about jobs that nobody has submitted.
+ */
+final class SoakLoad {
+  private static final int NEVER_SUBMITTED = 900_000;
+  private static final double WORKERS_A_JOB = 16;
+  private static final long BETWEEN_JOBS_MS = 700;
+  private static final long ODD_QUESTION_MS = 2500;
+
+  private final SimWorld world;
+  private final Random random;
+  private final Map<String, Map<String, Object>> submitted = new HashMap<>();
+  private final List<String> services = new ArrayList<>();
+  private int next = 1;
+  private boolean open = true;
+
+  SoakLoad(SimWorld world, Random random) {
+    this.world = world;
+    this.random = random;
+  }
+
+  /** Begins, and goes on until it is closed. */
+  void start() {
+    if (random.nextBoolean()) {
+      world.users.closeLooks = new SimCloseLooks(world);
+    }
+    submitNext();
+    askOddly();
+  }
+
+  int submitted() {
+    return submitted.size();
+  }
+
+  private void submitNext() {
+    if (!open) {
+      return;
+    }
+    double pace = Math.max(1, world.workers().size() / WORKERS_A_JOB);
+    world.clock.after((long) (BETWEEN_JOBS_MS / pace * 2 * random.nextDouble()), this::submitNext);
+    int number = next++;
+    Map<String, Object> job = job(number);
+    if (random.nextInt(3) == 0) {
+      job.put("owner", "sound");
+    }
+    String id = (String) job.get("ref");
+    submitted.put(id, job);
+    boolean service = job.get("shape").equals("daemon");
+    if (service) {
+      services.add(id);
+    }
+    world.users.submit(job, withdrawAfter(job, service));
+  }
+
+  private Map<String, Object> job(int number) {
+    int kind = random.nextInt(100);
+    if (kind < 50) {
+      return SimJobs.job(number, "batch", 1, 1, 1 + random.nextInt(4));
+    }
+    if (kind < 65) {
+      return SimJobs.job(number, "batch", 2 + random.nextInt(3), 1, 2 + random.nextInt(5));
+    }
+    if (kind < 80) {
+      return SimJobs.job(number, "ensemble", 2, 1 + random.nextInt(2), 3 + random.nextInt(4));
+    }
+    if (kind < 88) {
+      return SimJobs.job(number, "daemon", 2, 1, 0);
+    }
+    return SimJobs.job(number, "batch", 1, 1, 10 + random.nextInt(6));
+  }
+
+  /** Of the jobs that are cancelled, many are so about when their tasks end. */
+  private long withdrawAfter(Map<String, Object> job, boolean service) {
+    if (service) {
+      return 5000 + random.nextInt(10_000);
+    }
+    if (random.nextInt(3) > 0) {
+      return 0;
+    }
+    long about = (long) ((double) job.get("expectS") * 1000) + 1500;
+    return random.nextBoolean() ? 1 + random.nextInt(8000) : about + random.nextInt(800);
+  }
+
+  private void askOddly() {
+    if (!open) {
+      return;
+    }
+    world.clock.after(ODD_QUESTION_MS, this::askOddly);
+    String unknown = String.format("req-%06d", NEVER_SUBMITTED + random.nextInt(1000));
+    world.users.poll(
+        world.nodes.get(random.nextInt(world.nodes.size())),
+        unknown,
+        2000,
+        answer -> {
+          if (answer.status() == 200) {
+            world.rules.invented(unknown);
+          }
+        });
+    List<String> known = world.users.accepted.stream().sorted().toList();
+    if (!known.isEmpty()) {
+      String id = known.get(random.nextInt(known.size()));
+      world.users.submitAgain(id, submitted.get(id));
+    }
+  }
+
+  /** Cancels jobs that run, and tells which workers have tasks of theirs. */
+  List<SimWorker> cancelRunning(int jobs, Random draw) {
+    List<SimWorker> theirs = new ArrayList<>();
+    List<String> running =
+        world.users.accepted.stream()
+            .filter(id -> world.rules.isOn(id + "/0") && !world.users.asked.contains(id))
+            .sorted()
+            .toList();
+    for (int i = 0; i < Math.min(jobs, running.size()); i++) {
+      String id = running.get(i);
+      String machine = world.rules.machineOf(id + "/0");
+      world.workers().stream().filter(w -> w.name.equals(machine)).forEach(theirs::add);
+      world.users.withdraw(id, world.nodes.get(draw.nextInt(world.nodes.size())));
+    }
+    return theirs;
+  }
+
+  /** No more jobs come, and services are called off, so that everything can end. */
+  void close() {
+    open = false;
+    for (String id : services) {
+      if (world.users.accepted.contains(id) && !world.users.asked.contains(id)) {
+        world.users.withdraw(id, world.nodes.get(0));
+      }
+    }
+  }
+
+  /** Accepted jobs of which no user was told that they are over. */
+  List<String> unfinished() {
+    return world.users.accepted.stream().filter(id -> !world.rules.isFinal(id)).sorted().toList();
+  }
+}
--- /dev/null
+++ b/src/test/java/wickdrift/sim/TcpProxy.java
@@ -0,0 +1,128 @@
+package wickdrift.sim;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import java.net.InetSocketAddress;
+import java.util.HashSet;
+import java.util.Set;
+
+/** Passes bytes between two processes, holds them back, or resets the connections. */
+final class TcpProxy {
+  /** What becomes of the bytes. */
+  enum Mode {
+    FORWARD,
+    /** Nothing arrives until the mode changes; then all of it does, in order. */
+    HOLD,
+    /** Connections are reset, and new ones too. */
+    RESET
+  }
+
+  private static final int CONNECT_MS = 1000;
+
+  private final EventLoopGroup group;
+  private final InetSocketAddress target;
+  private final Set<Channel> channels = new HashSet<>();
+  private Mode mode = Mode.FORWARD;
+
+  /** Listens at a port of loopback, and connects to the target for each connection it takes. */
+  TcpProxy(EventLoopGroup group, InetSocketAddress listen, InetSocketAddress target) {
+    this.group = group;
+    this.target = target;
+    new ServerBootstrap()
+        .group(group)
+        .channel(NioServerSocketChannel.class)
+        .option(ChannelOption.SO_REUSEADDR, true)
+        .childOption(ChannelOption.AUTO_READ, false)
+        .childHandler(
+            new ChannelInitializer<SocketChannel>() {
+              @Override
+              protected void initChannel(SocketChannel front) {
+                accept(front);
+              }
+            })
+        .bind(listen);
+  }
+
+  /** Changes what becomes of the bytes, on the event loop. */
+  void mode(Mode next) {
+    mode = next;
+    for (Channel channel : Set.copyOf(channels)) {
+      if (mode == Mode.RESET) {
+        reset(channel);
+      } else {
+        channel.config().setAutoRead(mode == Mode.FORWARD);
+      }
+    }
+  }
+
+  private static void reset(Channel channel) {
+    channel.config().setOption(ChannelOption.SO_LINGER, 0);
+    channel.close();
+  }
+
+  private void accept(SocketChannel front) {
+    if (mode == Mode.RESET) {
+      reset(front);
+      return;
+    }
+    ChannelFuture connected =
+        new Bootstrap()
+            .group(group)
+            .channel(NioSocketChannel.class)
+            .option(ChannelOption.AUTO_READ, false)
+            .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_MS)
+            .handler(new Pump(front))
+            .connect(target);
+    front.pipeline().addLast(new Pump(connected.channel()));
+    connected.addListener(
+        done -> {
+          if (!done.isSuccess() || mode == Mode.RESET) {
+            reset(front);
+            return;
+          }
+          join(front);
+          join(connected.channel());
+        });
+  }
+
+  private void join(Channel channel) {
+    channels.add(channel);
+    channel.closeFuture().addListener(closed -> channels.remove(channel));
+    channel.config().setAutoRead(mode == Mode.FORWARD);
+  }
+
+  /** Writes what one side sends to the other, and closes both together. */
+  private static final class Pump extends ChannelInboundHandlerAdapter {
+    private final Channel other;
+
+    Pump(Channel other) {
+      this.other = other;
+    }
+
+    @Override
+    public void channelRead(ChannelHandlerContext context, Object message) {
+      other.writeAndFlush((ByteBuf) message);
+    }
+
+    @Override
+    public void channelInactive(ChannelHandlerContext context) {
+      other.close();
+    }
+
+    @Override
+    public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+      context.close();
+    }
+  }
+}
