--- a/src/test/java/wickdrift/sim/SoakFault.java
+++ b/src/test/java/wickdrift/sim/SoakFault.java
@@ -193,6 +193,18 @@
       return scene.rule(m -> m.path().equals(REPORT), 0.4, SimNet.Fate.ANSWER_LOST);
     }
   },
+  /** Several of these at once, on all links between controllers and workers. */
+  BAD_NETWORK {
+    @Override
+    Runnable begin(SoakScene scene, Random random) {
+      Runnable commands = scene.rule(m -> m.path().equals(ORDERS), 0.6, SimNet.Fate.LATE);
+      Runnable reports = scene.rule(m -> m.path().equals(REPORT), 0.4, SimNet.Fate.ANSWER_LOST);
+      return () -> {
+        commands.run();
+        reports.run();
+      };
+    }
+  },
   REPORTS_COPIED_LATE {
     @Override
     Runnable begin(SoakScene scene, Random random) {
