--- a/src/test/java/wickdrift/sim/LoopbackStage.java
+++ b/src/test/java/wickdrift/sim/LoopbackStage.java
@@ -54,6 +54,7 @@
   private final long startedNs = System.nanoTime();
   private long lastTurnNs;
   private long longestStallMs;
+  private volatile Throwable failure;
 
   /**
    * Opens all ports; no process is started yet.
@@ -143,7 +144,17 @@
     }
     lastTurnNs = now;
     loop.after(TURN_MS, this::turn);
-    runUntil(SIM_START_MS + (now - startedNs) / 1_000_000);
+    try {
+      runUntil(SIM_START_MS + (now - startedNs) / 1_000_000);
+    } catch (RuntimeException | Error e) {
+      failure = e;
+      throw e;
+    }
+  }
+
+  /** What a stand-in failed with, or null: nothing can be judged after that. */
+  Throwable failure() {
+    return failure;
   }
 
   private void runUntil(long ms) {
--- a/src/test/java/wickdrift/sim/SimNet.java
+++ b/src/test/java/wickdrift/sim/SimNet.java
@@ -60,6 +60,8 @@
     HELD,
     /** It arrives, and its answer does not. */
     ANSWER_LOST,
+    /** It arrives, and the connection is reset before its answer comes. */
+    ANSWER_RESET,
     /** It arrives so much later as {@link FaultScript#lateMs} says, and nobody gets an answer. */
     LATE,
     /** It never arrives. */
@@ -283,7 +285,9 @@
         case RESET -> clock.after(1, () -> once.accept(Caller.Answer.NONE));
         default -> {}
       }
-      if (fate != Fate.DELIVERED && fate != Fate.ANSWER_LOST) {
+      boolean arrives =
+          fate == Fate.DELIVERED || fate == Fate.ANSWER_LOST || fate == Fate.ANSWER_RESET;
+      if (!arrives) {
         return;
       }
       send(
@@ -291,7 +295,12 @@
           address,
           () -> {
             if (outside.containsKey(address)) {
-              Consumer<Caller.Answer> got = fate == Fate.ANSWER_LOST ? a -> {} : once;
+              Consumer<Caller.Answer> got =
+                  switch (fate) {
+                    case ANSWER_LOST -> a -> {};
+                    case ANSWER_RESET -> a -> once.accept(Caller.Answer.NONE);
+                    default -> once;
+                  };
               outside.get(address).call(address, method, path, body, timeoutMs, got);
               return;
             }
--- a/src/test/java/wickdrift/sim/SoakCommand.java
+++ b/src/test/java/wickdrift/sim/SoakCommand.java
@@ -52,7 +52,7 @@
   private int seconds = 40;
 
   @CommandLine.Option(names = "--workers", description = "workers at the start")
-  private int workers = 5;
+  private int workers = 14;
 
   @CommandLine.Option(names = "--parallel", description = "runs at a time")
   private int parallel = 1;
--- a/src/test/java/wickdrift/sim/SoakFault.java
+++ b/src/test/java/wickdrift/sim/SoakFault.java
@@ -198,7 +198,7 @@
     @Override
     Runnable begin(SoakScene scene, Random random) {
       Runnable commands = scene.rule(m -> m.path().equals(ORDERS), 0.6, SimNet.Fate.LATE);
-      Runnable reports = scene.rule(m -> m.path().equals(REPORT), 0.4, SimNet.Fate.ANSWER_LOST);
+      Runnable reports = scene.rule(m -> m.path().equals(REPORT), 0.6, SimNet.Fate.ANSWER_RESET);
       return () -> {
         commands.run();
         reports.run();
--- a/src/test/java/wickdrift/sim/SoakIT.java
+++ b/src/test/java/wickdrift/sim/SoakIT.java
@@ -10,7 +10,7 @@
 /** A few short soaks of the built jar, with fixed seeds; by hand there are more and longer ones. */
 class SoakIT {
   private static final Path JAR = Path.of("target", "wickdrift.jar");
-  private static final int WORKERS = 5;
+  private static final int WORKERS = 14;
   private static final long FAULTS_MS = 20_000;
 
   @ParameterizedTest
--- a/src/test/java/wickdrift/sim/SoakLoad.java
+++ b/src/test/java/wickdrift/sim/SoakLoad.java
@@ -13,8 +13,8 @@
  */
 final class SoakLoad {
   private static final int NEVER_SUBMITTED = 900_000;
-  private static final double WORKERS_A_JOB = 12;
-  private static final long BETWEEN_JOBS_MS = 220;
+  private static final double WORKERS_A_JOB = 16;
+  private static final long BETWEEN_JOBS_MS = 140;
   private static final long ODD_QUESTION_MS = 2500;
 
   private final SimWorld world;
--- a/src/test/java/wickdrift/sim/SoakRun.java
+++ b/src/test/java/wickdrift/sim/SoakRun.java
@@ -188,6 +188,10 @@
     if (stage.longestStallMs() > STALL_MOST_MS) {
       return "the harness stood still for " + stage.longestStallMs() + " ms";
     }
+    if (stage.failure() != null) {
+      StackTraceElement[] where = stage.failure().getStackTrace();
+      return "a stand-in failed: " + stage.failure() + " at " + (where.length > 0 ? where[0] : "");
+    }
     if (scene.processFailure() != null) {
       return scene.processFailure();
     }
