--- a/review/standins/LostChunk.java
+++ b/review/standins/LostChunk.java
@@ -34,10 +34,10 @@
     world.zones = List.of("warszawa-a", "warszawa-b");
     world.reportS = 6;
     world.leaseS = 28;
-    world.capacity = 30;
+    world.capacity = 48;
     world.state = new StateService(250, 100, 32, 16);
     world.configure(List.of("warszawa-a", "warszawa-b", "warszawa-a"), Settings.rejestr());
-    for (int i = 0; i < 30; i++) {
+    for (int i = 0; i < 48; i++) {
       world.boot(world.zones.get(i % 2), false, 0);
     }
     // The first controller leads.
--- a/review/standins/Net.java
+++ b/review/standins/Net.java
@@ -34,7 +34,11 @@
   private Net() {}
 
   /** An answer; status 0 means that there was none. */
-  record Answer(int status, byte[] body) {
+  record Answer(int status, byte[] body, int retryAfterS) {
+    Answer(int status, byte[] body) {
+      this(status, body, 0);
+    }
+
     Object field(String name) {
       return status == 0 || body.length == 0 ? null : Mp.map(body).get(name);
     }
@@ -119,7 +123,14 @@
             (response, failure) ->
                 failure != null
                     ? new Answer(0, new byte[0])
-                    : new Answer(response.statusCode(), response.body()));
+                    : new Answer(
+                        response.statusCode(),
+                        response.body(),
+                        response
+                            .headers()
+                            .firstValue("Retry-After")
+                            .map(Integer::parseInt)
+                            .orElse(0)));
   }
 
   /** Forwards connections to an address until it is cut; a cut resets all connections. */
--- a/review/standins/Settings.java
+++ b/review/standins/Settings.java
@@ -5,19 +5,9 @@
 final class Settings {
   private Settings() {}
 
-  /** {@code ajose-commons-next}, with or without the limits that the state service will have. */
-  static String ajose(boolean next) {
-    return text("lagos-1", "abuja-1", 2.5, 16, 45, 36, 120, 25, 4, 8, 8, 8, 0.425, 263, 1800)
-        + (next
-            ? """
-
-            [cluster.state.next]
-            rps = 120.0
-            write_rps = 18.0
-            value_kb = 2.0
-            txn_ops = 4
-            """
-            : "");
+  /** {@code ajose-commons-grown}. */
+  static String ajose() {
+    return text("lagos-1", "abuja-1", 2.5, 16, 45, 36, 120, 25, 4, 8, 8, 8, 0.425, 263, 1800);
   }
 
   /** {@code rejestr-wspolny-grown}. */
--- a/review/standins/StateService.java
+++ b/review/standins/StateService.java
@@ -19,22 +19,18 @@
   private final Map<Long, long[]> leases = new HashMap<>();
   private long revision;
   private long lastTether;
-  private double rps;
-  private double writeRps;
-  private double valueKb;
-  private int txnOps;
+  private final double rps;
+  private final double writeRps;
+  private final double valueKb;
+  private final int txnOps;
   private double requestTokens;
   private double writeTokens;
   private long tokensNs = System.nanoTime();
 
-  /** The answers to watches that were larger than this many bytes, by sender. */
-  final Map<String, List<String>> largeWatches = new LinkedHashMap<>();
-
   long refusedForRate;
   long refusedForSize;
   long largestRefused;
   long changeCount;
-  long writtenBytes;
 
   StateService(double rps, double writeRps, double valueKb, int txnOps) {
     this.rps = rps;
@@ -44,16 +40,6 @@
     Net.POOL.execute(this::expireLeases);
   }
 
-  synchronized void lowerLimits(double newWriteRps, double newValueKb, int newTxnOps) {
-    writeRps = newWriteRps;
-    valueKb = newValueKb;
-    txnOps = newTxnOps;
-  }
-
-  synchronized long revision() {
-    return revision;
-  }
-
   /** Called with the sender and the path of each request, before it is carried out. */
   volatile java.util.function.BiConsumer<String, String> onRequest = (node, path) -> {};
 
@@ -69,7 +55,7 @@
     return (method, path, body) -> {
       Thread.sleep(ThreadLocalRandom.current().nextInt(1, 5));
       onRequest.accept(node, path);
-      return handle(node, method, path, body);
+      return handle(method, path, body);
     };
   }
 
@@ -85,7 +71,7 @@
     writeTokens = Math.min(writeRps, writeTokens + seconds * writeRps);
   }
 
-  private Net.Answer handle(String node, String method, String path, byte[] body)
+  private Net.Answer handle(String method, String path, byte[] body)
       throws InterruptedException {
     synchronized (this) {
       refill();
@@ -126,7 +112,7 @@
         return answer(200, Map.of());
       }
     }
-    return path.startsWith("/follow?") ? follow(node, query(path)) : answer(400, Map.of());
+    return path.startsWith("/follow?") ? follow(query(path)) : answer(400, Map.of());
   }
 
   private static Map<String, String> query(String path) {
@@ -217,7 +203,6 @@
       for (Map<String, Object> change : then) {
         Object tether = change.get("tether");
         if (change.get("write") != null) {
-          writtenBytes += Mp.encode(change.get("v")).length;
           put((String) change.get("write"), change.get("v"), tether == null ? 0 : (Long) tether);
         } else {
           put((String) change.get("delete"), null, 0);
@@ -290,7 +275,7 @@
     return low;
   }
 
-  private Net.Answer follow(String node, Map<String, String> query) throws InterruptedException {
+  private Net.Answer follow(Map<String, String> query) throws InterruptedException {
     String prefix = query.get("prefix");
     long from = Long.parseLong(query.get("from"));
     long hold = Math.min(60_000, Long.parseLong(query.getOrDefault("holdMs", "0")));
@@ -323,13 +308,6 @@
       rev = revision;
     }
     byte[] body = Mp.encode(Map.of("ledgerRev", rev, "news", news));
-    if (body.length > 1_000_000) {
-      synchronized (this) {
-        largeWatches
-            .computeIfAbsent(node, k -> new ArrayList<>())
-            .add("from=" + from + " to=" + rev + " changes=" + news.size() + " bytes=" + body.length);
-      }
-    }
     return new Net.Answer(200, body);
   }
 }
--- a/review/standins/Worker.java
+++ b/review/standins/Worker.java
@@ -47,7 +47,15 @@
   private long epoch;
   private long leaseFromMs = World.nowMs();
   private boolean changed;
+  private long tokenReportedMs = Long.MIN_VALUE / 2;
+
+  /** How often the worker has begun anew; answers to reports from before are not received. */
+  private int beginnings;
   private volatile boolean gone;
+
+  /** Whether every task fails that starts here. */
+  volatile boolean sick;
+
   private int node;
   private HttpServer server;
 
@@ -78,6 +86,18 @@
     killAll("machine gone");
   }
 
+  /** The machine is back at once, under its name; its worker counts from one and knows nothing. */
+  synchronized void beginAnew() {
+    killAll("machine back at once");
+    beginnings++;
+    tenure = 1;
+    tick = 0;
+    epoch = 0;
+    sick = false;
+    leaseFromMs = World.nowMs();
+    changed = true;
+  }
+
   private synchronized void checkLease() {
     if (!gone && World.nowMs() - leaseFromMs > world.leaseS * 1000) {
       killAll("lease expired");
@@ -154,8 +174,10 @@
       while (!gone) {
         Map<String, Object> report;
         long sentMs = World.nowMs();
+        int sentBy;
         synchronized (this) {
           changed = false;
+          sentBy = beginnings;
           report = newReport();
         }
         Net.Answer answer =
@@ -167,7 +189,7 @@
                     report,
                     4000)
                 .get();
-        boolean stay = handleAnswer(answer, (Long) report.get("tenure"), sentMs);
+        boolean stay = handleAnswer(answer, (Long) report.get("tenure"), sentBy, sentMs);
         if (!stay) {
           continue;
         }
@@ -194,14 +216,14 @@
   }
 
   /** Returns whether the worker stays with its node; else it reports to another one now. */
-  private boolean handleAnswer(Net.Answer answer, long sentTenure, long sentMs) throws Exception {
+  private boolean handleAnswer(Net.Answer answer, long sentTenure, int sentBy, long sentMs)
+      throws Exception {
     if (answer.status() == 200) {
       Map<String, Object> body = Mp.map(answer.body());
       long token = body.get("epoch") instanceof Long value ? value : -1;
       synchronized (this) {
-        if (sentTenure == tenure && token >= epoch && !gone) {
-          changed |= token > epoch;
-          epoch = token;
+        if (sentBy == beginnings && sentTenure == tenure && token >= epoch && !gone) {
+          show(token);
           leaseFromMs = sentMs;
           execute(body);
         }
@@ -220,9 +242,29 @@
     return false;
   }
 
+  /** A higher token is a change to report, but not more often than once in half a lease. */
+  private void show(long token) {
+    long now = World.nowMs();
+    if (token > epoch && now - tokenReportedMs > world.leaseS * 500) {
+      tokenReportedMs = now;
+      changed = true;
+    }
+    epoch = token;
+  }
+
   // ---- commands ----
 
-  private Net.Answer serve(String method, String path, byte[] body) {
+  private Net.Answer serve(String method, String path, byte[] body) throws InterruptedException {
+    if (path.equals("/orders") && world.holdCommand.test(this, Mp.map(body))) {
+      // Held up on its way: the sender gets no answer. World.release carries it out.
+      Thread.sleep(20_000);
+      return null;
+    }
+    return carryOut(path, body);
+  }
+
+  /** Carries out a command if its token and session match, and returns the answer. */
+  Net.Answer carryOut(String path, byte[] body) {
     synchronized (this) {
       if (gone) {
         return null;
@@ -238,8 +280,7 @@
       if (token < epoch || session != tenure) {
         return new Net.Answer(409, Mp.encode(newReport()));
       }
-      changed |= token > epoch;
-      epoch = token;
+      show(token);
       execute(command);
       return new Net.Answer(200, Mp.encode(newReport()));
     }
@@ -332,6 +373,9 @@
       world.gangMemberReady(this, attempt, spec);
     } else {
       attempt.phase = "running";
+      if (sick) {
+        world.after(200, () -> exit(attempt, "error"));
+      }
       if (spec.shape().equals("batch")) {
         world.after((long) (spec.runS() * 1000), () -> complete(attempt));
       }
--- a/review/standins/World.java
+++ b/review/standins/World.java
@@ -76,9 +76,15 @@
   private final Set<String> done = ConcurrentHashMap.newKeySet();
   private final Map<String, Set<String>> where = new HashMap<>();
   private final Map<String, Map<Integer, Object[]>> gangs = new HashMap<>();
+
+  /** Whether a direct command to a worker is held up on its way. */
+  volatile java.util.function.BiPredicate<Worker, Map<String, Object>> holdCommand =
+      (worker, command) -> false;
+
   private final PrintWriter recordFile;
   private int lastMachine;
   int capacity = 60;
+  boolean recordStarts;
   int started;
   final List<String> ranTwice = new ArrayList<>();
   final Path folder;
@@ -276,7 +282,7 @@
       if (status == 200 || status == 201 || status == 400 || status == 422) {
         break;
       }
-      Thread.sleep(1000);
+      Thread.sleep(1000L * Math.max(1, Math.min(30, answer.retryAfterS())));
     }
     return status;
   }
@@ -394,11 +400,17 @@
         record("RAN TWICE: " + line);
       }
       places.add(worker.name);
+      if (recordStarts) {
+        record(attempt.task() + " try " + attempt.number + " is on " + worker.name);
+      }
     }
   }
 
   void taskLeft(Worker worker, Worker.Attempt attempt, String why) {
     synchronized (where) {
+      if (recordStarts) {
+        record(attempt.task() + " try " + attempt.number + " left " + worker.name + ": " + why);
+      }
       where.getOrDefault(attempt.task(), new HashSet<>()).remove(worker.name);
     }
   }
