A controller that reads the jobs and the tasks' states at two moments deletes no states of running tasks

Cause: the lists of a load are read one after the other, and requests that fail in between are repeated for as long as it takes. A task state record whose job was not in the list of jobs yet was noted for deletion, and the note stayed when the job came. The deletion had no condition.

Why this works: what was read without a job is only kept as such; whether it is an orphan is decided from the jobs of the revision that the tables have reached. The deletion requires the record's own stamp and the job's record, still over or absent. The stand-in for the state service now reports deletions without that condition.

On the way, of the same class: a job's record that can be read only later makes the node load everything again, and a reload that is due comes before any decision. New: the metric records.orphaned, a debug line for each deletion.

--- a/src/main/java/wickdrift/bookkeeping/AwaitsOverflow.java
+++ b/src/main/java/wickdrift/bookkeeping/AwaitsOverflow.java
@@ -72,9 +72,14 @@
     return values;
   }
 
+  /** The prefix of the keys of a job's overflow records. */
+  static String keyPrefix(String job) {
+    return KEY_PREFIX + job + "/";
+  }
+
   /** The key of a record. */
   public String key(int record) {
-    return KEY_PREFIX + job + "/" + sum + "-" + record;
+    return keyPrefix(job) + sum + "-" + record;
   }
 
   List<Object> toStore() {
--- a/src/main/java/wickdrift/bookkeeping/Job.java
+++ b/src/main/java/wickdrift/bookkeeping/Job.java
@@ -169,9 +169,14 @@
     return key.startsWith(CHUNK_KEY_PREFIX);
   }
 
+  /** The prefix of the keys of a job's chunks. */
+  static String chunkKeyPrefix(String id) {
+    return CHUNK_KEY_PREFIX + id + "/";
+  }
+
   /** The key of a chunk of this job. */
   public String chunkKey(int chunk) {
-    return CHUNK_KEY_PREFIX + id + "/" + chunk;
+    return chunkKeyPrefix(id) + chunk;
   }
 
   /**
--- a/src/main/java/wickdrift/bookkeeping/StateServiceClient.java
+++ b/src/main/java/wickdrift/bookkeeping/StateServiceClient.java
@@ -457,6 +457,8 @@
             start();
           } else if (answer.status() != 200 || !applyAnswer(answer.body())) {
             timers.after(backoffMs(), this::catchUp);
+          } else if (listener.needsReload()) {
+            reload();
           } else {
             phase = Phase.FOLLOWING;
             LOG.info("tables loaded: revision={}", rev);
@@ -497,6 +499,14 @@
     }
   }
 
+  /** Loads everything again. Until then nothing may be decided from the incomplete tables. */
+  private void reload() {
+    LOG.warn("records were skipped that can be read now, reloading all tables");
+    phase = Phase.LOADING;
+    loadCount++;
+    timers.after(1, this::start);
+  }
+
   private boolean applyAnswer(byte[] body) {
     List<Change> changes = new ArrayList<>();
     long newRev;
@@ -526,16 +536,12 @@
         inFlight.onKeyChanged(c);
       }
     }
-    if (phase == Phase.FOLLOWING) {
+    if (phase == Phase.FOLLOWING && listener.needsReload()) {
+      reload();
+    } else if (phase == Phase.FOLLOWING) {
       if (!changes.isEmpty()) {
         listener.changesApplied();
       }
-      if (listener.needsReload()) {
-        LOG.warn("unreadable records are gone, reloading all tables");
-        phase = Phase.LOADING;
-        loadCount++;
-        timers.after(1, this::start);
-      }
       for (int i = 0; i < revWaiters.size(); ) {
         RevWaiter w = revWaiters.get(i);
         if (w.rev <= rev) {
--- a/src/main/java/wickdrift/bookkeeping/Tables.java
+++ b/src/main/java/wickdrift/bookkeeping/Tables.java
@@ -62,7 +62,14 @@
   private final Map<String, TreeMap<Long, LogPage>> pagesByNode = new HashMap<>();
   private final Map<String, ArchiveBucket> archiveBuckets = new HashMap<>();
   private long appliedRev;
-  private final TreeSet<String> orphanedKeys = new TreeSet<>();
+  private final OrphanedRecords orphans = new OrphanedRecords();
+
+  /** Jobs that appeared after a chunk of theirs had been skipped for lack of the job. */
+  private final Set<String> jobsWithSkippedChunks = new HashSet<>();
+
+  /** Stamps of the overflow records by key, so that their deletion can be conditional. */
+  private final TreeMap<String, Long> overflowStamps = new TreeMap<>();
+
   private final Map<String, TerminalState> terminalStates =
       new LinkedHashMap<>(256, 0.75f, true) {
         @Override
@@ -169,7 +176,10 @@
 
   @Override
   public boolean needsReload() {
-    return needsReload && unreadable.isEmpty();
+    // After a load, the changes deliver a skipped chunk of a new job again. One that is still
+    // skipped was read without its job and is not among the changes.
+    jobsWithSkippedChunks.removeIf(id -> !jobs.containsKey(id) || !orphans.hasChunkOf(id));
+    return (needsReload || !jobsWithSkippedChunks.isEmpty()) && unreadable.isEmpty();
   }
 
   private void noteEncoding(StateServiceClient.Change change) throws BadMessage {
@@ -313,9 +323,18 @@
     return claimsStamp;
   }
 
-  /** Keys of chunk and overflow records whose job has ended, to be deleted. */
-  public TreeSet<String> orphanedKeys() {
-    return orphanedKeys;
+  /** The chunk and overflow records whose job has ended, ordered by key; they can be deleted. */
+  public List<OrphanedRecords.Orphan> orphanedRecords() {
+    return orphans.withoutJobIn(jobs.keySet());
+  }
+
+  /**
+   * The stamp that the record of an ended job must have for the job to be still over: that of the
+   * record that holds its terminal state, or 0 if the record is deleted.
+   */
+  public long recordStampOfEndedJob(String id) {
+    PendingHistoryEntry pending = pendingHistory.get(id);
+    return pending == null ? 0 : pending.stamp;
   }
 
   /** Terminal state of a job if it is held here, else null. It is final, so it is never stale. */
@@ -389,7 +408,9 @@
     unreadable.clear();
     needsReload = false;
     keysInOldEncoding.clear();
-    orphanedKeys.clear();
+    orphans.clear();
+    jobsWithSkippedChunks.clear();
+    overflowStamps.clear();
     view = null;
     viewStamp = 0;
     claimsStamp = 0;
@@ -719,10 +740,20 @@
     } catch (BadMessage | RuntimeException e) {
       // An unreadable record is not applied: acting on half of it would be worse.
       noteUnreadable(change.key(), e);
-      needsReload |= Job.isChunkKey(change.key()) || change.key().startsWith("w/h/");
+      needsReload |= skipsOtherRecords(change.key());
     }
   }
 
+  /**
+   * Whether an unreadable record leaves a gap that reading it later does not fill: the states in
+   * it, or the log entries and chunks of its job, are not applied either.
+   */
+  private boolean skipsOtherRecords(String key) {
+    boolean ofUnknownJob =
+        key.startsWith(Job.key("")) && !jobs.containsKey(key.substring(Job.key("").length()));
+    return ofUnknownJob || Job.isChunkKey(key) || key.startsWith("w/h/");
+  }
+
   /** The newest encoding version of a key's record that this build reads. */
   public static int newestReadableEncoding(String key) {
     boolean numbered = key.equals(View.KEY) || key.startsWith("w/p/") || LogPage.isPage(key);
@@ -730,18 +761,20 @@
   }
 
   /** Releases an ended job and queues its remaining chunk and overflow records for deletion. */
-  private void discard(Job job) {
+  private void discard(String id) {
+    String overflowPrefix = AwaitsOverflow.keyPrefix(id);
+    overflowStamps
+        .subMap(overflowPrefix, overflowPrefix + Character.MAX_VALUE)
+        .forEach(orphans::add);
+    Job job = jobs.remove(id);
     if (job == null) {
       return;
     }
     for (int k = 0; k < job.chunkCount(); k++) {
       if (job.chunkStamp(k) > 0) {
-        orphanedKeys.add(job.chunkKey(k));
+        orphans.add(job.chunkKey(k), job.chunkStamp(k));
       }
     }
-    for (int k = 0; job.overflow() != null && k < job.overflow().records(); k++) {
-      orphanedKeys.add(job.overflow().key(k));
-    }
     job.releaseTasks();
     dependencies.jobRemoved(job);
   }
@@ -802,15 +835,18 @@
           TerminalState terminalState = TerminalState.parse(Document.of(document.raw("over")));
           pendingHistory.put(name, new PendingHistoryEntry(terminalState, change.stamp()));
           rememberTerminalState(name, terminalState);
-          discard(jobs.remove(name));
+          discard(name);
         } else if (change.value() == null) {
-          discard(jobs.remove(name));
+          discard(name);
         } else {
           Job job = jobs.get(name);
           if (job == null) {
             job = new Job(name, usage, changedJobs::add);
             job.applyRecord(document, change.stamp());
             jobs.put(name, job);
+            if (orphans.hasChunkOf(name)) {
+              jobsWithSkippedChunks.add(name);
+            }
             if (announcedWithdrawals.containsKey(name)) {
               job.announceWithdrawal();
             }
@@ -828,9 +864,11 @@
       case 'a' -> {
         if (document == null) {
           awaitedNames.remove(key);
-          orphanedKeys.remove(key);
+          overflowStamps.remove(key);
+          orphans.remove(key);
           return;
         }
+        overflowStamps.put(key, change.stamp());
         awaitedNames.put(key, AwaitsOverflow.parseNames(document));
         Job job = jobs.get(AwaitsOverflow.jobOfKey(key));
         if (job != null && job.overflow() != null && job.awaits().isEmpty() && gatherNames(job)) {
@@ -844,12 +882,14 @@
         long stamp = change.value() == null ? 0 : change.stamp();
         if (job != null && whole) {
           job.restoreChunk(chunk, document, stamp, this::getOrCreateMachine);
+          orphans.remove(key);
         } else if (job != null) {
           job.onChunkStored(chunk, document, stamp);
         } else if (change.value() != null) {
-          orphanedKeys.add(key);
-        } else {
-          orphanedKeys.remove(key);
+          orphans.add(key, stamp);
+        }
+        if (change.value() == null) {
+          orphans.remove(key);
         }
         noteEncoding(change);
       }
--- a/src/main/java/wickdrift/coordination/TransactionBuilder.java
+++ b/src/main/java/wickdrift/coordination/TransactionBuilder.java
@@ -13,6 +13,7 @@
 import wickdrift.bookkeeping.LogEntry;
 import wickdrift.bookkeeping.LogPage;
 import wickdrift.bookkeeping.Machine;
+import wickdrift.bookkeeping.OrphanedRecords;
 import wickdrift.bookkeeping.Tables;
 import wickdrift.bookkeeping.TaskState;
 import wickdrift.bookkeeping.TerminalState;
@@ -325,6 +326,16 @@
     otherWrites++;
   }
 
+  /**
+   * Deletes a record of an ended job, on condition that it is the record that was read and that its
+   * job is still over.
+   */
+  void deleteOrphan(OrphanedRecords.Orphan orphan) {
+    transaction.requireStamp(orphan.key(), orphan.stamp());
+    transaction.requireStamp(Job.key(orphan.job()), tables.recordStampOfEndedJob(orphan.job()));
+    delete(orphan.key());
+  }
+
   boolean changesKey(String key) {
     return transaction.changesKey(key);
   }
--- a/src/main/java/wickdrift/coordination/TransactionPipeline.java
+++ b/src/main/java/wickdrift/coordination/TransactionPipeline.java
@@ -9,6 +9,7 @@
 import org.slf4j.LoggerFactory;
 import wickdrift.bookkeeping.Job;
 import wickdrift.bookkeeping.Machine;
+import wickdrift.bookkeeping.OrphanedRecords;
 import wickdrift.bookkeeping.Partition;
 import wickdrift.bookkeeping.StateServiceClient;
 import wickdrift.bookkeeping.Tables;
@@ -666,15 +667,17 @@
     }
   }
 
+  /** Deletes records of ended jobs that were not deleted with the job. */
   private void addOrphanDeletions(TransactionBuilder builder) {
     if (!membership.isLeader()) {
       return;
     }
-    for (String key : tables.orphanedKeys()) {
-      if (!builder.canAddWrites()) {
+    for (OrphanedRecords.Orphan orphan : tables.orphanedRecords()) {
+      if (!builder.canAddWrites() || !builder.canAddConditions()) {
         return;
       }
-      builder.delete(key);
+      LOG.debug("deleting a record of an ended job: {}", orphan);
+      builder.deleteOrphan(orphan);
     }
   }
 
--- a/src/main/java/wickdrift/daemon/Controller.java
+++ b/src/main/java/wickdrift/daemon/Controller.java
@@ -210,6 +210,7 @@
     metrics.registerGauge("finals.read", history::readCount);
     metrics.registerGauge("stages.delay.ms", () -> pipeline.stageDelayMs(90));
     metrics.registerGauge("jobs.over", () -> tables.pendingHistory().size());
+    metrics.registerGauge("records.orphaned", () -> tables.orphanedRecords().size());
     metrics.registerGauge("jobs.unclear", () -> tables.dependencies().unresolved().size());
     metrics.registerGauge("log.pages", () -> tables.logPages(node).size());
     metrics.registerGauge("polls.shed", admission::shedStatusRequests);
--- a/src/main/java/wickdrift/operator/StateCheck.java
+++ b/src/main/java/wickdrift/operator/StateCheck.java
@@ -8,6 +8,7 @@
 import java.util.TreeSet;
 import wickdrift.bookkeeping.Job;
 import wickdrift.bookkeeping.Machine;
+import wickdrift.bookkeeping.OrphanedRecords;
 import wickdrift.bookkeeping.Partition;
 import wickdrift.bookkeeping.Tables;
 import wickdrift.bookkeeping.View;
@@ -205,8 +206,8 @@
   }
 
   private void checkJobs(Tables tables) {
-    for (String key : tables.orphanedKeys()) {
-      addNote(key, "is of a job that is over; it is deleted in time");
+    for (OrphanedRecords.Orphan orphan : tables.orphanedRecords()) {
+      addNote(orphan.key(), "is of a job that is over; it is deleted in time");
     }
     TreeSet<Integer> unregisteredNumbers = new TreeSet<>();
     for (Job job : tables.jobs()) {
--- a/src/test/java/wickdrift/bookkeeping/StoredRecordsTest.java
+++ b/src/test/java/wickdrift/bookkeeping/StoredRecordsTest.java
@@ -136,7 +136,7 @@
         new StateServiceClient.Change(JOB_KEY, null, 5));
     assertNull(tables.job(JOB));
     assertEquals("done", tables.terminalState(JOB).phase());
-    assertEquals("w/t/req-000001/1", tables.orphanedKeys().first());
+    assertEquals("w/t/req-000001/1", tables.orphanedRecords().get(0).key());
   }
 
   @Test
--- a/src/test/java/wickdrift/sim/SimStateService.java
+++ b/src/test/java/wickdrift/sim/SimStateService.java
@@ -511,6 +511,13 @@
           transactionViolations.add(key + " without its own stamp");
         }
       }
+      boolean ofJob = key.startsWith("w/t/") || key.startsWith("w/a/");
+      if (ofJob && change.raw("v") == null) {
+        String jobKey = "w/j/" + key.substring("w/t/".length(), key.lastIndexOf('/'));
+        if (!conditionKeys.contains(jobKey)) {
+          transactionViolations.add(key + " deleted without a condition on " + jobKey);
+        }
+      }
       if (key.equals(NodeRegistry.CONVERTED_LEVEL_KEY) && change.raw("v") != null) {
         for (Map.Entry<String, Entry> entry : entries.entrySet()) {
           // While a store is being restored, a text stands in place of the view.
