A transaction stays below 64 KiB, and a rejected one is not built again in the same way

Cause: nobody counted the limit of 64 KiB for a whole transaction, and a refusal for size was treated like a lack of write budget: the same decisions, taken again from the same tables, made the same transaction. All decisions of a controller share it.

Why this works: Transaction counts its bytes as JSON, and whatever adds a record asks first whether it fits; what does not is left to the next transaction. A refusal for good is an outcome of its own (REJECTED): the next transaction is smaller, then has a single record, and a record that is rejected by itself is left out for a minute.

Overflow records that an earlier try has stored are not written again. New metrics: transactions.rejected, handovers.deferred.

--- a/src/main/java/wickdrift/bookkeeping/LogPage.java
+++ b/src/main/java/wickdrift/bookkeeping/LogPage.java
@@ -54,7 +54,7 @@
     return PREFIX + node + "/" + String.format("%010d", number);
   }
 
-  static boolean isPage(String key) {
+  public static boolean isPage(String key) {
     return key.startsWith(PREFIX);
   }
 
--- a/src/main/java/wickdrift/bookkeeping/StateServiceClient.java
+++ b/src/main/java/wickdrift/bookkeeping/StateServiceClient.java
@@ -66,11 +66,15 @@
     FOLLOWING
   }
 
-  /** Outcome of a transaction. UNKNOWN: it may have been applied, or may still be. */
+  /** Outcome of a transaction. */
   public enum Outcome {
     OK,
     CONDITION_FAILED,
+    /** It was not applied, for lack of budget or because the state service is unavailable. */
     REFUSED,
+    /** It was not applied and never will be as it is: it exceeds a limit or is malformed. */
+    REJECTED,
+    /** It may have been applied, or may still be. */
     UNKNOWN
   }
 
@@ -752,7 +756,7 @@
       // Not sent, since it would be refused every time and use up the rate. Callers keep to the
       // limits; a violation is a bug and is logged once.
       noteTooLarge(oversized);
-      timers.after(1, () -> done.accept(new CommitResult(Outcome.REFUSED, 0, Set.of(), false)));
+      timers.after(1, () -> done.accept(new CommitResult(Outcome.REJECTED, 0, Set.of(), false)));
       return;
     }
     advanceWindow();
@@ -802,7 +806,8 @@
             limits.onRefusedForSize();
             noteTooLarge(transaction.largestRecord() + ": " + error);
           }
-          return new CommitResult(Outcome.REFUSED, 0, Set.of(), leaseNotFound);
+          return new CommitResult(
+              leaseNotFound ? Outcome.REFUSED : Outcome.REJECTED, 0, Set.of(), leaseNotFound);
         case 503:
           refusedByStore++;
           return new CommitResult(Outcome.REFUSED, 0, Set.of(), false);
--- a/src/main/java/wickdrift/bookkeeping/StateServiceLimits.java
+++ b/src/main/java/wickdrift/bookkeeping/StateServiceLimits.java
@@ -16,8 +16,15 @@
   private static final Logger LOG = LoggerFactory.getLogger(StateServiceLimits.class);
   private static final double BYTES_PER_KB = 1024;
 
-  /** Margin: value sizes are counted as JSON, and other JSON encoders may produce longer text. */
-  private static final double USED_VALUE_FRACTION = 0.9;
+  /** Margin: sizes are counted as JSON, and other JSON encoders may produce longer text. */
+  private static final double USED_SIZE_FRACTION = 0.9;
+
+  /** The protocol's limit for a whole transaction. */
+  private static final int MAX_TRANSACTION_BYTES = 64 * 1024;
+
+  /** However large a value may be, a transaction has room for two. */
+  private static final int MAX_TARGET_VALUE_BYTES =
+      (int) (MAX_TRANSACTION_BYTES / 2 * USED_SIZE_FRACTION);
 
   /** The protocol allows this many conditions per change of a transaction. */
   private static final int CONDITIONS_PER_CHANGE = 4;
@@ -97,7 +104,17 @@
 
   /** Size in bytes up to which values are filled; it leaves a margin below the maximum. */
   public int targetValueBytes() {
-    return (int) (maxValueBytes() * USED_VALUE_FRACTION);
+    return Math.min(MAX_TARGET_VALUE_BYTES, (int) (maxValueBytes() * USED_SIZE_FRACTION));
+  }
+
+  /** Maximum size of a transaction in bytes, counted as JSON. */
+  public int maxTransactionBytes() {
+    return MAX_TRANSACTION_BYTES;
+  }
+
+  /** Size in bytes up to which transactions are filled; it leaves a margin below the maximum. */
+  public int targetTransactionBytes() {
+    return (int) (MAX_TRANSACTION_BYTES * USED_SIZE_FRACTION);
   }
 
   /** Maximum number of changes per second. */
--- a/src/main/java/wickdrift/bookkeeping/Tables.java
+++ b/src/main/java/wickdrift/bookkeeping/Tables.java
@@ -6,7 +6,6 @@
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
-import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -67,8 +66,7 @@
   /** Jobs that appeared after a chunk of theirs had been skipped for lack of the job. */
   private final Set<String> jobsWithSkippedChunks = new HashSet<>();
 
-  /** Stamps of the overflow records by key, so that their deletion can be conditional. */
-  private final TreeMap<String, Long> overflowStamps = new TreeMap<>();
+  private final OverflowRecords overflowRecords = new OverflowRecords();
 
   private final Map<String, TerminalState> terminalStates =
       new LinkedHashMap<>(256, 0.75f, true) {
@@ -85,9 +83,6 @@
   /** Terminal state of a job, and the stamp of the job record that holds it. */
   public record PendingHistoryEntry(TerminalState terminalState, long stamp) {}
 
-  /** Names of awaited jobs, by overflow record, until all records of the waiting job are there. */
-  private final TreeMap<String, List<String>> awaitedNames = new TreeMap<>();
-
   /**
    * Withdrawals announced by a peer, with a revision that holds them and is not applied here yet. A
    * node that the state service does not serve learns of a withdrawal in no other way.
@@ -328,6 +323,11 @@
     return orphans.withoutJobIn(jobs.keySet());
   }
 
+  /** Whether an overflow record is stored. */
+  public boolean hasOverflowRecord(String key) {
+    return overflowRecords.contains(key);
+  }
+
   /**
    * The stamp that the record of an ended job must have for the job to be still over: that of the
    * record that holds its terminal state, or 0 if the record is deleted.
@@ -392,7 +392,6 @@
     jobs.values().forEach(Job::releaseTasks);
     jobs.clear();
     dependencies.reset();
-    awaitedNames.clear();
     pendingHistory.clear();
     machines.values().forEach(m -> m.restore(null));
     archiveBuckets.clear();
@@ -410,7 +409,7 @@
     keysInOldEncoding.clear();
     orphans.clear();
     jobsWithSkippedChunks.clear();
-    overflowStamps.clear();
+    overflowRecords.clear();
     view = null;
     viewStamp = 0;
     claimsStamp = 0;
@@ -503,38 +502,6 @@
     }
   }
 
-  /** Job chunks and archive buckets that must be written before a page may be deleted. */
-  public record RequiredWrites(Map<Job, Set<Integer>> chunks, Set<String> archiveBuckets) {}
-
-  /** The writes that replace those entries of a page that no later record holds. */
-  public RequiredWrites requiredWrites(LogPage page) {
-    RequiredWrites out = new RequiredWrites(new LinkedHashMap<>(), new LinkedHashSet<>());
-    for (LogPage.Run r : page.runs()) {
-      for (Object o : r.entries()) {
-        List<?> entry = (List<?>) o;
-        if (isObsolete(r.rev(), entry)) {
-          continue;
-        }
-        try {
-          if (LogEntry.aboutMachine(entry)) {
-            out.archiveBuckets.add(Machine.archiveBucketOf(LogEntry.subject(entry)));
-            continue;
-          }
-          Job job = jobs.get(LogEntry.subject(entry));
-          int width = LogEntry.valuesPerTask(entry);
-          for (int i = LogEntry.firstTaskIndex(entry); i + width <= entry.size(); i += width) {
-            out.chunks
-                .computeIfAbsent(job, k -> new LinkedHashSet<>())
-                .add(LogEntry.number(entry, i) / Job.TASKS_PER_CHUNK);
-          }
-        } catch (BadMessage x) {
-          LOG.error("unreadable log entry: {}", x.getMessage());
-        }
-      }
-    }
-    return out;
-  }
-
   /** Revision of the oldest run in any log page; {@code Long.MAX_VALUE} if there is none. */
   public long oldestEntryRev() {
     long oldest = Long.MAX_VALUE;
@@ -762,10 +729,7 @@
 
   /** Releases an ended job and queues its remaining chunk and overflow records for deletion. */
   private void discard(String id) {
-    String overflowPrefix = AwaitsOverflow.keyPrefix(id);
-    overflowStamps
-        .subMap(overflowPrefix, overflowPrefix + Character.MAX_VALUE)
-        .forEach(orphans::add);
+    overflowRecords.stampsOf(id).forEach(orphans::add);
     Job job = jobs.remove(id);
     if (job == null) {
       return;
@@ -779,26 +743,6 @@
     dependencies.jobRemoved(job);
   }
 
-  /** Sets a job's awaited names that did not fit its own record, once all overflow is loaded. */
-  private boolean gatherNames(Job job) {
-    AwaitsOverflow overflow = job.overflow();
-    List<String> names = new ArrayList<>();
-    for (int k = 0; overflow != null && k < overflow.records(); k++) {
-      List<String> part = awaitedNames.get(overflow.key(k));
-      if (part == null) {
-        return false;
-      }
-      names.addAll(part);
-    }
-    if (overflow != null) {
-      job.setAwaits(List.copyOf(names));
-      for (int k = 0; k < overflow.records(); k++) {
-        awaitedNames.remove(overflow.key(k));
-      }
-    }
-    return overflow != null;
-  }
-
   private static void rejectUnknown(StateServiceClient.Change change) throws BadMessage {
     if (change.value() != null) {
       throw new BadMessage("nobody here knows such a record");
@@ -850,7 +794,7 @@
             if (announcedWithdrawals.containsKey(name)) {
               job.announceWithdrawal();
             }
-            gatherNames(job);
+            overflowRecords.setAwaitsOf(job);
             dependencies.jobAdded(job);
           } else {
             boolean wasWithdrawn = job.withdrawnByUser();
@@ -863,15 +807,13 @@
       }
       case 'a' -> {
         if (document == null) {
-          awaitedNames.remove(key);
-          overflowStamps.remove(key);
+          overflowRecords.remove(key);
           orphans.remove(key);
           return;
         }
-        overflowStamps.put(key, change.stamp());
-        awaitedNames.put(key, AwaitsOverflow.parseNames(document));
+        overflowRecords.put(key, AwaitsOverflow.parseNames(document), change.stamp());
         Job job = jobs.get(AwaitsOverflow.jobOfKey(key));
-        if (job != null && job.overflow() != null && job.awaits().isEmpty() && gatherNames(job)) {
+        if (job != null && job.awaits().isEmpty() && overflowRecords.setAwaitsOf(job)) {
           dependencies.jobAdded(job);
         }
       }
--- a/src/main/java/wickdrift/bookkeeping/Transaction.java
+++ b/src/main/java/wickdrift/bookkeeping/Transaction.java
@@ -4,12 +4,17 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import wickdrift.protocol.MessageCodec;
 
 /**
  * A transaction under construction: conditions on stamps, and the writes and deletions to apply.
  */
 public final class Transaction {
+  /** Upper bound of the request's size as JSON without its conditions and changes. */
+  private static final int REQUEST_OVERHEAD_BYTES = 32;
+
+  private int requestBytes = REQUEST_OVERHEAD_BYTES;
   private final Map<String, Long> conditionStamps = new LinkedHashMap<>();
   private final Map<String, Map<String, Object>> changes = new LinkedHashMap<>();
 
@@ -19,6 +24,7 @@
     if (old != null && old != stamp) {
       throw new IllegalStateException("conflicting stamp conditions for key " + key);
     }
+    requestBytes += old == null ? encodedBytes(condition(key, stamp)) : 0;
     return this;
   }
 
@@ -35,7 +41,7 @@
     if (leaseId > 0) {
       change.put("tether", leaseId);
     }
-    changes.put(key, change);
+    putChange(key, change);
     return this;
   }
 
@@ -43,14 +49,40 @@
   public Transaction delete(String key) {
     Map<String, Object> change = new LinkedHashMap<>();
     change.put("delete", key);
-    changes.put(key, change);
+    putChange(key, change);
     return this;
   }
 
+  private void putChange(String key, Map<String, Object> change) {
+    Map<String, Object> replaced = changes.put(key, change);
+    requestBytes += encodedBytes(change) - (replaced == null ? 0 : encodedBytes(replaced));
+  }
+
+  private static Map<String, Object> condition(String key, long stamp) {
+    return Map.of("key", key, "stamp", stamp);
+  }
+
+  /** The size of an element of a list as JSON, with its comma. */
+  private static int encodedBytes(Object element) {
+    return MessageCodec.jsonSize(element) + 1;
+  }
+
+  /** The size of the whole request as JSON, which the protocol limits. */
+  public int requestBytes() {
+    return requestBytes;
+  }
+
   /** Removes the condition and the change of a key. */
   public void remove(String key) {
-    conditionStamps.remove(key);
-    changes.remove(key);
+    Long stamp = conditionStamps.remove(key);
+    requestBytes -= stamp == null ? 0 : encodedBytes(condition(key, stamp));
+    Map<String, Object> change = changes.remove(key);
+    requestBytes -= change == null ? 0 : encodedBytes(change);
+  }
+
+  /** The keys that the transaction writes or deletes. */
+  public Set<String> changedKeys() {
+    return changes.keySet();
   }
 
   /** Number of writes and deletions. */
@@ -76,6 +108,9 @@
     if (conditionStamps.size() > limits.maxTransactionConditions()) {
       return conditionStamps.size() + " conditions, largest is " + largestRecord();
     }
+    if (requestBytes > limits.maxTransactionBytes()) {
+      return requestBytes + " bytes, largest is " + largestRecord();
+    }
     for (Map.Entry<String, Map<String, Object>> e : changes.entrySet()) {
       Object value = e.getValue().get("v");
       if (value != null && MessageCodec.jsonSize(value) > limits.maxValueBytes()) {
@@ -109,7 +144,7 @@
   /** The body of the commit request. */
   public Map<String, Object> toRequest() {
     List<Object> conditionList = new ArrayList<>();
-    conditionStamps.forEach((k, s) -> conditionList.add(Map.of("key", k, "stamp", s)));
+    conditionStamps.forEach((k, s) -> conditionList.add(condition(k, s)));
     Map<String, Object> request = new LinkedHashMap<>();
     request.put("when", conditionList);
     request.put("then", new ArrayList<Object>(changes.values()));
--- a/src/main/java/wickdrift/coordination/EncodingMigration.java
+++ b/src/main/java/wickdrift/coordination/EncodingMigration.java
@@ -89,11 +89,11 @@
   private boolean migratePage(TransactionBuilder builder, String key) {
     for (LogPage page : tables.logPages(node).values()) {
       if (page.key().equals(key)) {
-        builder.write(
+        return tryWrite(
+            builder,
             key,
             LogPage.encode(page, tables.encoding(), List.of(), tables::isObsolete),
             page.stamp());
-        return true;
       }
     }
     return false;
@@ -105,8 +105,7 @@
         Partition updated =
             Quota.toNumberedEncoding(
                 partition.getValue(), partition.getKey(), tables.registry(), settings);
-        builder.write(key, updated.toStore(), updated.stamp());
-        return true;
+        return tryWrite(builder, key, updated.toStore(), updated.stamp());
       }
     }
     return false;
@@ -126,8 +125,19 @@
     int maxBytes = stateService.limits().targetValueBytes();
     Object value =
         job.chunkToStore(chunk, stateService.rev(), job::task, tables.encoding(), maxBytes);
+    if (!tryWrite(builder, key, value, job.chunkStamp(chunk))) {
+      return false;
+    }
     builder.addCondition(job.key(), job.stamp());
-    builder.write(key, value, job.chunkStamp(chunk));
+    return true;
+  }
+
+  private static boolean tryWrite(
+      TransactionBuilder builder, String key, Object value, long stamp) {
+    if (!builder.canWrite(key, value)) {
+      return false;
+    }
+    builder.write(key, value, stamp);
     return true;
   }
 }
--- a/src/main/java/wickdrift/coordination/LogCompaction.java
+++ b/src/main/java/wickdrift/coordination/LogCompaction.java
@@ -9,6 +9,7 @@
 import org.slf4j.LoggerFactory;
 import wickdrift.bookkeeping.Job;
 import wickdrift.bookkeeping.LogPage;
+import wickdrift.bookkeeping.RequiredWrites;
 import wickdrift.bookkeeping.StateServiceClient;
 import wickdrift.bookkeeping.StateServiceLimits;
 import wickdrift.bookkeeping.Tables;
@@ -77,7 +78,7 @@
   }
 
   private void compactPage(TransactionBuilder builder, LogPage page) {
-    Tables.RequiredWrites needed = tables.requiredWrites(page);
+    RequiredWrites needed = RequiredWrites.of(page, tables);
     long revision = stateService.rev();
     for (Map.Entry<Job, Set<Integer>> entry : needed.chunks().entrySet()) {
       Job job = entry.getKey();
@@ -89,7 +90,8 @@
         Object value =
             job.chunkToStore(
                 chunk, revision, job::task, tables.encoding(), limits.targetValueBytes());
-        if (exceedsValueLimit(value, job.chunkKey(chunk))) {
+        if (exceedsValueLimit(value, job.chunkKey(chunk))
+            || !builder.canWrite(job.chunkKey(chunk), value)) {
           return;
         }
         builder.write(job.chunkKey(chunk), value, job.chunkStamp(chunk));
@@ -100,7 +102,8 @@
         return;
       }
       Map<String, Object> value = tables.encodeArchiveBucket(bucket, revision);
-      if (exceedsValueLimit(value, Tables.archiveBucketKey(bucket))) {
+      if (exceedsValueLimit(value, Tables.archiveBucketKey(bucket))
+          || !builder.canWrite(Tables.archiveBucketKey(bucket), value)) {
         return;
       }
       builder.write(Tables.archiveBucketKey(bucket), value, tables.archiveBucket(bucket).stamp());
--- a/src/main/java/wickdrift/coordination/Reservations.java
+++ b/src/main/java/wickdrift/coordination/Reservations.java
@@ -99,10 +99,11 @@
       names = names.stream().sorted().limit(maxReservations()).toList();
       if (partition != null
           && !partition.reserved().equals(names)
-          && transaction.canAddWrites()
           && !transaction.changesKey(Partition.key(member))) {
-        transaction.write(
-            Partition.key(member), partition.withReserved(names).toStore(), partition.stamp());
+        Object record = partition.withReserved(names).toStore();
+        if (transaction.canWrite(Partition.key(member), record)) {
+          transaction.write(Partition.key(member), record, partition.stamp());
+        }
       }
     }
   }
--- a/src/main/java/wickdrift/coordination/Submissions.java
+++ b/src/main/java/wickdrift/coordination/Submissions.java
@@ -9,6 +9,7 @@
 import wickdrift.bookkeeping.AwaitsOverflow;
 import wickdrift.bookkeeping.Job;
 import wickdrift.bookkeeping.StateServiceClient;
+import wickdrift.bookkeeping.StateServiceLimits;
 import wickdrift.bookkeeping.Tables;
 import wickdrift.bookkeeping.Transaction;
 import wickdrift.bookkeeping.level.Gate;
@@ -41,6 +42,9 @@
   /** Bytes of a job's record other than the submitted specification. */
   private static final int RECORD_OVERHEAD_BYTES = 160;
 
+  /** Bytes of a job in a transaction other than its specification: conditions, key and record. */
+  private static final int JOB_TRANSACTION_OVERHEAD_BYTES = RECORD_OVERHEAD_BYTES + 256;
+
   private final Timers timers;
   private final StateServiceClient stateService;
   private final Tables tables;
@@ -54,6 +58,9 @@
   /** Whether the next batch waits, for more submissions or for the batch in flight. */
   private boolean nextBatchBlocked;
 
+  /** Halved when a batch is rejected for its size, and doubled when one is accepted. */
+  private int maxJobsPerBatch = MAX_QUEUED_SUBMISSIONS;
+
   private int batchesInFlight;
   private long newestBatchNumber;
 
@@ -174,6 +181,8 @@
             overflow
                 .values(submission.spec().awaits(), stateService.limits().targetValueBytes())
                 .entrySet());
+    // Their keys tell their content, so what an earlier try has written is not written again.
+    remaining.removeIf(overflowRecord -> tables.hasOverflowRecord(overflowRecord.getKey()));
     writeOverflow(submission, overflow, remaining);
   }
 
@@ -188,10 +197,7 @@
         new Transaction()
             .requireStamp(Job.key(jobId), 0)
             .requireStamp(Job.terminalStateKey(jobId), 0);
-    int count = Math.min(remaining.size(), stateService.limits().maxTransactionChanges() / 2);
-    remaining
-        .subList(0, count)
-        .forEach(entry -> transaction.write(entry.getKey(), entry.getValue()));
+    int count = addOverflowRecords(transaction, remaining);
     stateService.commit(
         transaction,
         StateServiceClient.WritePriority.USER,
@@ -215,6 +221,24 @@
         });
   }
 
+  /** Adds as many overflow records as fit into the transaction, and returns their number. */
+  private int addOverflowRecords(
+      Transaction transaction, List<Map.Entry<String, Object>> remaining) {
+    StateServiceLimits limits = stateService.limits();
+    int maxRecords = Math.min(remaining.size(), limits.maxTransactionChanges() / 2);
+    int count = 0;
+    while (count < maxRecords) {
+      Map.Entry<String, Object> overflowRecord = remaining.get(count);
+      transaction.write(overflowRecord.getKey(), overflowRecord.getValue());
+      if (count > 0 && transaction.requestBytes() > limits.targetTransactionBytes()) {
+        transaction.remove(overflowRecord.getKey());
+        return count;
+      }
+      count++;
+    }
+    return count;
+  }
+
   /** Commits a single job whose overflow records are written. */
   private void commitWithOverflow(Submission submission, AwaitsOverflow overflow) {
     Transaction transaction = new Transaction();
@@ -251,7 +275,8 @@
     Map<String, List<Submission>> batch = new LinkedHashMap<>();
     QueuedDemand batchDemand = new QueuedDemand();
     Transaction transaction = new Transaction();
-    while (!queue.isEmpty() && batch.size() < stateService.limits().maxTransactionChanges()) {
+    int maxBatchSize = Math.min(maxJobsPerBatch, stateService.limits().maxTransactionChanges());
+    while (!queue.isEmpty() && batch.size() < maxBatchSize) {
       Submission submission = queue.poll();
       String jobId = submission.spec().id();
       if (timers.nowMs() - submission.receivedMs() > SUBMISSION_TIMEOUT_MS) {
@@ -276,6 +301,10 @@
         return;
       }
       if (!batch.containsKey(jobId)) {
+        if (!batch.isEmpty() && !fitsInBatch(transaction, submission.spec())) {
+          queue.returnToFront(submission.spec(), submission);
+          break;
+        }
         addToTransaction(transaction, submission.spec(), null, batchDemand);
       }
       batch.computeIfAbsent(jobId, k -> new ArrayList<>()).add(submission);
@@ -313,6 +342,12 @@
     timers.after(MAX_BATCH_BLOCKING_MS, () -> unblockNextBatch(batchNumber));
   }
 
+  private boolean fitsInBatch(Transaction transaction, JobSpec spec) {
+    int recordBytes = MessageCodec.jsonSize(spec.toStore()) + JOB_TRANSACTION_OVERHEAD_BYTES;
+    return transaction.requestBytes() + recordBytes
+        <= stateService.limits().targetTransactionBytes();
+  }
+
   /** Unblocks the next batch if the answer to the given one is late or lost. */
   private void unblockNextBatch(long batchNumber) {
     if (nextBatchBlocked
@@ -353,14 +388,26 @@
   private void handleBatchResult(
       StateServiceClient.CommitResult result, Map<String, List<Submission>> batch) {
     switch (result.outcome()) {
-      case OK ->
-          batch.forEach(
-              (jobId, submissions) ->
-                  submissions.forEach(
-                      submission ->
-                          submission
-                              .exchange()
-                              .reply(201, Map.of("ref", jobId, "phase", "pending"))));
+      case OK -> {
+        maxJobsPerBatch = Math.min(MAX_QUEUED_SUBMISSIONS, maxJobsPerBatch * 2);
+        batch.forEach(
+            (jobId, submissions) ->
+                submissions.forEach(
+                    submission ->
+                        submission
+                            .exchange()
+                            .reply(201, Map.of("ref", jobId, "phase", "pending"))));
+      }
+      case REJECTED -> {
+        // The same batch would be rejected again. A single job's record does not fit at all; its
+        // user tries again later, and the others do not wait for it.
+        maxJobsPerBatch = Math.max(1, batch.size() / 2);
+        if (batch.size() > 1) {
+          requeue(batch);
+        } else {
+          replyTryAgain(batch);
+        }
+      }
       case CONDITION_FAILED ->
           batch.forEach(
               (jobId, submissions) -> {
@@ -387,12 +434,7 @@
               });
           return;
         }
-        batch
-            .values()
-            .forEach(
-                submissions ->
-                    submissions.forEach(
-                        submission -> UserRequests.replyTryAgain(submission.exchange())));
+        replyTryAgain(batch);
       }
       // The batch is sent again. If both transactions are applied, only one finds the job's record
       // absent; a submission whose record exists is answered from it.
@@ -400,12 +442,7 @@
         if (stateService.isReachable()) {
           requeue(batch);
         } else {
-          batch
-              .values()
-              .forEach(
-                  submissions ->
-                      submissions.forEach(
-                          submission -> UserRequests.replyTryAgain(submission.exchange())));
+          replyTryAgain(batch);
         }
       }
       default -> throw new AssertionError(result.outcome());
@@ -413,6 +450,15 @@
     scheduleBatch();
   }
 
+  private static void replyTryAgain(Map<String, List<Submission>> batch) {
+    batch
+        .values()
+        .forEach(
+            submissions ->
+                submissions.forEach(
+                    submission -> UserRequests.replyTryAgain(submission.exchange())));
+  }
+
   /**
    * Returns submissions to the front of the queue in their order, so that the oldest don't time out
    * behind later ones.
--- a/src/main/java/wickdrift/coordination/TaskPlacer.java
+++ b/src/main/java/wickdrift/coordination/TaskPlacer.java
@@ -21,6 +21,7 @@
 import wickdrift.bookkeeping.View;
 import wickdrift.bookkeeping.level.Gate;
 import wickdrift.protocol.JobSpec;
+import wickdrift.protocol.MessageCodec;
 import wickdrift.settings.Settings;
 import wickdrift.transport.Timers;
 
@@ -72,6 +73,7 @@
   private final Set<String> controllerZones;
   private final BooleanSupplier leaderSettled;
   private long placedTasks;
+  private long handoversDeferred;
 
   /**
    * Delays from the completion of the last awaited job to the first placement of the job awaiting
@@ -143,6 +145,11 @@
     return stageDelays.getValueAtPercentile(percentile);
   }
 
+  /** Returns how often a handover was left to a later transaction, for lack of room in this one. */
+  long handoversDeferred() {
+    return handoversDeferred;
+  }
+
   /** Returns the number of tasks placed so far, including those of transactions that failed. */
   long placedTasks() {
     return placedTasks;
@@ -210,9 +217,10 @@
       boolean hopeless =
           reservations.machinesOf(job).isEmpty()
               && failed.stream().anyMatch(f -> needsAtLeast(job.spec(), f));
-      if (!asLeader && transaction.canAddWrites() && hasCapacityWithImageElsewhere(job)) {
-        // The leader sees all partitions and can place the job at once where its image is.
-        transaction.moveToPartition(job, Job.LEADER_PARTITION);
+      // The leader sees all partitions and can place the job at once where its image is.
+      if (!asLeader
+          && hasCapacityWithImageElsewhere(job)
+          && transaction.tryMoveToPartition(job, Job.LEADER_PARTITION)) {
         continue;
       }
       transactionFull = false;
@@ -250,8 +258,8 @@
       job.setBlocked(capacityIndex.growthVersion(), now + BLOCKED_RETRY_INTERVAL_MS);
       if (transaction.canAddWrites()) {
         victimSelection.preemptFor(transaction, job, asLeader, quota, now);
-        if (!asLeader && transaction.canAddWrites() && shouldHandOver(transaction, job, now)) {
-          transaction.moveToPartition(job, Job.LEADER_PARTITION);
+        if (!asLeader && shouldHandOver(transaction, job, now)) {
+          handOver(transaction, job, now);
         }
       }
     }
@@ -262,12 +270,18 @@
       lastSharedClaimMs = now;
     }
     if (anyPlaced) {
-      transaction.requireCurrentView();
-      if (!transaction.changesKey(Partition.key(node))) {
-        transaction.addCondition(Partition.key(node), ownPartition.stamp());
-      }
+      addPlacementConditions(transaction, ownPartition, leader);
     }
-    if (anyPlaced && !leader && tables.isOpen(Gate.TAKES)) {
+  }
+
+  /** Adds the conditions that any placement of this node requires, besides those on its job. */
+  private void addPlacementConditions(
+      TransactionBuilder transaction, Partition ownPartition, boolean leader) {
+    transaction.requireCurrentView();
+    if (!transaction.changesKey(Partition.key(node))) {
+      transaction.addCondition(Partition.key(node), ownPartition.stamp());
+    }
+    if (!leader && tables.isOpen(Gate.TAKES)) {
       // The leader may have claimed machines of this node together with those of others.
       transaction.addCondition(Tables.CLAIMS_KEY, tables.claimsStamp());
     }
@@ -333,6 +347,14 @@
         && capacityIndex.fitsAnywhere(job.spec(), eligibleGroups(node, true).and(allowed));
   }
 
+  /** Hands the job over to the leader, now or with the next transaction that has room for it. */
+  private void handOver(TransactionBuilder transaction, Job job, long now) {
+    if (!transaction.tryMoveToPartition(job, Job.LEADER_PARTITION)) {
+      handoversDeferred++;
+      job.setBlocked(capacityIndex.growthVersion(), now);
+    }
+  }
+
   /**
    * Counts the job's live attempts by zone, in the durable state as changed by the transaction
    * under construction.
@@ -461,6 +483,7 @@
       return false;
     }
     if (!transaction.canAddWrites(writesToClaim(1, claimedOwners))
+        || !transaction.fitsBytes(claimBytes(Set.of(owner), claimedOwners))
         || !transaction.canAddConditions()) {
       transactionFull = true;
       return false;
@@ -486,6 +509,19 @@
     return !usesSharedClaim ? newOwners : newOwners > 0 && claimedOwners.isEmpty() ? 1 : 0;
   }
 
+  /** Returns an upper bound of the size of the partition records written to claim machines. */
+  private int claimBytes(Set<String> newOwners, Set<String> claimedOwners) {
+    if (usesSharedClaim && !claimedOwners.isEmpty()) {
+      return 0;
+    }
+    int bytes = 0;
+    for (String owner : newOwners) {
+      Partition partition = tables.currentPartition(owner);
+      bytes += partition == null ? 0 : MessageCodec.jsonSize(partition.toStore());
+    }
+    return bytes;
+  }
+
   /** Places a gang atomically: either every member gets a machine, or none is placed. */
   private void placeGang(
       TransactionBuilder transaction, Job job, Quota quota, View view, Set<String> claimedOwners) {
@@ -529,6 +565,7 @@
       int writes = writesToClaim(owners.size(), claimedOwners);
       if (!transaction.fitsWholeGang(job, waiting, writes)
           || !transaction.canAddWrites(writes)
+          || !transaction.fitsBytes(claimBytes(owners, claimedOwners))
           || !transaction.canAddConditions(CONDITIONS_PER_OWNER * owners.size() + 4)) {
         transactionFull = true;
         machines = null;
--- a/src/main/java/wickdrift/coordination/TransactionBuilder.java
+++ b/src/main/java/wickdrift/coordination/TransactionBuilder.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.Predicate;
 import java.util.function.UnaryOperator;
 import wickdrift.bookkeeping.Job;
 import wickdrift.bookkeeping.LogEntry;
@@ -50,11 +51,32 @@
 
   private static final int PAGE_OVERHEAD_BYTES = 64;
 
+  /** Upper bound of what a log page takes besides its value: its key twice, and its stamp. */
+  private static final int PAGE_REQUEST_BYTES = 256;
+
+  /** Upper bound of a condition's size. */
+  private static final int CONDITION_BYTES = 128;
+
+  /** Upper bound of the size of a deletion, a terminal state or a claim, with its condition. */
+  private static final int SMALL_WRITE_BYTES = 512;
+
+  /**
+   * How much a transaction may hold.
+   *
+   * @param affordableChanges how many changes the write budget allows now
+   * @param maxChanges how many changes a transaction may have
+   * @param maxBytes maximum size of a transaction
+   * @param pageBytes maximum size of a log page
+   */
+  record Capacity(int affordableChanges, int maxChanges, int maxBytes, int pageBytes) {}
+
   private final Tables tables;
   private final String node;
   private final int nodeNumber;
   private final int affordableChanges;
   private final int pageBytes;
+  private final int maxBytes;
+  private final Predicate<String> mayWriteKey;
   private final Transaction transaction = new Transaction();
   private final Map<Job, Map<Integer, TaskState>> changedTasks = new LinkedHashMap<>();
   private final Map<Machine, Machine.Info> machineInfos = new LinkedHashMap<>();
@@ -81,18 +103,17 @@
   /**
    * Creates a builder without changes.
    *
-   * @param affordableChanges how many changes the write budget allows now
-   * @param maxChanges how many changes a transaction may have
-   * @param pageBytes maximum size of a log page
+   * @param mayWriteKey whether a record other than a log page may be written now
    */
-  TransactionBuilder(
-      Tables tables, String node, int affordableChanges, int maxChanges, int pageBytes) {
-    this.maxChanges = maxChanges;
+  TransactionBuilder(Tables tables, String node, Capacity capacity, Predicate<String> mayWriteKey) {
+    this.maxChanges = capacity.maxChanges;
     this.tables = tables;
     this.node = node;
     this.nodeNumber = tables.registry().numberOf(node);
-    this.affordableChanges = affordableChanges;
-    this.pageBytes = pageBytes;
+    this.affordableChanges = capacity.affordableChanges;
+    this.pageBytes = capacity.pageBytes;
+    this.maxBytes = capacity.maxBytes;
+    this.mayWriteKey = mayWriteKey;
   }
 
   /** Returns this node's durable number, which is stored with its placements. */
@@ -105,13 +126,17 @@
   }
 
   /**
-   * Whether the given number of writes can be added, besides the write of the log page. If only the
-   * current budget is too small for them, the number is kept as a request for the next transaction.
+   * Whether the given number of small writes can be added, besides the write of the log page. If
+   * only the current budget is too small for them, the number is kept as a request for the next
+   * transaction.
    */
   boolean canAddWrites(int count) {
-    if (count == 0 || 1 + otherWrites + count <= affordableChanges) {
+    if (count == 0) {
       return true;
     }
+    if (1 + otherWrites + count <= affordableChanges) {
+      return fitsBytes(count * SMALL_WRITE_BYTES);
+    }
     if (1 + count > requestedWrites && affordableChanges < maxChanges) {
       requestedWrites = Math.min(1 + count, maxChanges);
     }
@@ -135,14 +160,32 @@
     return requestedWrites;
   }
 
+  /** Whether a record of any size can be written. */
+  boolean canWrite(String key, Object value) {
+    return mayWriteKey.test(key)
+        && canAddWrites()
+        && fitsBytes(SMALL_WRITE_BYTES + MessageCodec.jsonSize(value));
+  }
+
+  /** Whether that much can be added without exceeding the size limit of a transaction. */
+  boolean fitsBytes(int bytes) {
+    return fitsBytes(bytes, PAGE_OVERHEAD_BYTES + entryBytes);
+  }
+
+  private boolean fitsBytes(int bytes, int bytesInPages) {
+    int pages = 1 + bytesInPages / pageBytes;
+    return transaction.requestBytes() + pages * (pageBytes + PAGE_REQUEST_BYTES) + bytes
+        <= maxBytes;
+  }
+
   /** Whether the conditions for placing one more job can be added. */
   boolean canAddConditions() {
     return canAddConditions(4);
   }
 
   boolean canAddConditions(int count) {
-    return transaction.conditions().size() + otherWrites + count
-        < CONDITIONS_PER_WRITE * maxChanges;
+    return transaction.conditions().size() + otherWrites + count < CONDITIONS_PER_WRITE * maxChanges
+        && fitsBytes(count * CONDITION_BYTES);
   }
 
   boolean isEmpty() {
@@ -191,7 +234,8 @@
   boolean fitsWholeGang(Job job, int count, int otherWrites) {
     int pages =
         pageBytesWith(job, count) / (pageBytes - MAX_TASKS_PER_ENTRY * BYTES_PER_TASK * 2) + 1;
-    return fitsInPage(job, count) || canAddWrites(pages + otherWrites);
+    return fitsInPage(job, count)
+        || canAddWrites(pages + otherWrites) && fitsBytes(0, pageBytesWith(job, count));
   }
 
   private int pageBytesWith(Job job, int count) {
@@ -309,9 +353,19 @@
     return tables.isOpen(Gate.AWAITS) ? 1 : WRITES_PER_MOVE;
   }
 
-  /** Hands a job that is not withdrawn over to another partition. */
-  void moveToPartition(Job job, String partition) {
-    write(job.key(), job.toStore(partition, 0), job.stamp());
+  /**
+   * Hands a job that is not withdrawn over to another partition if its record fits into the
+   * transaction.
+   *
+   * @return whether the job is handed over
+   */
+  boolean tryMoveToPartition(Job job, String partition) {
+    Map<String, Object> record = job.toStore(partition, 0);
+    if (!canWrite(job.key(), record)) {
+      return false;
+    }
+    write(job.key(), record, job.stamp());
+    return true;
   }
 
   void setMachineInfo(Machine machine, Machine.Info info) {
--- a/src/main/java/wickdrift/coordination/TransactionPipeline.java
+++ b/src/main/java/wickdrift/coordination/TransactionPipeline.java
@@ -3,15 +3,18 @@
 import java.util.Iterator;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
+import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import wickdrift.bookkeeping.Job;
+import wickdrift.bookkeeping.LogPage;
 import wickdrift.bookkeeping.Machine;
 import wickdrift.bookkeeping.OrphanedRecords;
 import wickdrift.bookkeeping.Partition;
 import wickdrift.bookkeeping.StateServiceClient;
+import wickdrift.bookkeeping.StateServiceLimits;
 import wickdrift.bookkeeping.Tables;
 import wickdrift.bookkeeping.TaskState;
 import wickdrift.bookkeeping.TerminalState;
@@ -88,8 +91,13 @@
   private final Map<TaskKey, PendingExit> pendingExits = new LinkedHashMap<>();
   private final Map<Machine, Machine.Info> pendingRecords = new LinkedHashMap<>();
 
+  private final RejectionBackoff rejectionBackoff = new RejectionBackoff();
   private Phase phase = Phase.READY;
   private boolean cycleScheduled;
+
+  /** Whether the last transaction was built for the next limits of the state service. */
+  private boolean builtForNextLimits;
+
   private long settledAtMs;
   private long leaderSettledAtMs;
   private long lastCycleMs;
@@ -239,6 +247,18 @@
     leaderSettledAtMs = untilMs;
   }
 
+  /** Returns how many transactions the state service has rejected for their size or form. */
+  public long rejectedTransactions() {
+    return rejectionBackoff.rejections();
+  }
+
+  /**
+   * Returns how often a handover was left to a later transaction, for lack of room in the first.
+   */
+  public long handoversDeferred() {
+    return taskPlacer.handoversDeferred();
+  }
+
   /** Whether the hold on placements after a takeover has ended. */
   public boolean isSettled() {
     return timers.nowMs() >= settledAtMs;
@@ -347,17 +367,17 @@
     scheduling.update();
     // The builder is limited to what the write budget allows. A transaction that the budget refuses
     // would be built again and again, and everything in it would wait.
-    int maxChanges = stateService.limits().maxTransactionChanges();
-    int pageBytes = Math.min(tuning.maxLogPageBytes(), stateService.limits().targetValueBytes());
-    int affordableChanges = stateService.affordableChanges(maxChanges);
-    if (affordableChanges < Math.min(maxChanges, Math.max(MIN_CHANGES, requestedChanges))) {
+    TransactionBuilder.Capacity capacity = transactionCapacity();
+    if (capacity.affordableChanges()
+        < Math.min(capacity.maxChanges(), Math.max(MIN_CHANGES, requestedChanges))) {
       cyclesWithoutBudget++;
       scheduleCycle();
       return;
     }
     builtTransactionCount++;
     TransactionBuilder builder =
-        new TransactionBuilder(tables, node, affordableChanges, maxChanges, pageBytes);
+        new TransactionBuilder(
+            tables, node, capacity, key -> rejectionBackoff.mayWrite(key, lastCycleMs));
     if (isQuotaCheckOverdue()) {
       // The transfer is a transaction of its own: placements beside it would have been decided with
       // the quota share that it transfers.
@@ -403,6 +423,19 @@
     commit(builder);
   }
 
+  private TransactionBuilder.Capacity transactionCapacity() {
+    StateServiceLimits limits = stateService.limits();
+    builtForNextLimits = limits.nextLimitsInEffect();
+    int maxChanges = limits.maxTransactionChanges();
+    return rejectionBackoff.reduce(
+        new TransactionBuilder.Capacity(
+            stateService.affordableChanges(maxChanges),
+            maxChanges,
+            limits.targetTransactionBytes(),
+            Math.min(tuning.maxLogPageBytes(), limits.targetValueBytes())),
+        timers.nowMs());
+  }
+
   private void commit(TransactionBuilder builder) {
     phase = Phase.BUSY;
     transactionCount++;
@@ -411,7 +444,7 @@
     stateService.commit(
         transaction,
         StateServiceClient.WritePriority.WORK,
-        result -> handleResult(result, needsFencing));
+        result -> handleResult(transaction, result, needsFencing));
   }
 
   /**
@@ -422,7 +455,8 @@
     return isSettled() && timers.nowMs() - lastQuotaCheckMs > MAX_QUOTA_CHECK_DELAY_MS;
   }
 
-  private void handleResult(StateServiceClient.CommitResult result, boolean needsFencing) {
+  private void handleResult(
+      Transaction transaction, StateServiceClient.CommitResult result, boolean needsFencing) {
     switch (result.outcome()) {
       case OK -> stateService.runAtRevision(result.rev(), this::becomeReady);
       case CONDITION_FAILED -> {
@@ -430,12 +464,16 @@
         stateService.runAtRevision(result.rev(), this::becomeReady);
       }
       case REFUSED -> timers.after(RETRY_INTERVAL_MS + retrySpreadMs(), this::becomeReady);
+      case REJECTED -> {
+        noteRejection(transaction);
+        timers.after(RETRY_INTERVAL_MS + retrySpreadMs(), this::becomeReady);
+      }
       case UNKNOWN -> {
         if (result.settled()) {
           stateService.runAtRevision(result.rev(), this::becomeReady);
         } else if (needsFencing) {
           phase = Phase.FENCING;
-          fencePlacement();
+          fencePlacement(false);
         } else {
           afterBarrier(this::becomeReady);
         }
@@ -444,6 +482,15 @@
     }
   }
 
+  private void noteRejection(Transaction transaction) {
+    boolean limitsHaveChanged = stateService.limits().nextLimitsInEffect() && !builtForNextLimits;
+    if (!limitsHaveChanged) {
+      Set<String> recordKeys = new LinkedHashSet<>(transaction.changedKeys());
+      recordKeys.removeIf(LogPage::isPage);
+      rejectionBackoff.rejected(recordKeys, timers.nowMs());
+    }
+  }
+
   /**
    * Returns an additional delay that differs between nodes, so that nodes refused together do not
    * retry together.
@@ -462,19 +509,22 @@
    * are decided without it. After this node's partition record is rewritten, the placement either
    * was applied or never will be.
    */
-  private void fencePlacement() {
+  private void fencePlacement(boolean withoutReservations) {
     afterBarrier(
         () -> {
           Partition partition = tables.currentPartition(node);
           if (partition == null || membership.status() != Membership.Status.MEMBER) {
             // Outside the view nothing is placed, and joining again rewrites the record.
-            timers.after(RETRY_INTERVAL_MS, this::fencePlacement);
+            timers.after(RETRY_INTERVAL_MS, () -> fencePlacement(false));
             return;
           }
+          // Any change of the record does. Without the reservations, which the leader adds again,
+          // the record fits under lower limits than it was stored under.
+          Partition rewritten = withoutReservations ? partition.withReserved(List.of()) : partition;
           Transaction transaction =
               new Transaction()
                   .requireStamp(Partition.key(node), partition.stamp())
-                  .write(Partition.key(node), partition.toStore());
+                  .write(Partition.key(node), rewritten.toStore());
           stateService.commit(
               transaction,
               StateServiceClient.WritePriority.AUTHORITY,
@@ -483,7 +533,8 @@
                 if (result.outcome() == StateServiceClient.Outcome.OK || result.settled()) {
                   stateService.runAtRevision(result.rev(), this::becomeReady);
                 } else {
-                  timers.after(RETRY_INTERVAL_MS, this::fencePlacement);
+                  boolean rejected = result.outcome() == StateServiceClient.Outcome.REJECTED;
+                  timers.after(RETRY_INTERVAL_MS, () -> fencePlacement(rejected));
                 }
               });
         });
@@ -705,22 +756,28 @@
     quota.holdQuotaForGangs(scheduling.queue().waiting(), timers.wallMs());
     Quota.Transfer transfer =
         quota.proposeTransfer(membership.isLeader(), scheduling.queue().waiting());
-    if (transfer != null) {
+    if (transfer != null
+        && canWritePartition(builder, transfer.donor(), transfer.donorPartition())
+        && canWritePartition(builder, transfer.recipient(), transfer.recipientPartition())) {
       LOG.info(
           "transferring quota share: team={}, from={}, to={}",
           transfer.team(),
           transfer.donor(),
           transfer.recipient());
-      builder.write(
-          Partition.key(transfer.donor()),
-          transfer.donorPartition().toStore(),
-          transfer.donorPartition().stamp());
-      builder.write(
-          Partition.key(transfer.recipient()),
-          transfer.recipientPartition().toStore(),
-          transfer.recipientPartition().stamp());
+      writePartition(builder, transfer.donor(), transfer.donorPartition());
+      writePartition(builder, transfer.recipient(), transfer.recipientPartition());
       builder.requireFencing();
       builder.requireCurrentView();
     }
   }
+
+  private static boolean canWritePartition(
+      TransactionBuilder builder, String owner, Partition partition) {
+    return builder.canWrite(Partition.key(owner), partition.toStore());
+  }
+
+  private static void writePartition(
+      TransactionBuilder builder, String owner, Partition partition) {
+    builder.write(Partition.key(owner), partition.toStore(), partition.stamp());
+  }
 }
--- a/src/main/java/wickdrift/coordination/Withdrawals.java
+++ b/src/main/java/wickdrift/coordination/Withdrawals.java
@@ -85,6 +85,7 @@
                 UserRequests.replyTryAgain(exchange);
               }
             }
+            case REJECTED -> UserRequests.replyTryAgain(exchange);
             case UNKNOWN -> {
               if (result.settled()) {
                 withdraw(exchange, job.id(), attemptsLeft - 1);
--- a/src/main/java/wickdrift/daemon/Controller.java
+++ b/src/main/java/wickdrift/daemon/Controller.java
@@ -206,6 +206,8 @@
     metrics.registerGauge("jobs.unfinished", () -> tables.jobs().size());
     metrics.registerGauge("machines.known", () -> tables.machines().size());
     metrics.registerGauge("transactions.too.large", stateService::tooLargeCount);
+    metrics.registerGauge("transactions.rejected", pipeline::rejectedTransactions);
+    metrics.registerGauge("handovers.deferred", pipeline::handoversDeferred);
     metrics.registerGauge("state.limits.fallen", () -> limits.nextLimitsInEffect() ? 1 : 0);
     metrics.registerGauge("finals.read", history::readCount);
     metrics.registerGauge("stages.delay.ms", () -> pipeline.stageDelayMs(90));
--- a/src/main/java/wickdrift/operator/Restore.java
+++ b/src/main/java/wickdrift/operator/Restore.java
@@ -42,11 +42,8 @@
    */
   private static final long EPOCH_INCREMENT = 10_000_000;
 
-  /**
-   * A transaction is committed once it is larger than this. The last write added may be of the
-   * largest possible value, and the transaction still stays below the size limit.
-   */
-  private static final int TRANSACTION_FLUSH_BYTES = 24 * 1024;
+  /** Upper bound of what a record takes in a transaction besides its value. */
+  private static final int RECORD_OVERHEAD_BYTES = 512;
 
   private final StateServiceCaller store;
   private final StateServiceLimits limits;
@@ -95,14 +92,17 @@
       if (stored != null && equalAsStored(stored.value(), planned.getValue())) {
         continue;
       }
-      transaction
-          .requireStamp(planned.getKey(), stored == null ? 0 : stored.stamp())
-          .write(planned.getKey(), planned.getValue());
-      if (transaction.changeCount() == limits.maxTransactionChanges()
-          || MessageCodec.encode(transaction.toRequest()).length > TRANSACTION_FLUSH_BYTES) {
+      int recordBytes = MessageCodec.jsonSize(planned.getValue()) + RECORD_OVERHEAD_BYTES;
+      boolean full =
+          transaction.changeCount() == limits.maxTransactionChanges()
+              || transaction.requestBytes() + recordBytes > limits.targetTransactionBytes();
+      if (full && transaction.changeCount() > 0) {
         commitOrRefuse(transaction);
         transaction = new Transaction();
       }
+      transaction
+          .requireStamp(planned.getKey(), stored == null ? 0 : stored.stamp())
+          .write(planned.getKey(), planned.getValue());
     }
     if (transaction.changeCount() > 0) {
       commitOrRefuse(transaction);
--- a/src/test/java/wickdrift/sim/SimSetup.java
+++ b/src/test/java/wickdrift/sim/SimSetup.java
@@ -16,6 +16,7 @@
   private double reportS = 2.5;
   private UnaryOperator<Tuning> tuning = t -> t.withLogSize(2, 900);
   private int txnOps;
+  private double valueKb = 4;
   private double writeRps = SimStateService.DEFAULT_WRITES_PER_SECOND;
 
   /**
@@ -132,6 +133,16 @@
     return this;
   }
 
+  /** Returns the size limit of a value. */
+  double valueKb() {
+    return valueKb;
+  }
+
+  SimSetup valueKb(double kilobytes) {
+    valueKb = kilobytes;
+    return this;
+  }
+
   /** Returns the number of changes per second that the state service accepts. */
   double writeRps() {
     return writeRps;
--- a/src/test/java/wickdrift/sim/SimStateService.java
+++ b/src/test/java/wickdrift/sim/SimStateService.java
@@ -11,6 +11,7 @@
 import java.util.TreeMap;
 import java.util.function.BiFunction;
 import java.util.function.Consumer;
+import java.util.function.Predicate;
 import wickdrift.bookkeeping.StateServiceClient;
 import wickdrift.bookkeeping.Tables;
 import wickdrift.bookkeeping.View;
@@ -38,7 +39,7 @@
       String from, String prefix, long afterRevision, Consumer<Response> done, long deadlineMs) {}
 
   private static final int MAX_RECORDED_CHANGES = 10_000;
-  private static final int DEFAULT_MAX_VALUE_BYTES = 4096;
+  private static final int MAX_TRANSACTION_BYTES = 64 * 1024;
 
   /** The most changes in a transaction. */
   int maxTransactionChanges = 8;
@@ -53,7 +54,15 @@
   final double initialMaxWritesPerSecond;
 
   private int previousMaxTransactionChanges;
-  private int maxValueBytes = DEFAULT_MAX_VALUE_BYTES;
+
+  /** The size limit of a value. */
+  int maxValueBytes;
+
+  /** Keys that the state service lets nobody write: it rejects every transaction with one. */
+  Predicate<String> rejectsKey = key -> false;
+
+  /** How many transactions were rejected because of {@link #rejectsKey}. */
+  int rejectedCount;
 
   /** What was too large in each transaction that was refused for its size. */
   final List<String> oversizedTransactions = new ArrayList<>();
@@ -578,6 +587,10 @@
           + transaction.documents("then").size()
           + " changes";
     }
+    int bytes = MessageCodec.jsonSize(transaction.rawMap());
+    if (bytes > MAX_TRANSACTION_BYTES) {
+      return "a transaction of " + bytes + " bytes";
+    }
     for (Document change : transaction.documents("then")) {
       if (MessageCodec.jsonSize(change.raw("v")) > maxValueBytes) {
         return change.text("write");
@@ -665,6 +678,16 @@
     answerChangedWatches();
   }
 
+  private boolean writesRejectedKey(Document transaction) throws BadMessage {
+    for (Document change : transaction.documents("then")) {
+      String key = change.textOrNull("write");
+      if (key != null && rejectsKey.test(key)) {
+        return true;
+      }
+    }
+    return false;
+  }
+
   /** Applies a transaction if its conditions hold and it is within the limits. */
   private Response commit(Document transaction) throws BadMessage {
     commitCount++;
@@ -682,6 +705,10 @@
         return answer(400, Map.of("error", "no such lease"));
       }
     }
+    if (writesRejectedKey(transaction)) {
+      rejectedCount++;
+      return answer(400, Map.of("error", "rejected"));
+    }
     String oversized = describeOversized(transaction);
     if (oversized != null) {
       oversizedTransactions.add(oversized);
--- a/src/test/java/wickdrift/sim/SimWorld.java
+++ b/src/test/java/wickdrift/sim/SimWorld.java
@@ -150,6 +150,7 @@
     random = new Random(setup.seed());
     net = new SimNetwork(clock, random);
     state = new SimStateService(clock, setup.writeRps());
+    state.maxValueBytes = (int) (setup.valueKb() * 1024);
     state.maxTransactionChanges =
         setup.txnOps() > 0 ? setup.txnOps() : Math.max(8, nodes.size() + 1);
     rules = new SimRules(this);
@@ -320,7 +321,7 @@
         [cluster.state]
         rps = 250.0
         write_rps = %s
-        value_kb = 4.0
+        value_kb = %s
         txn_ops = %d
         %s
         [cluster.cloud]
@@ -338,6 +339,7 @@
                 setup.leaseS(),
                 setup.cancelS(),
                 state.initialMaxWritesPerSecond,
+                setup.valueKb(),
                 state.initialMaxTransactionChanges(),
                 nextLimitsToml));
     return text.toString();
