An attempt with an unanswered run is over only once the epoch of that run is past

A run sent straight to a worker was held up, the attempt began by the answer to a report and failed, the next one started elsewhere; the first machine was back at once, and its worker, which knows no attempt and no epoch, took the run.

Cause: clearing an attempt asked whether a run of it may still arrive, recording its exit did not, nor did a lapsed lease, nor absence in a newer session. What a worker has shown proves nothing about its next incarnation.

Why this works: the end waits until its run is answered or its epoch is past; if that is overdue the epoch is raised. Then whoever contacts a restarted worker first tells it a higher epoch. Row An of WorkerCommandsTest asked for less than that (a newer session under the same epoch proved an end); it asks for more now.

--- a/src/main/java/wickdrift/coordination/CommandPlanner.java
+++ b/src/main/java/wickdrift/coordination/CommandPlanner.java
@@ -182,11 +182,61 @@
     // arrives: by then the answer with that command has arrived or never will.
     boolean isOver =
         pass.scope.unsolicited || pass.commands.gangWaitRestarts(attemptOf(entry)) == 0;
-    if (pass.scope.hasAuthority && isOver) {
+    if (pass.scope.hasAuthority && isOver && mayRecordExit(pass, job, entry)) {
       handleExit(pass, job, entry);
     }
   }
 
+  /**
+   * Whether an exit may be recorded. Its worker refuses a run that still arrives, but not after a
+   * restart. A task that is done has no next attempt that such a run could meet, so it does not
+   * wait, unless its user may have been told that the job is cancelled.
+   */
+  private boolean mayRecordExit(Pass pass, Job job, Report.Entry entry) {
+    if (Report.EXIT_DONE.equals(entry.exitReason()) && !job.withdrawnOrAnnounced()) {
+      return true;
+    }
+    TaskAttempt attempt = attemptOf(entry);
+    Verdict verdict = pass.commands.mayRecordEnd(attempt, tables.view().epoch());
+    if (!verdict.isAllowed()) {
+      pass.commands.holdEnd(new WorkerCommands.HeldEnd(attempt, entry.exitReason()));
+      pass.recordEvent(CommandEvent.Kind.END_REFUSED, attempt, verdict.name());
+    }
+    return verdict.isAllowed();
+  }
+
+  /** Records the ends that waited for the epoch that is in force now. */
+  void recordHeldEnds(Machine machine) {
+    WorkerCommands commands = links.commandsTo(machine);
+    Map<TaskAttempt, WorkerCommands.HeldEnd> held = new HashMap<>();
+    commands.takeHeldEnds().forEach(end -> held.put(end.attempt(), end));
+    long epoch = tables.view().epoch();
+    for (Machine.Slot slot : machine.slots()) {
+      TaskAttempt attempt = attemptOf(slot);
+      WorkerCommands.HeldEnd end = held.get(attempt);
+      if (end != null && commands.mayRecordEnd(attempt, epoch).isAllowed()) {
+        recordEnd(machine, slot, end, epoch);
+      }
+    }
+  }
+
+  private void recordEnd(
+      Machine machine, Machine.Slot slot, WorkerCommands.HeldEnd end, long epoch) {
+    String exitReason = end.exitReason();
+    boolean isNew =
+        pipeline.recordExit(slot.job(), slot.index(), slot.state().attempt(), machine, exitReason);
+    if (isNew) {
+      links.recordEvent(
+          CommandEvent.Kind.ATTEMPT_ENDED,
+          machine,
+          end.attempt(),
+          machine.report(),
+          epoch,
+          "held before, " + (exitReason == null ? "not reported" : "reported as " + exitReason));
+      noteExitReason(machine, slot.job(), slot.taskName(), exitReason);
+    }
+  }
+
   /**
    * Whether a gang member that gave up waiting for the others should wait again. An image may take
    * longer to fetch on one machine than a gang member waits on another. If the attempt ended for
@@ -219,20 +269,19 @@
     }
     pass.recordEvent(
         CommandEvent.Kind.ATTEMPT_ENDED, attemptOf(entry), "reported as " + entry.exitReason());
-    String machine = pass.machine.name();
-    if (Report.EXIT_ERROR.equals(entry.exitReason())) {
+    noteExitReason(pass.machine, job, entry.task(), entry.exitReason());
+  }
+
+  private void noteExitReason(Machine machine, Job job, String task, String exitReason) {
+    if (Report.EXIT_ERROR.equals(exitReason)) {
       // For a suspected job, the failures of all its tasks are logged together once per round.
       if (!job.isSuspected()) {
-        LOG.info("task failed: task={}, machine={}", entry.task(), machine);
+        LOG.info("task failed: task={}, machine={}", task, machine.name());
       }
-    } else if (Report.EXIT_FULL.equals(entry.exitReason())
-        || Report.EXIT_UNKNOWN.equals(entry.exitReason())
-        || Report.EXIT_BUSY.equals(entry.exitReason())) {
-      LOG.info(
-          "task refused: machine={}, task={}, reason={}",
-          machine,
-          entry.task(),
-          entry.exitReason());
+    } else if (Report.EXIT_FULL.equals(exitReason)
+        || Report.EXIT_UNKNOWN.equals(exitReason)
+        || Report.EXIT_BUSY.equals(exitReason)) {
+      LOG.info("task refused: machine={}, task={}, reason={}", machine.name(), task, exitReason);
       job.backOffAfterRefusal(timers.nowMs());
     }
   }
@@ -285,7 +334,8 @@
                 machine.epochAcknowledged(),
                 report.tenure(),
                 unreachable,
-                slot.mustStop()));
+                slot.mustStop(),
+                tables.view().epoch()));
     if (verdict == Verdict.PROVEN) {
       handleLoss(pass, slot, attempt, verdict);
     } else if (pass.commands.wasReported(attempt) || slot.mustStop()) {
@@ -312,7 +362,11 @@
   private void handleLoss(Pass pass, Machine.Slot slot, TaskAttempt attempt, Verdict verdict) {
     CommandEvent event =
         pass.newEvent(CommandEvent.Kind.ATTEMPT_ENDED, attempt, "not reported: " + verdict);
-    boolean isProven = pass.scope.unsolicited && !pass.commands.isRunOutstanding(attempt);
+    boolean isProven =
+        pass.scope.unsolicited
+            && !pass.commands.isRunOutstanding(attempt)
+            && (pass.machine.unreachableForCommandsSinceMs() > 0
+                || !pass.commands.isRunUnanswered(attempt, tables.view().epoch()));
     if (!monitor.check(Invariant.NO_END_WITHOUT_PROOF, isProven, event)) {
       return;
     }
--- a/src/main/java/wickdrift/coordination/MachineHealthMonitor.java
+++ b/src/main/java/wickdrift/coordination/MachineHealthMonitor.java
@@ -134,7 +134,9 @@
           machine.report(),
           view.epoch(),
           "not renewed for " + (now - lastRenewalMs) + " ms");
-      pipeline.onWorkerLeaseExpired(machine);
+      WorkerCommands commands = links.commandsTo(machine);
+      pipeline.onWorkerLeaseExpired(
+          machine, attempt -> commands.mayRecordEnd(attempt, view.epoch()).isAllowed());
       links.forgetRuns(machine);
     }
   }
@@ -142,9 +144,15 @@
   private boolean needsHigherEpoch(Machine machine, View view, long now) {
     // A restarted worker is trusted again once it reports a higher epoch. Epochs are not raised
     // faster for this than they reach the workers.
-    boolean needsNewToken =
-        machine.trustedFromEpoch() > view.epoch() && now - epochSinceMs > MIN_EPOCH_INTERVAL_MS;
-    return needsNewToken || hasUncertainCommand(machine, now);
+    boolean needsNewToken = machine.trustedFromEpoch() > view.epoch() || holdsEnd(machine, now);
+    return needsNewToken && now - epochSinceMs > MIN_EPOCH_INTERVAL_MS
+        || hasUncertainCommand(machine, now);
+  }
+
+  /** Whether an attempt is over, but its end waits for a run that will not be answered any more. */
+  private boolean holdsEnd(Machine machine, long now) {
+    WorkerCommands commands = links.commandsIfKnown(machine);
+    return commands != null && commands.isEndHeld(epoch, DirectCommands.ANSWER_TIMEOUT_MS, now);
   }
 
   /**
--- a/src/main/java/wickdrift/coordination/ReportHandler.java
+++ b/src/main/java/wickdrift/coordination/ReportHandler.java
@@ -170,6 +170,7 @@
       }
     }
     ownedMachines = ownedNow;
+    resolveHeldEnds();
     pipeline.onNewView();
     // After a takeover nothing is placed on the machines taken over until there was time for
     // reports to arrive, or all known machines have reported. A machine takes no task before it has
@@ -183,6 +184,18 @@
     }
   }
 
+  /** Records the ends that waited for a higher epoch, on machines that this node owned before. */
+  private void resolveHeldEnds() {
+    for (String name : ownedMachines) {
+      Machine machine = tables.machine(name);
+      WorkerCommands commands = machine == null ? null : links.commandsIfKnown(machine);
+      if (commands != null) {
+        commands.epochStarted(viewEpoch);
+        planner.recordHeldEnds(machine);
+      }
+    }
+  }
+
   /**
    * Whether this node owned a machine until this change of view. A machine whose zone was unknown
    * at the last change may have been assigned to this node by its name alone, while the controllers
@@ -397,7 +410,7 @@
     WorkerCommands commands = links.commandsTo(machine);
     // This includes runs that were sent directly and have since been reported: a direct run may
     // arrive once more.
-    Verdict verdict = commands.verifyNoRunPending(job);
+    Verdict verdict = commands.verifyNoRunPending(job, viewEpoch);
     if (verdict.isAllowed()) {
       verdict = verifyReportedTasks(commands, report, job);
     }
--- a/src/main/java/wickdrift/coordination/commands/WorkerCommands.java
+++ b/src/main/java/wickdrift/coordination/commands/WorkerCommands.java
@@ -18,7 +18,9 @@
  *
  * <p>A worker that restarts under the same name counts its sessions from one and has seen no epoch.
  * Commands to its previous incarnation stay outstanding until the worker shows a higher epoch than
- * theirs.
+ * theirs. Whatever a worker has shown, its restart makes it accept a direct run that was never
+ * answered, until it is told a higher epoch. So an attempt with such a run ends only when the epoch
+ * of the run is no longer in force: then whoever contacts the worker first tells it a higher one.
  */
 public final class WorkerCommands {
   /**
@@ -57,15 +59,34 @@
    * @param session the session that the report shows
    * @param unreachable whether commands seem not to reach the worker
    * @param endRequested whether the attempt is to end
+   * @param epoch the epoch in force
    */
   public record AbsenceEvidence(
       boolean unsolicited,
       boolean epochReported,
       long session,
       boolean unreachable,
-      boolean endRequested) {}
+      boolean endRequested,
+      long epoch) {}
+
+  /**
+   * The end of an attempt that is recorded as soon as a higher epoch is in force.
+   *
+   * @param exitReason the reason that the worker reported, or null if the attempt was absent
+   */
+  public record HeldEnd(TaskAttempt attempt, String exitReason) {}
 
   private final List<DirectRuns> outstandingCommands = new ArrayList<>();
+
+  /** Direct commands without an answer, whatever the worker has shown since. */
+  private final List<DirectRuns> unansweredCommands = new ArrayList<>();
+
+  /** Attempts that are over on the worker, but whose end waits for an unanswered run. */
+  private final Set<TaskAttempt> waitingEnds = new HashSet<>();
+
+  /** What reports have proved about the waiting ends; no later report need prove it again. */
+  private final Map<TaskAttempt, HeldEnd> heldEnds = new HashMap<>();
+
   private final Map<String, LastRun> lastRuns = new HashMap<>();
   private final Map<TaskAttempt, Integer> gangWaitRestarts = new HashMap<>();
 
@@ -83,6 +104,7 @@
   public void directCommandSent(DirectRuns command) {
     if (!command.runs().isEmpty()) {
       outstandingCommands.add(command);
+      unansweredCommands.add(command);
     }
   }
 
@@ -92,10 +114,17 @@
    */
   public void directCommandAnswered(DirectRuns command) {
     outstandingCommands.removeIf(outstanding -> outstanding == command);
+    unansweredCommands.removeIf(unanswered -> unanswered == command);
+  }
+
+  /** Records that a higher epoch is in force: from now on every contact tells it to the worker. */
+  public void epochStarted(long epoch) {
+    unansweredCommands.removeIf(command -> command.epoch() < epoch);
   }
 
   /** Records that the attempt is told to run, directly or in the answer to a report. */
   public void runSent(TaskAttempt run, long tick, long session, long nowMs) {
+    heldEnds.remove(run);
     LastRun previousRun = lastRun(run);
     long firstSentMs =
         previousRun == null || previousRun.incarnation < incarnation
@@ -111,6 +140,7 @@
    * @return whether the attempt was told to run and is reported for the first time since then
    */
   public boolean attemptReported(TaskAttempt run, long tick, long session) {
+    heldEnds.values().removeIf(end -> end.attempt().equals(run) && end.exitReason() == null);
     LastRun previousRun = lastRuns.get(run.task());
     lastRuns.put(run.task(), new LastRun(run.attempt(), tick, true, session, incarnation, 0));
     return previousRun != null && !previousRun.reported;
@@ -138,6 +168,7 @@
    */
   public void forgetRuns() {
     lastRuns.clear();
+    heldEnds.clear();
   }
 
   /** Removes the state of all tasks except those still assigned to the machine. */
@@ -170,6 +201,55 @@
     return false;
   }
 
+  /**
+   * Whether a direct run of the attempt was sent under the given epoch, or a higher one, and never
+   * answered: the worker might execute it after a restart.
+   */
+  public boolean isRunUnanswered(TaskAttempt attempt, long epoch) {
+    return unansweredCommands.stream()
+        .anyMatch(command -> command.epoch() >= epoch && command.runs().contains(attempt));
+  }
+
+  /**
+   * Whether an attempt that is over on the worker may be recorded as over, so that another one may
+   * start elsewhere.
+   *
+   * @param epoch the epoch in force
+   */
+  public Verdict mayRecordEnd(TaskAttempt attempt, long epoch) {
+    if (isRunUnanswered(attempt, epoch)) {
+      waitingEnds.add(attempt);
+      return Verdict.DIRECT_RUN_UNANSWERED;
+    }
+    waitingEnds.remove(attempt);
+    return Verdict.PROVEN;
+  }
+
+  /** Keeps an end that a report has proved until a higher epoch is in force. */
+  public void holdEnd(HeldEnd end) {
+    heldEnds.put(end.attempt(), end);
+  }
+
+  /** Returns and forgets the held ends. */
+  public List<HeldEnd> takeHeldEnds() {
+    List<HeldEnd> taken = List.copyOf(heldEnds.values());
+    heldEnds.clear();
+    return taken;
+  }
+
+  /**
+   * Whether an end has waited for a run that was sent under the given epoch more than {@code
+   * longerThanMs} ago, so that only a higher epoch resolves it.
+   */
+  public boolean isEndHeld(long epoch, long longerThanMs, long nowMs) {
+    waitingEnds.removeIf(attempt -> !isRunUnanswered(attempt, epoch));
+    return unansweredCommands.stream()
+        .anyMatch(
+            command ->
+                nowMs - command.sentMs() > longerThanMs
+                    && command.runs().stream().anyMatch(waitingEnds::contains));
+  }
+
   /**
    * Whether a run of the attempt, sent under the given epoch, has been outstanding for longer than
    * {@code longerThanMs}.
@@ -238,26 +318,50 @@
     if (isRunOutstanding(attempt)) {
       return Verdict.DIRECT_RUN_UNANSWERED;
     }
-    if (lastRun != null && lastRun.reported) {
-      return Verdict.PROVEN;
-    }
-    if (absence.endRequested && absence.epochReported) {
-      return Verdict.PROVEN;
-    }
+    boolean wasReported = lastRun != null && lastRun.reported;
     boolean sentEarlier =
         lastRun != null && (lastRun.incarnation < incarnation || lastRun.session < absence.session);
-    if ((absence.endRequested || absence.unreachable) && sentEarlier) {
-      return Verdict.PROVEN;
+    if (wasReported
+        || absence.endRequested && absence.epochReported
+        || (absence.endRequested || absence.unreachable) && sentEarlier) {
+      return mayEndAbsent(attempt, absence);
     }
     return absence.endRequested ? Verdict.EPOCH_NOT_REPORTED : Verdict.SESSION_CONTINUES;
   }
 
-  /** Whether no run of any task of the job may still arrive. */
-  public Verdict verifyNoRunPending(String job) {
-    for (DirectRuns command : outstandingCommands) {
-      if (command.runs().stream().anyMatch(attempt -> attempt.belongsToJob(job))) {
-        return Verdict.DIRECT_RUN_UNANSWERED;
-      }
+  /**
+   * Whether an attempt that is gone from the worker may be recorded as over. A worker that no
+   * command reaches shows no higher epoch, after which its reports would prove nothing any more; so
+   * its ends do not wait for one.
+   */
+  private Verdict mayEndAbsent(TaskAttempt attempt, AbsenceEvidence absence) {
+    if (absence.unreachable) {
+      return Verdict.PROVEN;
+    }
+    Verdict verdict = mayRecordEnd(attempt, absence.epoch);
+    if (!verdict.isAllowed()) {
+      holdEnd(new HeldEnd(attempt, null));
+    }
+    return verdict;
+  }
+
+  private static boolean runsTaskOf(DirectRuns command, String job) {
+    return command.runs().stream().anyMatch(attempt -> attempt.belongsToJob(job));
+  }
+
+  /**
+   * Whether no run of any task of the job may still arrive.
+   *
+   * @param epoch the epoch in force
+   */
+  public Verdict verifyNoRunPending(String job, long epoch) {
+    boolean outstanding =
+        outstandingCommands.stream().anyMatch(command -> runsTaskOf(command, job));
+    boolean unanswered =
+        unansweredCommands.stream()
+            .anyMatch(command -> command.epoch() >= epoch && runsTaskOf(command, job));
+    if (outstanding || unanswered) {
+      return Verdict.DIRECT_RUN_UNANSWERED;
     }
     for (Map.Entry<String, LastRun> entry : lastRuns.entrySet()) {
       boolean ofJob = new TaskAttempt(entry.getKey(), entry.getValue().attempt).belongsToJob(job);
--- a/src/test/java/wickdrift/coordination/commands/WorkerCommandsRandomWalkTest.java
+++ b/src/test/java/wickdrift/coordination/commands/WorkerCommandsRandomWalkTest.java
@@ -177,14 +177,16 @@
     }
     if (worker.endedAttempts.contains(attempt)) {
       commands.attemptReported(attempt, worker.tick, worker.session);
-      finishAndBookNext(attempt);
+      if (commands.mayRecordEnd(attempt, epoch).isAllowed()) {
+        finishAndBookNext(attempt);
+      }
       return;
     }
     boolean unwanted = random.nextInt(4) == 0;
     Verdict verdict =
         commands.mayEnd(
             attempt,
-            new WorkerCommands.AbsenceEvidence(true, true, worker.session, false, unwanted));
+            new WorkerCommands.AbsenceEvidence(true, true, worker.session, false, unwanted, epoch));
     if (verdict == Verdict.WORKER_RESTARTED) {
       commands.workerRestarted();
       trustedFromEpoch = epoch + 1;
@@ -223,10 +225,10 @@
   }
 
   /**
-   * Restarts the worker in its first session without an epoch. The restarted worker would refuse
-   * direct commands for a later session of its predecessor until it reaches that session itself, so
-   * the model restarts workers in their first session only. Commands in flight for attempts that
-   * finished before the restart are lost.
+   * Restarts the worker in its first session. The restarted worker would refuse direct commands for
+   * a later session of its predecessor until it reaches that session itself, so the model restarts
+   * workers in their first session only. It is contacted at once and told the epoch in force. Until
+   * then nothing stands against a command in flight.
    */
   private void restartWorker() {
     if (random.nextInt(6) > 0 || worker.session > 1) {
@@ -234,8 +236,7 @@
     }
     worker.runningAttempts.clear();
     worker.endedAttempts.clear();
-    worker.epoch = 0;
+    worker.epoch = epoch;
     runsInLastAnswer.clear();
-    inFlight.removeIf(message -> finishedAttempts.contains(message.run));
   }
 }
--- a/src/test/java/wickdrift/coordination/commands/WorkerCommandsTest.java
+++ b/src/test/java/wickdrift/coordination/commands/WorkerCommandsTest.java
@@ -20,8 +20,8 @@
    * The verdicts after a sequence of steps. {@code A}, {@code B}: a direct command with the
    * attempt's run is sent; {@code a}, {@code b}: that command is answered; {@code r}: the run is
    * sent with the answer to a report; {@code s}: a report shows the attempt; {@code e}: the worker
-   * reports a higher epoch; {@code n}: the worker reports the next session; {@code R}: the worker
-   * has restarted.
+   * reports a higher epoch; {@code E}: a higher epoch is in force; {@code n}: the worker reports
+   * the next session; {@code R}: the worker has restarted.
    */
   @ParameterizedTest(name = "{0}: clear {1}, end {2}, confirm {3}")
   @CsvSource({
@@ -33,7 +33,10 @@
     "A,     DIRECT_RUN_UNANSWERED, DIRECT_RUN_UNANSWERED, DIRECT_RUN_UNANSWERED",
     "Aa,    PROVEN,                PROVEN,                PROVEN",
     "Ae,    PROVEN,                PROVEN,                PROVEN",
-    "An,    PROVEN,                PROVEN,                PROVEN",
+    // After a restart the worker would execute a run that was never answered, under this epoch.
+    "An,    PROVEN,                DIRECT_RUN_UNANSWERED, DIRECT_RUN_UNANSWERED",
+    "Ana,   PROVEN,                PROVEN,                PROVEN",
+    "AnE,   PROVEN,                PROVEN,                PROVEN",
     "Ars,   DIRECT_RUN_UNANSWERED, WORKER_RESTARTED,      DIRECT_RUN_UNANSWERED",
     "AR,    DIRECT_RUN_UNANSWERED, DIRECT_RUN_UNANSWERED, DIRECT_RUN_UNANSWERED",
     "ArsR,  DIRECT_RUN_UNANSWERED, DIRECT_RUN_UNANSWERED, DIRECT_RUN_UNANSWERED",
@@ -49,6 +52,7 @@
     WorkerCommands.DirectRuns first = directRuns();
     WorkerCommands.DirectRuns second = directRuns();
     long session = SESSION;
+    long epoch = EPOCH;
     for (char step : steps.toCharArray()) {
       switch (step) {
         case 'A' -> commands.directCommandSent(first);
@@ -57,8 +61,9 @@
         case 'b' -> commands.directCommandAnswered(second);
         case 'r' -> commands.runSent(ATTEMPT, 1, SESSION, 0);
         case 's' -> commands.attemptReported(ATTEMPT, 2, SESSION);
-        case 'e' -> commands.epochReported(EPOCH + 1, session);
-        case 'n' -> commands.epochReported(EPOCH, ++session);
+        case 'e' -> commands.epochReported(++epoch, session);
+        case 'E' -> epoch++;
+        case 'n' -> commands.epochReported(epoch, ++session);
         case 'R' -> commands.workerRestarted();
         default -> assertEquals('-', step);
       }
@@ -67,8 +72,8 @@
     assertEquals(
         end,
         commands.mayEnd(
-            ATTEMPT, new WorkerCommands.AbsenceEvidence(true, true, session, false, true)));
-    assertEquals(confirm, commands.verifyNoRunPending(JOB));
+            ATTEMPT, new WorkerCommands.AbsenceEvidence(true, true, session, false, true, epoch)));
+    assertEquals(confirm, commands.verifyNoRunPending(JOB, epoch));
   }
 
   private static WorkerCommands.DirectRuns directRuns() {
@@ -101,7 +106,7 @@
         commands.mayEnd(
             ATTEMPT,
             new WorkerCommands.AbsenceEvidence(
-                workerInitiated, epochReported, session, unreachableForCommands, unwanted)));
+                workerInitiated, epochReported, session, unreachableForCommands, unwanted, EPOCH)));
   }
 
   @Test
@@ -116,7 +121,7 @@
     WorkerCommands commands = new WorkerCommands();
     commands.directCommandSent(
         new WorkerCommands.DirectRuns(EPOCH, SESSION, 0, List.of(new TaskAttempt(JOB + "0/0", 1))));
-    assertEquals(Verdict.PROVEN, commands.verifyNoRunPending(JOB));
+    assertEquals(Verdict.PROVEN, commands.verifyNoRunPending(JOB, EPOCH));
   }
 
   @Test
@@ -130,4 +135,17 @@
     commands.epochReported(EPOCH + 1, SESSION);
     assertFalse(commands.isClearOverdue(EPOCH, 100, 200));
   }
+
+  /** The worker would start the attempt again after a restart, beside the next attempt. */
+  @Test
+  void anEndWaitsForAnUnansweredRunUntilAHigherEpochIsInForce() {
+    WorkerCommands commands = new WorkerCommands();
+    commands.directCommandSent(directRuns());
+    assertFalse(commands.isEndHeld(EPOCH, 100, 200), "no end was held yet");
+    assertEquals(Verdict.DIRECT_RUN_UNANSWERED, commands.mayRecordEnd(ATTEMPT, EPOCH));
+    assertFalse(commands.isEndHeld(EPOCH, 100, 100));
+    assertTrue(commands.isEndHeld(EPOCH, 100, 101));
+    assertEquals(Verdict.PROVEN, commands.mayRecordEnd(ATTEMPT, EPOCH + 1));
+    assertFalse(commands.isEndHeld(EPOCH + 1, 100, 101));
+  }
 }
--- a/src/test/java/wickdrift/sim/LateCommandTest.java
+++ b/src/test/java/wickdrift/sim/LateCommandTest.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.function.BooleanSupplier;
 import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
 import wickdrift.protocol.BadMessage;
@@ -106,6 +107,12 @@
 
   /** Ends the attempt for good and waits until the worker has removed it. */
   private void endAttempt(Ending ending) {
+    endAttemptForUsers(ending);
+    runUntil("the worker has removed the task", () -> !worker.hasTask(TASK));
+  }
+
+  /** Ends the attempt and waits until users or other machines act on its end. */
+  private void endAttemptForUsers(Ending ending) {
     if (ending == Ending.CANCELLED) {
       world.users.withdraw(JOB_ID, world.nodes.get(0));
       runUntil("the withdrawal is confirmed", () -> world.rules.isWithdrawalConfirmed(JOB_ID));
@@ -116,7 +123,17 @@
           "the task runs on another machine",
           () -> machineOfTask() != null && !machineOfTask().equals(worker.name));
     }
-    runUntil("the worker has removed the task", () -> !worker.hasTask(TASK));
+  }
+
+  /** The restarted worker starts tasks as soon as it is told to. */
+  private void restartWorker() {
+    worker.restart();
+    worker.failsEveryTask = false;
+    worker.imageFetchMs = 1;
+  }
+
+  private void awaitContact() {
+    runUntil("the restarted worker is told an epoch", () -> worker.knowsEpoch());
   }
 
   private void assertHeldRunCommandStartsNothing() {
@@ -174,4 +191,36 @@
     }
     assertHeldRunCommandStartsNothing();
   }
+
+  /**
+   * Guards against an end that is recorded while a run of the attempt is unanswered: the worker
+   * restarts after the next attempt has started elsewhere, knows no attempt any more, and takes the
+   * run from before.
+   */
+  @ParameterizedTest
+  @EnumSource(Ending.class)
+  void runCommandArrivesAfterTheAttemptEndedAndItsWorkerRestarted(Ending ending) {
+    submit();
+    runUntil("the task runs on its first worker", () -> worker.name.equals(machineOfTask()));
+    endAttemptForUsers(ending);
+    restartWorker();
+    awaitContact();
+    assertHeldRunCommandStartsNothing();
+  }
+
+  /** The same for an attempt that ended because its worker's lease expired. */
+  @Test
+  void runCommandArrivesAfterTheLeaseExpiredAndTheWorkerRestarted() {
+    submit();
+    runUntil("the task runs on its first worker", () -> worker.name.equals(machineOfTask()));
+    int machine = world.workers().indexOf(worker);
+    world.cutMachine(machine, false);
+    runUntil(
+        "the task runs on another machine",
+        () -> machineOfTask() != null && !machineOfTask().equals(worker.name));
+    restartWorker();
+    world.healMachine(machine, "");
+    awaitContact();
+    assertHeldRunCommandStartsNothing();
+  }
 }
--- a/src/test/java/wickdrift/sim/SimWorker.java
+++ b/src/test/java/wickdrift/sim/SimWorker.java
@@ -160,6 +160,11 @@
     leaseStartMs = clock.nowMs();
   }
 
+  /** Whether anyone has told the worker an epoch since it started. */
+  boolean knowsEpoch() {
+    return epoch > 0;
+  }
+
   /** Makes a running task fail. */
   void failTask(String task) {
     endTask(tasks.get(task), "error");
