KNOWN-RED.txt may list a command with its seed; handovers under lowered limits have a test

The reader accepts 'command FILE ARGUMENTS seed N' (or 'seed none') with an executable file of the repository, and refuses whatever else; the build prints each entry.

--- a/src/test/java/wickdrift/knownred/KnownRedExtension.java
+++ b/src/test/java/wickdrift/knownred/KnownRedExtension.java
@@ -21,7 +21,8 @@
 
   private static Map<String, KnownRedList.Entry> indexByTest(List<KnownRedList.Entry> entries) {
     return entries.stream()
-        .collect(Collectors.toMap(KnownRedList.Entry::test, Function.identity()));
+        .filter(entry -> !entry.isCommand())
+        .collect(Collectors.toMap(KnownRedList.Entry::subject, Function.identity()));
   }
 
   @Override
--- a/src/test/java/wickdrift/knownred/KnownRedList.java
+++ b/src/test/java/wickdrift/knownred/KnownRedList.java
@@ -8,11 +8,15 @@
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.List;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
 
 /**
- * The tests that are known to fail because of a defect that is not fixed yet. {@code KNOWN-RED.txt}
- * at the root of the repository lists them as {@code test | cause | issue}, where the test is
- * {@code package.Class.method}. Empty lines and lines that begin with {@code #} are ignored.
+ * The tests and commands that are known to fail because of a defect that is not fixed yet. {@code
+ * KNOWN-RED.txt} at the root of the repository lists them as {@code what | cause | issue}. A test
+ * of the build is {@code package.Class.method}; a command, which the build does not run, is {@code
+ * command FILE ARGUMENTS seed N} with an executable file of the repository, or {@code seed none} if
+ * it takes none. Empty lines and lines that begin with {@code #} are ignored.
  */
 final class KnownRedList {
   static final Path FILE = Path.of("KNOWN-RED.txt");
@@ -22,8 +26,16 @@
 
   private static final int FIELDS_PER_LINE = 3;
 
-  /** A test that may fail, the cause of its failure, and the issue that tracks the fix. */
-  record Entry(String test, String cause, String issue) {}
+  private static final Pattern COMMAND = Pattern.compile("command (\\S+)( .+)? seed (\\d+|none)");
+
+  /**
+   * A test or command that may fail, the cause of its failure, and the issue that tracks the fix.
+   */
+  record Entry(String subject, String cause, String issue) {
+    boolean isCommand() {
+      return COMMAND.matcher(subject).matches();
+    }
+  }
 
   /** Thrown if the list is malformed; the message says why. */
   static final class InvalidListException extends RuntimeException {
@@ -62,7 +74,7 @@
     }
     if (entries.size() > MAX_ENTRIES) {
       throw new InvalidListException(
-          "KNOWN-RED.txt lists " + entries.size() + " tests, at most " + MAX_ENTRIES + " may be");
+          "KNOWN-RED.txt has " + entries.size() + " entries, at most " + MAX_ENTRIES + " may be");
     }
     return entries;
   }
@@ -72,15 +84,26 @@
     boolean complete =
         fields.length == FIELDS_PER_LINE && Arrays.stream(fields).noneMatch(String::isBlank);
     if (!complete) {
-      throw new InvalidListException("not of the form 'test | cause | issue': " + line);
+      throw new InvalidListException("not of the form 'what | cause | issue': " + line);
     }
     Entry entry = new Entry(fields[0].strip(), fields[1].strip(), fields[2].strip());
-    if (!testExists(entry.test)) {
-      throw new InvalidListException("no such test: " + entry.test);
+    boolean exists = entry.isCommand() ? commandExists(entry.subject) : testExists(entry.subject);
+    if (!exists) {
+      throw new InvalidListException("no such test or command: " + entry.subject);
     }
     return entry;
   }
 
+  private static boolean commandExists(String command) {
+    Matcher matcher = COMMAND.matcher(command);
+    if (!matcher.matches()) {
+      return false;
+    }
+    Path file = Path.of(matcher.group(1));
+    boolean isInRepository = !file.isAbsolute() && !file.normalize().startsWith("..");
+    return isInRepository && Files.isRegularFile(file) && Files.isExecutable(file);
+  }
+
   private static boolean testExists(String test) {
     int dot = test.lastIndexOf('.');
     if (dot < 0) {
--- a/src/test/java/wickdrift/knownred/KnownRedListTest.java
+++ b/src/test/java/wickdrift/knownred/KnownRedListTest.java
@@ -16,7 +16,22 @@
   /** Fails the build if the repository's own list has a fourth entry or names an unknown test. */
   @Test
   void theListIsValid() {
-    assertDoesNotThrow(KnownRedList::load);
+    List<KnownRedList.Entry> entries = assertDoesNotThrow(KnownRedList::load);
+    entries.forEach(entry -> System.out.println("KNOWN RED, listed: " + entry));
+  }
+
+  @Test
+  void anEntryMayBeACommandWithItsSeed() {
+    String command = "command review/build.sh --runs 2 seed 7";
+    List<KnownRedList.Entry> entries =
+        KnownRedList.parse(
+            List.of(
+                command + " | a cause | issue 44",
+                "command review/build.sh seed none | a cause | issue 44",
+                TEST + " | a cause | issue 44"));
+    assertEquals(new KnownRedList.Entry(command, "a cause", "issue 44"), entries.get(0));
+    assertEquals(
+        List.of(true, true, false), entries.stream().map(KnownRedList.Entry::isCommand).toList());
   }
 
   @Test
@@ -35,7 +50,15 @@
         TEST + " | cause | issue 44 | more",
         "theListIsValid | cause | issue 44",
         "wickdrift.knownred.KnownRedListTest.noSuchTest | cause | issue 44",
-        "wickdrift.knownred.NoSuchTest.theListIsValid | cause | issue 44"
+        "wickdrift.knownred.NoSuchTest.theListIsValid | cause | issue 44",
+        "command review/build.sh | cause | issue 44",
+        "command review/build.sh seed | cause | issue 44",
+        "command review/build.sh seed x | cause | issue 44",
+        "command review/no-such-script.sh seed 7 | cause | issue 44",
+        "command pom.xml seed 7 | cause | issue 44",
+        "command ../review/build.sh seed 7 | cause | issue 44",
+        "command /bin/sh seed 7 | cause | issue 44",
+        "review/build.sh seed 7 | cause | issue 44"
       })
   void anInvalidLineIsRefused(String line) {
     assertThrows(KnownRedList.InvalidListException.class, () -> KnownRedList.parse(List.of(line)));
--- a/src/test/java/wickdrift/sim/TransactionSizeTest.java
+++ b/src/test/java/wickdrift/sim/TransactionSizeTest.java
@@ -8,6 +8,7 @@
 import java.util.Map;
 import java.util.function.BooleanSupplier;
 import org.junit.jupiter.api.Test;
+import wickdrift.bookkeeping.level.LevelRange;
 
 /**
  * Guards against accepted jobs that never run because a transaction exceeds the limit of 64 KiB, is
@@ -21,6 +22,8 @@
   private static final int FILLING_JOBS = 4;
   private static final int GPUS_PER_MACHINE = (int) SimWorld.GPUS_PER_MACHINE;
   private static final long STEP_MS = 100;
+  private static final String LOWER_LIMITS =
+      "[cluster.state.next]\nvalue_kb = 8.0\ntxn_ops = 4\nwrite_rps = 60.0";
   private static final long WAIT_TIMEOUT_MS = 120_000;
 
   /** A job may wait for this long beside room. */
@@ -120,6 +123,18 @@
     assertAwaitingJobsDone();
   }
 
+  /** The announced limits take effect between the acceptance of the jobs and their handover. */
+  @Test
+  void jobsWithLargeRecordsAreHandedOverUnderLowerLimits() {
+    world.restartAll(LevelRange.BUILD, LOWER_LIMITS);
+    world.run(10_000);
+    submitAwaited();
+    submitAwaiting(100);
+    world.state().lowerLimits(8, 4, 60);
+    fillZoneB();
+    assertAwaitingJobsDone();
+  }
+
   @Test
   void jobsWithLargeRecordsAreAcceptedTogether() {
     world.run(10_000);
