A confirmation that waits for an unanswered run asks for a higher epoch

Where the task is done and the worker has nothing of it, nothing else asked for a higher epoch, so users would have got 503 until the view changed. Found by reading; WorkerCommandsTest has a case, which fails without this.

--- a/src/main/java/wickdrift/coordination/commands/WorkerCommands.java
+++ b/src/main/java/wickdrift/coordination/commands/WorkerCommands.java
@@ -81,7 +81,7 @@
   /** Direct commands without an answer, whatever the worker has shown since. */
   private final List<DirectRuns> unansweredCommands = new ArrayList<>();
 
-  /** Attempts that are over on the worker, but whose end waits for an unanswered run. */
+  /** Attempts that are over on the worker, but whose end or job waits for an unanswered run. */
   private final Set<TaskAttempt> waitingEnds = new HashSet<>();
 
   /** What reports have proved about the waiting ends; no later report need prove it again. */
@@ -345,6 +345,14 @@
     return verdict;
   }
 
+  private List<TaskAttempt> unansweredRunsOf(String job, long epoch) {
+    return unansweredCommands.stream()
+        .filter(command -> command.epoch() >= epoch)
+        .flatMap(command -> command.runs().stream())
+        .filter(attempt -> attempt.belongsToJob(job))
+        .toList();
+  }
+
   private static boolean runsTaskOf(DirectRuns command, String job) {
     return command.runs().stream().anyMatch(attempt -> attempt.belongsToJob(job));
   }
@@ -357,10 +365,13 @@
   public Verdict verifyNoRunPending(String job, long epoch) {
     boolean outstanding =
         outstandingCommands.stream().anyMatch(command -> runsTaskOf(command, job));
-    boolean unanswered =
-        unansweredCommands.stream()
-            .anyMatch(command -> command.epoch() >= epoch && runsTaskOf(command, job));
-    if (outstanding || unanswered) {
+    if (outstanding) {
+      return Verdict.DIRECT_RUN_UNANSWERED;
+    }
+    List<TaskAttempt> unanswered = unansweredRunsOf(job, epoch);
+    if (!unanswered.isEmpty()) {
+      // The worker has nothing of them any more, so nothing else would ask for a higher epoch.
+      waitingEnds.addAll(unanswered);
       return Verdict.DIRECT_RUN_UNANSWERED;
     }
     for (Map.Entry<String, LastRun> entry : lastRuns.entrySet()) {
--- a/src/test/java/wickdrift/coordination/commands/WorkerCommandsTest.java
+++ b/src/test/java/wickdrift/coordination/commands/WorkerCommandsTest.java
@@ -148,4 +148,15 @@
     assertEquals(Verdict.PROVEN, commands.mayRecordEnd(ATTEMPT, EPOCH + 1));
     assertFalse(commands.isEndHeld(EPOCH + 1, 100, 101));
   }
+
+  /** Otherwise a cancellation would wait until the epoch rises for another reason. */
+  @Test
+  void aConfirmationThatWaitsForAnUnansweredRunAsksForAHigherEpoch() {
+    WorkerCommands commands = new WorkerCommands();
+    commands.directCommandSent(directRuns());
+    commands.epochReported(EPOCH, SESSION + 1);
+    assertEquals(Verdict.DIRECT_RUN_UNANSWERED, commands.verifyNoRunPending(JOB, EPOCH));
+    assertTrue(commands.isEndHeld(EPOCH, 100, 101));
+    assertEquals(Verdict.PROVEN, commands.verifyNoRunPending(JOB, EPOCH + 1));
+  }
 }
