--- a/review/standins-2/Rig.java
+++ b/review/standins-2/Rig.java
@@ -109,7 +109,11 @@
   }
 
   Rig(Path folder) throws Exception {
-    record = new Record(folder.resolve("record.txt"));
+    this(new Record(folder.resolve("record.txt")));
+  }
+
+  Rig(Record record) throws Exception {
+    this.record = record;
     tmp = Files.createTempDirectory("wick-review");
     String toml = Files.readString(Path.of("deploy/service.toml"));
     String run = toml.lines().filter(l -> l.startsWith("run = ")).findFirst().orElseThrow();
@@ -134,6 +138,11 @@
     for (Node n : nodes) {
       n.stateFront = new Server(n.index, state);
     }
+    for (String link : proxied) {
+      int to = Integer.parseInt(link.split(">")[1]);
+      networks.computeIfAbsent(to, k -> new Network());
+      links.put(link, new Link(nodes.get(to).back, networks.get(to)));
+    }
     cloud.front = new Server(-1, cloud);
     for (int i = 0; i < set.machinesUp; i++) {
       cloud.boot(set.zoneNames().get(i % set.zoneNames().size()), false, 0);
@@ -598,6 +607,100 @@
     }
   }
 
+  /** Proxies of links between controllers, by "FROM>TO"; a link without one is direct. */
+  final Map<String, Link> links = new HashMap<>();
+
+  /** The paths to controllers, by the controller's index. */
+  final Map<Integer, Network> networks = new HashMap<>();
+
+  /**
+   * The path to a controller, which the links to it share. While it is interrupted, packets are
+   * held back; they are delivered in the order in which they were sent, also those of a sender that
+   * is gone by then.
+   */
+  final class Network {
+    private interface Delivery {
+      void run() throws IOException;
+    }
+
+    private final java.util.concurrent.LinkedBlockingQueue<Delivery> packets =
+        new java.util.concurrent.LinkedBlockingQueue<>();
+    private boolean held;
+
+    Network() {
+      pool.execute(
+          () -> {
+            while (!closing) {
+              try {
+                Delivery next = packets.take();
+                awaitRestored();
+                next.run();
+              } catch (IOException e) {
+                // the receiver has closed the connection
+              } catch (InterruptedException e) {
+                return;
+              }
+            }
+          });
+    }
+
+    synchronized void hold(boolean on) {
+      held = on;
+      notifyAll();
+    }
+
+    private synchronized void awaitRestored() throws InterruptedException {
+      while (held) {
+        wait();
+      }
+    }
+  }
+
+  /** The connections from one controller to another. */
+  final class Link {
+    final int port;
+    private final int target;
+    private final Network network;
+
+    Link(int target, Network network) throws IOException {
+      this.target = target;
+      this.network = network;
+      ServerSocket socket = new ServerSocket();
+      socket.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), 64);
+      port = socket.getLocalPort();
+      pool.execute(
+          () -> {
+            while (!closing) {
+              try {
+                Socket from = socket.accept();
+                pool.execute(() -> carry(from));
+              } catch (IOException e) {
+                return;
+              }
+            }
+          });
+    }
+
+    private void carry(Socket from) {
+      try (from) {
+        Socket to = new Socket("127.0.0.1", target);
+        to.setTcpNoDelay(true);
+        try {
+          byte[] buffer = new byte[65536];
+          int n;
+          while ((n = from.getInputStream().read(buffer)) >= 0) {
+            byte[] packet = java.util.Arrays.copyOf(buffer, n);
+            network.packets.add(() -> to.getOutputStream().write(packet));
+          }
+        } finally {
+          network.packets.add(to::close);
+        }
+      } catch (IOException e) {
+        // one side is gone
+      }
+    }
+  }
+
   // ---- controllers ----
 
   final class Node {
@@ -632,9 +735,10 @@
       t.append(back).append("\"\n");
       for (Node n : nodes) {
         if (n != this) {
+          Link link = links.get(index + ">" + n.index);
           t.append("[[peers]]\nhost_name = \"").append(n.name).append("\"\nlocation = \"");
-          t.append(set.zones[n.index]).append("\"\npeer_addr = \"127.0.0.1:").append(n.back);
-          t.append("\"\n");
+          t.append(set.zones[n.index]).append("\"\npeer_addr = \"127.0.0.1:");
+          t.append(link == null ? n.back : link.port).append("\"\n");
         }
       }
       t.append("[endpoints]\ncloud = \"").append(cloud.front.address()).append("\"\nstate = \"");
@@ -1134,13 +1238,28 @@
     final String machine;
     final long at = now();
 
-    Start(String shard, long attempt, String machine) {
+    /** The other machines that the task is on at that moment. */
+    final Set<String> others;
+
+    Start(String shard, long attempt, String machine, Set<String> others) {
       this.shard = shard;
       this.attempt = attempt;
       this.machine = machine;
+      this.others = others;
     }
   }
 
+  /** The machines that each task is on: from when it has its image until it exits or is killed. */
+  private final Map<String, Set<String>> onMachines = new ConcurrentHashMap<>();
+
+  private void started(String shard, long attempt, String machine) {
+    Set<String> machines = onMachines.computeIfAbsent(shard, k -> ConcurrentHashMap.newKeySet());
+    Set<String> others = new HashSet<>(machines);
+    others.remove(machine);
+    machines.add(machine);
+    starts.add(new Start(shard, attempt, machine, others));
+  }
+
   /** A direct command that a worker carried out. */
   static final class Carried {
     final Worker worker;
@@ -1153,6 +1272,18 @@
     }
   }
 
+  /** Nodes between which and the workers nothing passes. */
+  final Set<Integer> cutNodes = ConcurrentHashMap.newKeySet();
+
+  /** Whether direct commands, which only the machines' owner sends, get lost. */
+  volatile boolean commandsLost;
+
+  /** The reports that a node has passed on in vain: node, machine, and when they were sent. */
+  final List<Object[]> passedOn = new CopyOnWriteArrayList<>();
+
+  /** The links "FROM>TO" that go through a proxy. */
+  List<String> proxied = List.of();
+
   final List<Start> starts = new CopyOnWriteArrayList<>();
   final List<Carried> carried = new CopyOnWriteArrayList<>();
 
@@ -1228,6 +1359,10 @@
     }
 
     private void leave(Task t, String why) {
+      Set<String> machines = onMachines.get(t.shard);
+      if (machines != null) {
+        machines.remove(name);
+      }
       if (specs.get(t.job) != null && "ensemble".equals(specs.get(t.job).get("shape"))) {
         if (t.why == null) {
           t.why = why;
@@ -1294,6 +1429,11 @@
 
     private volatile boolean changed;
 
+    /** The node that the open report went to, and since when; -1: none is open. */
+    volatile int openTo = -1;
+
+    volatile long openSince;
+
     private void reportLoop() throws Exception {
       java.util.Random random = new java.util.Random(name.hashCode());
       node = random.nextInt(nodes.size());
@@ -1314,7 +1454,21 @@
         long sentTenure = (Long) report.get("tenure");
         byte[] body = Msg.encode(report);
         largestReport = Math.max(largestReport, body.length);
-        Resp r = client.request("POST", "/hello", body, 4000);
+        Resp r;
+        if (cutNodes.contains(node)) {
+          // The connection hangs.
+          Thread.sleep(4000);
+          r = new Resp(0, new byte[0]);
+          client.drop();
+        } else {
+          openSince = now();
+          openTo = node;
+          r = client.request("POST", "/hello", body, 4000);
+          openTo = -1;
+          if (r.status == 421 && now() - openSince > 1000) {
+            passedOn.add(new Object[] {node, name, openSince});
+          }
+        }
         long pause;
         if (r.status == 200) {
           okReports++;
@@ -1430,10 +1584,11 @@
 
     /** The task is on the machine from now on; not for the tasks of gangs, which gather first. */
     private void imageReady(Task t, Map<String, Object> spec) {
-      starts.add(new Start(t.shard, t.attempt, name));
+      started(t.shard, t.attempt, name);
       if (done.contains(t.shard)) {
         t.phase = "ended";
         t.why = "done";
+        leave(t, "done");
         return;
       }
       t.phase = "running";
@@ -1458,7 +1613,7 @@
               changed = true;
               images.add((String) spec.get("bundle"));
               if ("ensemble".equals(spec.get("shape")) && !done.contains(t.shard)) {
-                starts.add(new Start(t.shard, t.attempt, name));
+                started(t.shard, t.attempt, name);
                 t.phase = "gathering";
                 t.waitUntil = now() + (long) (set.gangWaitS * 1000);
                 gathered.add(t);
@@ -1495,6 +1650,9 @@
       if (gone) {
         return null;
       }
+      if (commandsLost) {
+        return null;
+      }
       if (path.equals("/show")) {
         return resp(200, report());
       }
