ReportRelay: log lines and metrics that tell what becomes of a forwarded report

Now each forwarded report, reply, expiry and unmatched reply is logged at debug with its number, machine, session and tick, and counted (relay.forwarded, relay.delivered, relay.expired, relay.unmatched).

--- a/src/main/java/wickdrift/coordination/ReportHandler.java
+++ b/src/main/java/wickdrift/coordination/ReportHandler.java
@@ -240,6 +240,13 @@
       exchange.reply(400, Map.of("error", cause.getMessage()));
       return;
     }
+    LOG.debug(
+        "report received: machine={}, tenure={}, tick={}, epoch={}, relayed={}",
+        report.machine(),
+        report.tenure(),
+        report.tick(),
+        report.epoch(),
+        !mayRelay);
     zones.reportReceived(report.zone(), timers.nowMs());
     View view = tables.view();
     if (view == null || stateService.phase() != StateServiceClient.Phase.FOLLOWING) {
@@ -264,7 +271,7 @@
               || previousView != null
                   && report.epoch() == previousView.epoch()
                   && owner.equals(previousView.owner(report.machine(), report.zone()));
-      if (hasLeftOwner && mayRelay && reportRelay.forward(exchange, owner)) {
+      if (hasLeftOwner && mayRelay && reportRelay.forward(exchange, report, owner)) {
         return;
       }
       redirectedMachines.add(report.machine());
@@ -321,6 +328,8 @@
     if (machine.unreachableForCommandsSinceMs() > 0 || notYetProvedAlive) {
       directCommands.probe(machine, report.tenure());
     }
+    LOG.debug(
+        "report answered: machine={}, epoch={}, orders={}", report.machine(), view.epoch(), orders);
     Map<String, Object> body = new LinkedHashMap<>();
     body.put("epoch", view.epoch());
     body.put(
--- a/src/main/java/wickdrift/coordination/ReportRelay.java
+++ b/src/main/java/wickdrift/coordination/ReportRelay.java
@@ -4,11 +4,14 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.function.Consumer;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 import wickdrift.bookkeeping.level.NodeRegistry;
 import wickdrift.protocol.BadMessage;
 import wickdrift.protocol.Document;
 import wickdrift.protocol.MessageCodec;
 import wickdrift.protocol.PeerFrame;
+import wickdrift.protocol.Report;
 import wickdrift.transport.Exchange;
 import wickdrift.transport.Timers;
 
@@ -18,6 +21,7 @@
  * its partition die.
  */
 public final class ReportRelay {
+  private static final Logger LOG = LoggerFactory.getLogger(ReportRelay.class);
   private static final long REPLY_TIMEOUT_MS = 1500;
   private static final int MAX_PENDING_REPORTS = 200;
 
@@ -27,6 +31,10 @@
   private final Map<String, Consumer<ByteBuffer>> peers;
   private final Map<Long, Exchange> pendingExchanges = new HashMap<>();
   private long lastRequestId;
+  private long forwardedCount;
+  private long deliveredCount;
+  private long expiredCount;
+  private long unmatchedCount;
 
   /**
    * Creates a relay with no pending reports.
@@ -41,25 +49,56 @@
     this.peers = peers;
   }
 
+  /** Returns the number of reports that were forwarded to the owner of their machine. */
+  public long forwardedCount() {
+    return forwardedCount;
+  }
+
+  /** Returns the number of replies that were passed to a waiting worker. */
+  public long deliveredCount() {
+    return deliveredCount;
+  }
+
+  /** Returns the number of forwarded reports that got no reply in time. */
+  public long expiredCount() {
+    return expiredCount;
+  }
+
+  /** Returns the number of replies for which no report was waiting. */
+  public long unmatchedCount() {
+    return unmatchedCount;
+  }
+
   /**
    * Forwards a report to the owner of its machine. The exchange gets the owner's reply, or 421
    * after {@link #REPLY_TIMEOUT_MS}.
    *
+   * @param report the report in the body of the exchange
    * @return false if the report can't be forwarded
    */
-  public boolean forward(Exchange exchange, String owner) {
+  public boolean forward(Exchange exchange, Report report, String owner) {
     Consumer<ByteBuffer> peer = peers.get(owner);
     int number = registry.numberOf(node);
     if (peer == null || number < 0 || pendingExchanges.size() >= MAX_PENDING_REPORTS) {
       return false;
     }
     long requestId = ++lastRequestId;
+    forwardedCount++;
+    LOG.debug(
+        "report forwarded: requestId={}, owner={}, machine={}, tenure={}, tick={}",
+        requestId,
+        owner,
+        report.machine(),
+        report.tenure(),
+        report.tick());
     pendingExchanges.put(requestId, exchange);
     peer.accept(new PeerFrame.RelayedReport(number, requestId, exchange.body()).encode());
     timers.after(
         REPLY_TIMEOUT_MS,
         () -> {
           if (pendingExchanges.remove(requestId) != null) {
+            expiredCount++;
+            LOG.debug("forwarded report got no reply in time: requestId={}", requestId);
             exchange.reply(421, Map.of());
           }
         });
@@ -70,8 +109,21 @@
   public void handleReply(PeerFrame.RelayedReply answer) {
     Exchange exchange = pendingExchanges.remove(answer.requestId());
     if (exchange == null) {
+      unmatchedCount++;
+      LOG.debug(
+          "no report is waiting for a reply: requestId={}, from={}, status={}, lastRequestId={}",
+          answer.requestId(),
+          registry.name(answer.from()),
+          answer.status(),
+          lastRequestId);
       return;
     }
+    deliveredCount++;
+    LOG.debug(
+        "reply to a forwarded report: requestId={}, from={}, status={}",
+        answer.requestId(),
+        registry.name(answer.from()),
+        answer.status());
     try {
       exchange.reply(answer.status(), Document.parse(answer.body()).rawMap());
     } catch (BadMessage e) {
@@ -103,6 +155,11 @@
         Consumer<ByteBuffer> peer = from == null ? null : peers.get(from);
         int number = registry.numberOf(node);
         if (peer != null && number >= 0) {
+          LOG.debug(
+              "replying to a forwarded report: requestId={}, to={}, status={}",
+              relayed.requestId(),
+              from,
+              status);
           byte[] body = MessageCodec.encode(value == null ? Map.of() : value);
           peer.accept(
               new PeerFrame.RelayedReply(number, relayed.requestId(), status, body).encode());
--- a/src/main/java/wickdrift/daemon/Controller.java
+++ b/src/main/java/wickdrift/daemon/Controller.java
@@ -236,6 +236,10 @@
     metrics.registerGauge("commands.unanswered", links::unansweredCommands);
     metrics.registerGauge("commands.uncertain.machines", links::machinesWithOutstandingRuns);
     metrics.registerGauge("invariants.violated", links.monitor()::violations);
+    metrics.registerGauge("relay.forwarded", reportRelay::forwardedCount);
+    metrics.registerGauge("relay.delivered", reportRelay::deliveredCount);
+    metrics.registerGauge("relay.expired", reportRelay::expiredCount);
+    metrics.registerGauge("relay.unmatched", reportRelay::unmatchedCount);
     metrics.registerGauge("withdrawals.kept", confirmations::confirmedCount);
     metrics.registerGauge("withdrawals.unkept", confirmations::unconfirmedCount);
   }
