--- a/src/main/java/wickdrift/bookkeeping/level/Gate.java
+++ b/src/main/java/wickdrift/bookkeeping/level/Gate.java
@@ -40,7 +40,14 @@
   VIEWS(4, false),
 
   /** All writes fit the smaller of the state service's current and next limits. */
-  LIMITS(4, false);
+  LIMITS(4, false),
+
+  /**
+   * Frames between controllers name the processes of sender and receiver. Frames that don't, of
+   * older builds, are refused. No encoding of stored state changes. Can be removed, together with
+   * the first layout of frames, in a build whose minimum level is 5.
+   */
+  PEER_PROCESSES(5, false);
 
   private final int level;
   private final boolean requiresConversion;
--- a/src/main/java/wickdrift/coordination/Membership.java
+++ b/src/main/java/wickdrift/coordination/Membership.java
@@ -2,6 +2,7 @@
 
 import java.nio.ByteBuffer;
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
@@ -24,6 +25,8 @@
 import wickdrift.bookkeeping.level.LevelUpgrade;
 import wickdrift.bookkeeping.level.NodeRecord;
 import wickdrift.bookkeeping.level.NodeRegistry;
+import wickdrift.coordination.peers.PeerIdentity;
+import wickdrift.coordination.peers.PeerStatuses;
 import wickdrift.protocol.PeerFrame;
 import wickdrift.settings.Settings;
 import wickdrift.transport.Timers;
@@ -35,7 +38,6 @@
 public final class Membership {
   private static final Logger LOG = LoggerFactory.getLogger(Membership.class);
   private static final long TICK_INTERVAL_MS = 250;
-  private static final long MAX_PEER_STATUS_AGE_MS = 2000;
 
   /** Factor by which a busy peer is assumed to exceed the write rate that it reported last. */
   private static final double PEER_WRITE_RATE_MARGIN = 1.25;
@@ -64,9 +66,6 @@
     GRACE
   }
 
-  /** The last status message from a peer. */
-  private record PeerStatus(boolean stateReachable, long receivedMs, int writeRate) {}
-
   private final Timers timers;
   private final StateServiceClient stateService;
   private final Tables tables;
@@ -76,7 +75,7 @@
   private final LevelRange supportedLevels;
   private final String processIncarnation;
   private final Map<String, Consumer<ByteBuffer>> peers;
-  private final Map<Integer, PeerStatus> peerStatuses = new HashMap<>();
+  private final PeerStatuses peerStatuses;
 
   /**
    * The incarnation under the current lease; each lease gets a new one. If the process kept its
@@ -92,7 +91,6 @@
   private boolean writeInFlight;
   private long viewDiffersSinceMs = -1;
   private boolean proposalInFlight;
-  private long highestPeerEpoch;
 
   /**
    * False after a process pause until the tables hold everything that was durable when the process
@@ -126,7 +124,7 @@
    * Creates the membership of this node; it requests no lease before {@link #start}.
    *
    * @param levels the levels of stored state that this build supports
-   * @param incarnation the incarnation of this process
+   * @param identity the identity of this process
    * @param peers senders of frames to the other controllers, by name
    */
   public Membership(
@@ -136,7 +134,8 @@
       Tuning tuning,
       Settings settings,
       LevelRange levels,
-      String incarnation,
+      PeerIdentity identity,
+      PeerStatuses peerStatuses,
       Map<String, Consumer<ByteBuffer>> peers) {
     this.timers = timers;
     this.stateService = stateService;
@@ -145,8 +144,9 @@
     this.node = settings.node();
     this.settings = settings;
     this.supportedLevels = levels;
-    this.processIncarnation = incarnation;
-    this.incarnation = incarnation;
+    this.processIncarnation = identity.process();
+    this.incarnation = identity.process();
+    this.peerStatuses = peerStatuses;
     this.peers = peers;
   }
 
@@ -223,7 +223,7 @@
    * must not be acted on then.
    */
   public boolean isViewOutdated() {
-    return tables.view() != null && highestPeerEpoch > tables.view().epoch();
+    return tables.view() != null && peerStatuses.highestEpoch() > tables.view().epoch();
   }
 
   /**
@@ -235,14 +235,10 @@
     if (stateService.isReachable()) {
       return false;
     }
-    long now = timers.nowMs();
-    List<PeerStatus> recentStatuses =
-        peerStatuses.values().stream()
-            .filter(status -> now - status.receivedMs < MAX_PEER_STATUS_AGE_MS)
-            .toList();
+    Collection<PeerStatuses.Status> recentStatuses = peerStatuses.recent();
     return recentStatuses.isEmpty()
         ? !peers.isEmpty()
-        : recentStatuses.stream().anyMatch(PeerStatus::stateReachable);
+        : recentStatuses.stream().anyMatch(PeerStatuses.Status::stateServiceReachable);
   }
 
   private void tick() {
@@ -277,8 +273,8 @@
             leaseRequestInFlight = false;
             if (grantedId > 0) {
               leaseId = grantedId;
-              incarnation =
-                  leaseCount++ == 0 ? processIncarnation : processIncarnation + "-" + leaseCount;
+              leaseCount++;
+              incarnation = PeerIdentity.underLease(processIncarnation, leaseCount);
               extendLeaseDeadline(now);
             }
           });
@@ -313,7 +309,9 @@
       joined |= incarnation.equals(recorded);
       return;
     }
-    if (recorded != null && joined && !recorded.startsWith(processIncarnation)) {
+    if (recorded != null
+        && joined
+        && !PeerIdentity.processOf(recorded).equals(processIncarnation)) {
       // This node was a member and was replaced by another process that uses the same name. If
       // both kept claiming the name, every claim would change the view for all controllers.
       logReasonOnce(
@@ -771,16 +769,13 @@
     stateService.divideLimits(controllers, node.equals(view.leader()));
     double fairWriteRate = stateService.fairWriteRate();
     double evenWriteRate = stateService.evenWriteRate();
-    long now = timers.nowMs();
-    int reporting = 0;
     double othersWriteRate = 0;
-    for (PeerStatus status : peerStatuses.values()) {
-      if (now - status.receivedMs < MAX_PEER_STATUS_AGE_MS) {
-        reporting++;
-        othersWriteRate += Math.max(status.writeRate * PEER_WRITE_RATE_MARGIN, evenWriteRate / 4);
-      }
+    Collection<PeerStatuses.Status> recentStatuses = peerStatuses.recent();
+    for (PeerStatuses.Status status : recentStatuses) {
+      double assumedRate = status.writesPerSecond() * PEER_WRITE_RATE_MARGIN;
+      othersWriteRate += Math.max(assumedRate, evenWriteRate / 4);
     }
-    int silent = Math.max(0, controllers - 1 - reporting);
+    int silent = Math.max(0, controllers - 1 - recentStatuses.size());
     stateService.setOtherMembersWriteRate(
         othersWriteRate + silent * evenWriteRate / 2,
         Math.max(fairWriteRate, lastSentWriteRate * MAX_WRITE_RATE_GROWTH));
@@ -789,25 +784,14 @@
 
   private void broadcastStatus() {
     long epoch = tables.view() == null ? 0 : tables.view().epoch();
-    int number = tables.registry().numberOf(node);
-    if (number < 0) {
-      return;
-    }
-    ByteBuffer frame =
-        new PeerFrame.PeerStatus(
-                number,
-                epoch,
-                stateService.isReachable(),
-                (int) Math.ceil(stateService.recentWriteRate()))
-            .encode();
-    peers.values().forEach(peer -> peer.accept(frame.duplicate()));
-  }
-
-  /** Handles the status message of a peer. */
-  public void handlePeerStatus(PeerFrame.PeerStatus status) {
-    peerStatuses.put(
-        status.from(),
-        new PeerStatus(status.stateServiceReachable(), timers.nowMs(), status.writesPerSecond()));
-    highestPeerEpoch = Math.max(highestPeerEpoch, status.epoch());
+    int writesPerSecond = (int) Math.ceil(stateService.recentWriteRate());
+    peers.forEach(
+        (name, peer) -> {
+          PeerFrame status =
+              peerStatuses.nextStatus(name, epoch, stateService.isReachable(), writesPerSecond);
+          if (status != null) {
+            peer.accept(status.encode());
+          }
+        });
   }
 }
--- a/src/main/java/wickdrift/coordination/WithdrawalConfirmations.java
+++ b/src/main/java/wickdrift/coordination/WithdrawalConfirmations.java
@@ -18,6 +18,9 @@
 import wickdrift.bookkeeping.StateServiceClient;
 import wickdrift.bookkeeping.Tables;
 import wickdrift.bookkeeping.View;
+import wickdrift.coordination.peers.PeerIdentity;
+import wickdrift.coordination.peers.RequestIds;
+import wickdrift.protocol.FrameHeader;
 import wickdrift.protocol.PeerFrame;
 import wickdrift.transport.Timers;
 
@@ -55,7 +58,7 @@
   private static final long CLEANUP_INTERVAL_MS = 5000;
 
   /** A request to an owner that is not answered yet. */
-  private record Request(String job, String owner, List<String> machines, long sentMs) {}
+  private record Request(String job, List<String> machines, FrameHeader header, long sentMs) {}
 
   /** A user's request that waits for the confirmation of a job. */
   private record Waiter(Consumer<Boolean> callback, long deadlineMs) {}
@@ -77,10 +80,11 @@
   private final Tables tables;
   private final ReportHandler reportHandler;
   private final String node;
+  private final PeerIdentity identity;
+  private final RequestIds requestIds;
   private final Map<String, Consumer<ByteBuffer>> peers;
   private final Map<String, TrackedJob> trackedJobs = new HashMap<>();
   private final Map<Long, Request> requests = new HashMap<>();
-  private long lastRequestId;
   private boolean cleanupScheduled;
   private long confirmedCount;
   private long unconfirmedCount;
@@ -96,12 +100,15 @@
       Tables tables,
       ReportHandler reportHandler,
       String node,
+      PeerIdentity identity,
       Map<String, Consumer<ByteBuffer>> peers) {
     this.timers = timers;
     this.stateService = stateService;
     this.tables = tables;
     this.reportHandler = reportHandler;
     this.node = node;
+    this.identity = identity;
+    this.requestIds = new RequestIds(identity.process());
     this.peers = peers;
   }
 
@@ -206,8 +213,7 @@
       String jobId, TrackedJob tracked, Map<String, List<String>> unconfirmed) {
     long now = timers.nowMs();
     long epoch = tables.view().epoch();
-    int number = tables.registry().numberOf(node);
-    if (number < 0
+    if (tables.registry().numberOf(node) < 0
         || now - tracked.lastRequestMs < RETRY_INTERVAL_MS && tracked.lastRequestEpoch == epoch) {
       return;
     }
@@ -215,25 +221,32 @@
     tracked.lastRequestEpoch = epoch;
     unconfirmed.forEach(
         (owner, machines) -> {
-          Consumer<ByteBuffer> peer = peers.get(owner);
-          for (int i = 0; peer != null && i < machines.size(); i += MAX_NAMES_PER_FRAME) {
-            List<String> batch =
-                List.copyOf(
-                    machines.subList(i, Math.min(machines.size(), i + MAX_NAMES_PER_FRAME)));
-            long requestId = ++lastRequestId;
-            requests.put(requestId, new Request(jobId, owner, batch, now));
-            peer.accept(
-                new PeerFrame.WithdrawalConfirmationRequest(
-                        number, requestId, epoch, tables.appliedRev(), jobId, batch)
-                    .encode());
+          FrameHeader header = identity.headerTo(owner);
+          for (int i = 0; header != null && i < machines.size(); i += MAX_NAMES_PER_FRAME) {
+            int end = Math.min(machines.size(), i + MAX_NAMES_PER_FRAME);
+            requestConfirmation(jobId, owner, List.copyOf(machines.subList(i, end)), header);
           }
         });
   }
 
-  /** Handles an owner's answer. An answer from a controller that was not asked is ignored. */
+  private void requestConfirmation(
+      String jobId, String owner, List<String> machines, FrameHeader header) {
+    Consumer<ByteBuffer> peer = peers.get(owner);
+    if (peer == null) {
+      return;
+    }
+    long requestId = requestIds.next();
+    requests.put(requestId, new Request(jobId, machines, header, timers.nowMs()));
+    peer.accept(
+        new PeerFrame.WithdrawalConfirmationRequest(
+                header, requestId, tables.view().epoch(), tables.appliedRev(), jobId, machines)
+            .encode());
+  }
+
+  /** Handles an owner's answer. An answer from a process that was not asked is ignored. */
   public void handleConfirmation(PeerFrame.WithdrawalConfirmation answer) {
     Request request = requests.get(answer.requestId());
-    if (request == null || !request.owner.equals(tables.registry().name(answer.from()))) {
+    if (request == null || !PeerIdentity.isFromAskedProcess(request.header, answer.header())) {
       return;
     }
     requests.remove(answer.requestId());
@@ -251,25 +264,39 @@
   }
 
   /**
-   * Handles a peer's request: it announces a withdrawal and asks which of this node's machines
-   * accept the token of this node only. The node knows of the withdrawal from now on, even if it
-   * can't reach the state service. A request whose withdrawal can't be remembered is not answered.
+   * Handles the announcement of a withdrawal in a peer's request. The node knows of the withdrawal
+   * from now on, even if it can't reach the state service. That a withdrawal is durable stays true,
+   * so the announcement counts however late it arrives.
+   *
+   * @return false if the withdrawal can't be remembered
    */
-  public void handleConfirmationRequest(PeerFrame.WithdrawalConfirmationRequest request) {
+  public boolean handleAnnouncement(PeerFrame.WithdrawalConfirmationRequest request) {
     boolean alreadyKnown =
         tables.isWithdrawalAnnounced(request.job()) || request.revision() <= tables.appliedRev();
     if (!tables.announceWithdrawal(request.job(), request.revision())) {
       LOG.error("too many announced withdrawals, announcement ignored: job={}", request.job());
-      return;
+      return false;
     }
     Job job = tables.job(request.job());
     if (!alreadyKnown && job != null) {
       reportHandler.haltTasksOf(job);
     }
+    return true;
+  }
+
+  /**
+   * Handles a peer's request: it announces a withdrawal and asks which of this node's machines
+   * accept the token of this node only. A request whose withdrawal can't be remembered is not
+   * answered.
+   */
+  public void handleConfirmationRequest(PeerFrame.WithdrawalConfirmationRequest request) {
+    if (!handleAnnouncement(request)) {
+      return;
+    }
     View view = tables.view();
     Consumer<ByteBuffer> peer = peers.get(tables.registry().name(request.from()));
-    int number = tables.registry().numberOf(node);
-    if (peer == null || number < 0 || view == null || view.epoch() != request.epoch()) {
+    FrameHeader header = identity.replyTo(request.header());
+    if (peer == null || header == null || view == null || view.epoch() != request.epoch()) {
       return;
     }
     if (tables.blockedReason() != null
@@ -283,7 +310,7 @@
           i, machine != null && reportHandler.canConfirmWithdrawal(machine, request.job()));
     }
     peer.accept(
-        new PeerFrame.WithdrawalConfirmation(number, request.requestId(), positions.toByteArray())
+        new PeerFrame.WithdrawalConfirmation(header, request.requestId(), positions.toByteArray())
             .encode());
   }
 
--- a/src/main/java/wickdrift/daemon/Controller.java
+++ b/src/main/java/wickdrift/daemon/Controller.java
@@ -24,6 +24,10 @@
 import wickdrift.coordination.WithdrawalConfirmations;
 import wickdrift.coordination.WorkerLinks;
 import wickdrift.coordination.ZoneHealth;
+import wickdrift.coordination.peers.FrameVerdict;
+import wickdrift.coordination.peers.PeerIdentity;
+import wickdrift.coordination.peers.PeerStatuses;
+import wickdrift.coordination.peers.RejectedFrames;
 import wickdrift.protocol.BadMessage;
 import wickdrift.protocol.JobSpec;
 import wickdrift.protocol.MalformedMessages;
@@ -54,6 +58,9 @@
   private final Tables tables;
   private final SchedulingState scheduling;
   private final JobHistory history;
+  private final PeerIdentity peerIdentity;
+  private final PeerStatuses peerStatuses;
+  private final RejectedFrames rejectedFrames = new RejectedFrames();
   private final Membership membership;
   private final TransactionPipeline pipeline;
   private final ReportRelay reportRelay;
@@ -130,9 +137,20 @@
             settings.peers().size() + 1,
             tables,
             malformedMessages);
+    peerIdentity = new PeerIdentity(settings.node(), incarnation, tables);
+    peerStatuses = new PeerStatuses(timers, peerIdentity, tables.registry());
     membership =
-        new Membership(timers, stateService, tables, tuning, settings, levels, incarnation, peers);
-    reportRelay = new ReportRelay(timers, settings.node(), tables.registry(), peers);
+        new Membership(
+            timers,
+            stateService,
+            tables,
+            tuning,
+            settings,
+            levels,
+            peerIdentity,
+            peerStatuses,
+            peers);
+    reportRelay = new ReportRelay(timers, peerIdentity, tables.registry(), peers);
     pipeline =
         new TransactionPipeline(
             timers, stateService, tables, scheduling, types, membership, tuning, settings);
@@ -157,7 +175,7 @@
     history = new JobHistory(timers, stateService, tables);
     confirmations =
         new WithdrawalConfirmations(
-            timers, stateService, tables, reportHandler, settings.node(), peers);
+            timers, stateService, tables, reportHandler, settings.node(), peerIdentity, peers);
     admission =
         new Admission(
             timers,
@@ -236,6 +254,9 @@
     metrics.registerGauge("commands.unanswered", links::unansweredCommands);
     metrics.registerGauge("commands.uncertain.machines", links::machinesWithOutstandingRuns);
     metrics.registerGauge("invariants.violated", links.monitor()::violations);
+    metrics.registerGauge("peers.rejected", rejectedFrames::total);
+    metrics.registerGauge("peers.statuses.stale", peerStatuses::staleCount);
+    metrics.registerGauge("relay.mismatched", reportRelay::mismatchedCount);
     metrics.registerGauge("relay.forwarded", reportRelay::forwardedCount);
     metrics.registerGauge("relay.delivered", reportRelay::deliveredCount);
     metrics.registerGauge("relay.expired", reportRelay::expiredCount);
@@ -309,19 +330,42 @@
       malformedMessages.record(MalformedMessages.Sender.PEER, "frame", e);
       return;
     }
-    if (frame instanceof PeerFrame.PeerStatus s) {
-      membership.handlePeerStatus(s);
-    } else if (frame instanceof PeerFrame.RelayedReport r) {
-      reportHandler.handleRelayedReport(reportRelay.exchangeFor(r));
-    } else if (frame instanceof PeerFrame.RelayedReply a) {
-      reportRelay.handleReply(a);
-    } else if (frame instanceof PeerFrame.WithdrawalConfirmationRequest w) {
-      confirmations.handleConfirmationRequest(w);
-    } else if (frame instanceof PeerFrame.WithdrawalConfirmation o) {
-      confirmations.handleConfirmation(o);
-    } else if (unknownFrameCount++ == 0) {
-      LOG.info("ignoring peer frames of a type that this build does not know");
+    if (frame instanceof PeerFrame.Unknown) {
+      if (unknownFrameCount++ == 0) {
+        LOG.info("ignoring peer frames of a type that this build does not know");
+      }
+      return;
+    }
+    FrameVerdict verdict = judge(frame);
+    if (!verdict.isAccepted()) {
+      rejectedFrames.record(verdict, frame);
+      if (verdict == FrameVerdict.REQUEST_NOT_UNIQUE
+          && frame instanceof PeerFrame.WithdrawalConfirmationRequest request) {
+        confirmations.handleAnnouncement(request);
+      }
+      return;
+    }
+    if (frame instanceof PeerFrame.PeerStatus status) {
+      peerStatuses.receive(status);
+    } else if (frame instanceof PeerFrame.RelayedReport report) {
+      reportHandler.handleRelayedReport(reportRelay.exchangeFor(report));
+    } else if (frame instanceof PeerFrame.RelayedReply reply) {
+      reportRelay.handleReply(reply);
+    } else if (frame instanceof PeerFrame.WithdrawalConfirmationRequest request) {
+      confirmations.handleConfirmationRequest(request);
+    } else if (frame instanceof PeerFrame.WithdrawalConfirmation confirmation) {
+      confirmations.handleConfirmation(confirmation);
+    }
+  }
+
+  private FrameVerdict judge(PeerFrame frame) {
+    if (frame instanceof PeerFrame.RelayedReport report) {
+      return peerIdentity.judgeRequest(report.header(), report.requestId());
+    }
+    if (frame instanceof PeerFrame.WithdrawalConfirmationRequest request) {
+      return peerIdentity.judgeRequest(request.header(), request.requestId());
     }
+    return peerIdentity.judge(frame.header());
   }
 
   /** Handles a request of a user, a worker or the load balancer. */
--- a/src/main/java/wickdrift/protocol/PeerFrame.java
+++ b/src/main/java/wickdrift/protocol/PeerFrame.java
@@ -6,13 +6,20 @@
 import java.util.List;
 
 /**
- * The frames that controllers exchange, in a binary encoding: version, kind, number of the sending
- * node, then the payload of the kind. Bytes after the known payload of a kind were added by a newer
- * build and are ignored.
+ * The frames that controllers exchange, in a binary encoding: version, kind, {@link FrameHeader},
+ * then the payload of the kind. Bytes after the known payload of a kind were added by a newer build
+ * and are ignored.
+ *
+ * <p>There are two layouts. The first ({@link #FIRST_VERSION}) names the sending controller only;
+ * the second ({@link #IDENTIFIED_VERSION}) names both processes. The header decides which layout a
+ * frame is encoded in.
  */
 public sealed interface PeerFrame {
-  /** Version of the layout; frames of other versions are {@link Unknown}. */
-  byte VERSION = 3;
+  /** Version of the layout whose header holds the number of the sender only. */
+  byte FIRST_VERSION = 3;
+
+  /** Version of the layout whose header names the processes of sender and receiver. */
+  byte IDENTIFIED_VERSION = 4;
 
   /** Kind of {@link PeerStatus}. */
   byte PEER_STATUS = 1;
@@ -29,71 +36,131 @@
   /** Kind of {@link WithdrawalConfirmation}. */
   byte WITHDRAWAL_CONFIRMATION = 5;
 
-  /** Length of the header if the number of the sender takes one byte. */
-  int HEADER_BYTES = 3;
-
-  /** Added to the kind in a frame in which the number of the sender takes four bytes, not one. */
-  byte WIDE_SENDER_KIND_OFFSET = 16;
-
-  /** Number of bytes by which the header is longer if the number of the sender takes four bytes. */
-  int WIDE_SENDER_EXTRA_BYTES = 3;
+  /** Sender and receiver. */
+  FrameHeader header();
 
   /** The number of the sending node in the node registry. */
-  int from();
+  default int from() {
+    return header().from();
+  }
 
   /** Encodes the frame, without the length that precedes it on the connection. */
   ByteBuffer encode();
 
   /**
-   * The status of the sender, sent periodically to all peers.
+   * The status of the sender, sent periodically to each peer. The numbers of the statuses are part
+   * of the identified layout only.
    *
    * @param epoch the epoch of its view; 0 without a view
    * @param stateServiceReachable whether the state service answers it
    * @param writesPerSecond the number of writes per second that it sends to the state service
+   * @param number counts the statuses that the sending process sends to this receiver
+   * @param echoedNumber the number of the newest status that the sender has received from the
+   *     process to which the header addresses the frame; 0: none
    */
-  record PeerStatus(int from, long epoch, boolean stateServiceReachable, int writesPerSecond)
+  record PeerStatus(
+      FrameHeader header,
+      long epoch,
+      boolean stateServiceReachable,
+      int writesPerSecond,
+      long number,
+      long echoedNumber)
       implements PeerFrame {
+    private static final int FIRST_PAYLOAD_BYTES = 13;
+    private static final int IDENTIFIED_PAYLOAD_BYTES = FIRST_PAYLOAD_BYTES + 16;
+
     @Override
     public ByteBuffer encode() {
-      return allocateWithHeader(PEER_STATUS, from, 13)
-          .put((byte) (stateServiceReachable ? 1 : 0))
-          .putLong(epoch)
-          .putInt(writesPerSecond)
-          .flip();
+      ByteBuffer buffer =
+          PeerFrameEncoding.allocate(PEER_STATUS, header, payloadBytes(header))
+              .put((byte) (stateServiceReachable ? 1 : 0))
+              .putLong(epoch)
+              .putInt(writesPerSecond);
+      if (header.isIdentified()) {
+        buffer.putLong(number).putLong(echoedNumber);
+      }
+      return buffer.flip();
+    }
+
+    private static int payloadBytes(FrameHeader header) {
+      return header.isIdentified() ? IDENTIFIED_PAYLOAD_BYTES : FIRST_PAYLOAD_BYTES;
+    }
+
+    static PeerStatus decode(FrameHeader header, ByteBuffer buffer) throws BadMessage {
+      PeerFrameEncoding.requireRemaining(buffer, payloadBytes(header));
+      boolean stateServiceReachable = buffer.get() == 1;
+      long epoch = buffer.getLong();
+      int writesPerSecond = buffer.getInt();
+      long number = header.isIdentified() ? buffer.getLong() : 0;
+      long echoedNumber = header.isIdentified() ? buffer.getLong() : 0;
+      return new PeerStatus(
+          header, epoch, stateServiceReachable, writesPerSecond, number, echoedNumber);
     }
   }
 
   /**
    * A worker's report that the sender received and forwards to the owner of the worker's machine.
    *
-   * @param requestId a number by which the sender matches the reply
+   * @param requestId a number by which the sending process recognizes the reply
    * @param body the report as received
    */
-  record RelayedReport(int from, long requestId, byte[] body) implements PeerFrame {
+  record RelayedReport(FrameHeader header, long requestId, byte[] body) implements PeerFrame {
     @Override
     public ByteBuffer encode() {
-      return allocateWithHeader(RELAYED_REPORT, from, 8 + body.length)
+      return PeerFrameEncoding.allocate(RELAYED_REPORT, header, Long.BYTES + body.length)
           .putLong(requestId)
           .put(body)
           .flip();
     }
+
+    static RelayedReport decode(FrameHeader header, ByteBuffer buffer) throws BadMessage {
+      PeerFrameEncoding.requireRemaining(buffer, Long.BYTES);
+      return new RelayedReport(header, buffer.getLong(), PeerFrameEncoding.readRemaining(buffer));
+    }
   }
 
   /**
    * The owner's reply to a {@link RelayedReport} report.
    *
    * @param requestId the number in the relayed report
+   * @param report the report that is answered; null in the first layout
    * @param status the HTTP status for the worker
    * @param body the response body for the worker
    */
-  record RelayedReply(int from, long requestId, int status, byte[] body) implements PeerFrame {
+  record RelayedReply(FrameHeader header, long requestId, ReportKey report, int status, byte[] body)
+      implements PeerFrame {
+    private static final int FIRST_PAYLOAD_BYTES = Long.BYTES + Short.BYTES;
+
     @Override
     public ByteBuffer encode() {
-      return allocateWithHeader(RELAYED_REPLY, from, 10 + body.length)
-          .putLong(requestId)
-          .putShort((short) status)
-          .put(body)
-          .flip();
+      byte[] machine =
+          header.isIdentified() ? report.machine().getBytes(StandardCharsets.UTF_8) : new byte[0];
+      int keyBytes = header.isIdentified() ? Short.BYTES + machine.length + 2 * Long.BYTES : 0;
+      ByteBuffer buffer =
+          PeerFrameEncoding.allocate(
+                  RELAYED_REPLY, header, FIRST_PAYLOAD_BYTES + keyBytes + body.length)
+              .putLong(requestId)
+              .putShort((short) status);
+      if (header.isIdentified()) {
+        PeerFrameEncoding.putText(buffer, machine);
+        buffer.putLong(report.tenure()).putLong(report.tick());
+      }
+      return buffer.put(body).flip();
+    }
+
+    static RelayedReply decode(FrameHeader header, ByteBuffer buffer) throws BadMessage {
+      PeerFrameEncoding.requireRemaining(buffer, FIRST_PAYLOAD_BYTES);
+      long requestId = buffer.getLong();
+      int status = buffer.getShort();
+      ReportKey report = header.isIdentified() ? decodeKey(buffer) : null;
+      byte[] body = PeerFrameEncoding.readRemaining(buffer);
+      return new RelayedReply(header, requestId, report, status, body);
+    }
+
+    private static ReportKey decodeKey(ByteBuffer buffer) throws BadMessage {
+      String machine = PeerFrameEncoding.readText(buffer);
+      PeerFrameEncoding.requireRemaining(buffer, 2 * Long.BYTES);
+      return new ReportKey(machine, buffer.getLong(), buffer.getLong());
     }
   }
 
@@ -102,32 +169,54 @@
    * its own tables don't contain the withdrawal yet, and replies which of the listed machines
    * accept commands from no other controller ({@link WithdrawalConfirmation}).
    *
-   * @param requestId a number by which the sender matches the reply
+   * @param requestId a number by which the sending process recognizes the reply
    * @param epoch the epoch of the view in which the receiver owns the machines
    * @param revision the revision of the sender's tables, which contain the withdrawal
    * @param machines the names of the machines
    */
   record WithdrawalConfirmationRequest(
-      int from, long requestId, long epoch, long revision, String job, List<String> machines)
+      FrameHeader header,
+      long requestId,
+      long epoch,
+      long revision,
+      String job,
+      List<String> machines)
       implements PeerFrame {
     @Override
     public ByteBuffer encode() {
       byte[] jobBytes = job.getBytes(StandardCharsets.UTF_8);
       List<byte[]> machineNames = new ArrayList<>();
-      int payloadBytes = 24 + 2 + jobBytes.length + 2;
+      int payloadBytes = 3 * Long.BYTES + Short.BYTES + jobBytes.length + Short.BYTES;
       for (String machine : machines) {
-        byte[] b = machine.getBytes(StandardCharsets.UTF_8);
-        machineNames.add(b);
-        payloadBytes += 2 + b.length;
+        byte[] name = machine.getBytes(StandardCharsets.UTF_8);
+        machineNames.add(name);
+        payloadBytes += Short.BYTES + name.length;
       }
-      ByteBuffer b =
-          allocateWithHeader(WITHDRAWAL_CONFIRMATION_REQUEST, from, payloadBytes)
+      ByteBuffer buffer =
+          PeerFrameEncoding.allocate(WITHDRAWAL_CONFIRMATION_REQUEST, header, payloadBytes)
               .putLong(requestId)
               .putLong(epoch)
               .putLong(revision);
-      b.putShort((short) jobBytes.length).put(jobBytes).putShort((short) machineNames.size());
-      machineNames.forEach(n -> b.putShort((short) n.length).put(n));
-      return b.flip();
+      PeerFrameEncoding.putText(buffer, jobBytes);
+      buffer.putShort((short) machineNames.size());
+      machineNames.forEach(name -> PeerFrameEncoding.putText(buffer, name));
+      return buffer.flip();
+    }
+
+    static WithdrawalConfirmationRequest decode(FrameHeader header, ByteBuffer buffer)
+        throws BadMessage {
+      PeerFrameEncoding.requireRemaining(buffer, 3 * Long.BYTES);
+      long requestId = buffer.getLong();
+      long epoch = buffer.getLong();
+      long revision = buffer.getLong();
+      String job = PeerFrameEncoding.readText(buffer);
+      int machineCount = PeerFrameEncoding.readLength(buffer);
+      List<String> machines = new ArrayList<>();
+      for (int i = 0; i < machineCount; i++) {
+        machines.add(PeerFrameEncoding.readText(buffer));
+      }
+      return new WithdrawalConfirmationRequest(
+          header, requestId, epoch, revision, job, List.copyOf(machines));
     }
   }
 
@@ -140,117 +229,60 @@
    * @param confirmedMachines a bit for each machine of the request, in its order; the least
    *     significant bit of the first byte is the first machine
    */
-  record WithdrawalConfirmation(int from, long requestId, byte[] confirmedMachines)
+  record WithdrawalConfirmation(FrameHeader header, long requestId, byte[] confirmedMachines)
       implements PeerFrame {
     @Override
     public ByteBuffer encode() {
-      return allocateWithHeader(WITHDRAWAL_CONFIRMATION, from, 8 + confirmedMachines.length)
+      return PeerFrameEncoding.allocate(
+              WITHDRAWAL_CONFIRMATION, header, Long.BYTES + confirmedMachines.length)
           .putLong(requestId)
           .put(confirmedMachines)
           .flip();
     }
+
+    static WithdrawalConfirmation decode(FrameHeader header, ByteBuffer buffer) throws BadMessage {
+      PeerFrameEncoding.requireRemaining(buffer, Long.BYTES);
+      long requestId = buffer.getLong();
+      return new WithdrawalConfirmation(header, requestId, PeerFrameEncoding.readRemaining(buffer));
+    }
   }
 
   /**
    * A frame of a version or kind that this build does not know. It is counted and otherwise
    * ignored: it says nothing about the state of its sender.
    */
-  record Unknown(int from) implements PeerFrame {
+  record Unknown() implements PeerFrame {
+    @Override
+    public FrameHeader header() {
+      return FrameHeader.firstLayout(-1);
+    }
+
     @Override
     public ByteBuffer encode() {
       throw new UnsupportedOperationException("a frame of unknown kind cannot be encoded");
     }
   }
 
-  /**
-   * Allocates a buffer and writes the header. Sender numbers up to 127 take one byte, as in older
-   * builds, which assign no larger ones; larger numbers take four bytes.
-   */
-  private static ByteBuffer allocateWithHeader(byte kind, int from, int payloadBytes) {
-    boolean narrowSender = from <= Byte.MAX_VALUE;
-    ByteBuffer buffer =
-        ByteBuffer.allocate(
-                HEADER_BYTES + (narrowSender ? 0 : WIDE_SENDER_EXTRA_BYTES) + payloadBytes)
-            .put(VERSION);
-    return narrowSender
-        ? buffer.put(kind).put((byte) from)
-        : buffer.put((byte) (kind + WIDE_SENDER_KIND_OFFSET)).putInt(from);
-  }
-
   /**
    * Decodes a frame; one of another version or kind becomes {@link Unknown}.
    *
    * @throws BadMessage if the header or the payload of a known kind is truncated
    */
   static PeerFrame decode(ByteBuffer buffer) throws BadMessage {
-    if (buffer.remaining() < HEADER_BYTES) {
-      throw new BadMessage("frame is truncated");
-    }
+    PeerFrameEncoding.requireRemaining(buffer, PeerFrameEncoding.MIN_FRAME_BYTES);
     byte version = buffer.get();
     byte encodedKind = buffer.get();
-    boolean wideSender = encodedKind > WIDE_SENDER_KIND_OFFSET;
-    byte kind = wideSender ? (byte) (encodedKind - WIDE_SENDER_KIND_OFFSET) : encodedKind;
-    if (version != VERSION || kind < PEER_STATUS || kind > WITHDRAWAL_CONFIRMATION) {
-      return new Unknown(-1);
-    }
-    int minPayloadBytes =
-        switch (kind) {
-          case PEER_STATUS -> 13;
-          case RELAYED_REPORT, WITHDRAWAL_CONFIRMATION -> 8;
-          case WITHDRAWAL_CONFIRMATION_REQUEST -> 28;
-          default -> 10;
-        };
-    if (buffer.remaining() < minPayloadBytes + (wideSender ? 1 + WIDE_SENDER_EXTRA_BYTES : 1)) {
-      throw new BadMessage("frame is truncated");
+    byte kind = PeerFrameEncoding.kind(version, encodedKind);
+    if (kind < PEER_STATUS || kind > WITHDRAWAL_CONFIRMATION) {
+      return new Unknown();
     }
-    int from = wideSender ? buffer.getInt() : buffer.get();
+    FrameHeader header = PeerFrameEncoding.decodeHeader(version, encodedKind, buffer);
     return switch (kind) {
-      case PEER_STATUS -> {
-        boolean stateServiceReachable = buffer.get() == 1;
-        yield new PeerStatus(from, buffer.getLong(), stateServiceReachable, buffer.getInt());
-      }
-      case RELAYED_REPORT -> new RelayedReport(from, buffer.getLong(), readRemaining(buffer));
-      case WITHDRAWAL_CONFIRMATION_REQUEST -> decodeConfirmationRequest(from, buffer);
-      case WITHDRAWAL_CONFIRMATION ->
-          new WithdrawalConfirmation(from, buffer.getLong(), readRemaining(buffer));
-      default -> new RelayedReply(from, buffer.getLong(), buffer.getShort(), readRemaining(buffer));
+      case PEER_STATUS -> PeerStatus.decode(header, buffer);
+      case RELAYED_REPORT -> RelayedReport.decode(header, buffer);
+      case RELAYED_REPLY -> RelayedReply.decode(header, buffer);
+      case WITHDRAWAL_CONFIRMATION_REQUEST -> WithdrawalConfirmationRequest.decode(header, buffer);
+      default -> WithdrawalConfirmation.decode(header, buffer);
     };
   }
-
-  private static WithdrawalConfirmationRequest decodeConfirmationRequest(
-      int from, ByteBuffer buffer) throws BadMessage {
-    long requestId = buffer.getLong();
-    long epoch = buffer.getLong();
-    long revision = buffer.getLong();
-    String job = readText(buffer);
-    int machineCount = readLength(buffer);
-    List<String> machines = new ArrayList<>();
-    for (int i = 0; i < machineCount; i++) {
-      machines.add(readText(buffer));
-    }
-    return new WithdrawalConfirmationRequest(
-        from, requestId, epoch, revision, job, List.copyOf(machines));
-  }
-
-  private static int readLength(ByteBuffer buffer) throws BadMessage {
-    if (buffer.remaining() < Short.BYTES) {
-      throw new BadMessage("frame is truncated");
-    }
-    return Short.toUnsignedInt(buffer.getShort());
-  }
-
-  private static String readText(ByteBuffer buffer) throws BadMessage {
-    byte[] bytes = new byte[readLength(buffer)];
-    if (buffer.remaining() < bytes.length) {
-      throw new BadMessage("frame is truncated");
-    }
-    buffer.get(bytes);
-    return new String(bytes, StandardCharsets.UTF_8);
-  }
-
-  private static byte[] readRemaining(ByteBuffer buffer) {
-    byte[] bytes = new byte[buffer.remaining()];
-    buffer.get(bytes);
-    return bytes;
-  }
 }
--- a/src/main/java/wickdrift/protocol/Report.java
+++ b/src/main/java/wickdrift/protocol/Report.java
@@ -74,6 +74,11 @@
   /** Exit reason: the worker refused the attempt as unknown. */
   public static final String EXIT_UNKNOWN = "unknown";
 
+  /** Returns what identifies this report. */
+  public ReportKey key() {
+    return new ReportKey(machine, tenure, tick);
+  }
+
   /** Returns whether another report of the same worker is at least as recent as this one. */
   public boolean notNewerThan(Report other) {
     return tenure < other.tenure || tenure == other.tenure && tick <= other.tick;
--- a/src/test/java/wickdrift/bookkeeping/level/LevelUpgradeTest.java
+++ b/src/test/java/wickdrift/bookkeeping/level/LevelUpgradeTest.java
@@ -52,10 +52,14 @@
     "1, a3 b3 c2, a3 b3 c2, a b c, ,          0, 2, ''",
     "1, a3 b3 c3, a3 b3 c3, a b c, held takes, 0, 2, ''",
     "1, a3 b3 c3, a3 b3 c3, a b c, held numbers, 0, 1, gate numbers is held back",
-    // Level 5 has no gate in this build and may change encodings: it waits for the conversion.
-    "4, a5 b5,    a5 b5,    a b,   ,          2, 4, records of a form older than level 4 are left",
-    "4, a5 b5,    a5 b5,    a b,   ,          4, 5, ''",
-    "5, a5 b5,    a5 b5,    a b,   ,          5, 5, ''",
+    // Level 6 has no gate in this build and may change encodings: it waits for the conversion.
+    "5, a6 b6,    a6 b6,    a b,   ,          2, 5, records of a form older than level 5 are left",
+    "5, a6 b6,    a6 b6,    a b,   ,          5, 6, ''",
+    "6, a6 b6,    a6 b6,    a b,   ,          6, 6, ''",
+    // Level 5 changes no encoding and doesn't wait.
+    "4, a5 b5,    a5 b5,    a b,   ,          2, 5, ''",
+    "4, a5 b5 c4, a5 b5 c5, a b c, ,          2, 4, c speaks levels 1 to 4",
+    "4, a5 b5 c5, a5 b5 c5, a b c, held peer_processes, 2, 4, gate peer_processes is held back",
     // Level 4 changes no encoding either and doesn't wait, however old the records are.
     "3, a4 b4,    a4 b4,    a b,   ,          0, 4, ''",
     "3, a4 b4 c3, a4 b4 c4, a b c, ,          2, 3, c speaks levels 1 to 3",
@@ -97,7 +101,7 @@
     LevelUpgrade upgrade =
         LevelUpgrade.evaluate(
             currentLevel,
-            new LevelRange(1, 5),
+            new LevelRange(1, 6),
             live,
             List.of(configuredNodes.split(" ")),
             registry);
--- a/src/test/java/wickdrift/protocol/PeerFrameTest.java
+++ b/src/test/java/wickdrift/protocol/PeerFrameTest.java
@@ -22,7 +22,8 @@
   /** The layout is fixed: controllers of build dc24b21 write and read exactly these bytes. */
   @Test
   void theStatusLayoutMatchesTheFormerBuild() throws BadMessage {
-    PeerFrame.PeerStatus status = new PeerFrame.PeerStatus(2, 41, true, 7);
+    PeerFrame.PeerStatus status =
+        new PeerFrame.PeerStatus(FrameHeader.firstLayout(2), 41, true, 7, 0, 0);
     ByteBuffer bytes = fromHex("0301020100000000000000" + "29" + "00000007");
     assertEquals(bytes, status.encode());
     assertEquals(status, PeerFrame.decode(bytes));
@@ -32,25 +33,34 @@
   @Test
   void trailingBytesOfANewerSenderAreIgnored() throws BadMessage {
     ByteBuffer longer =
-        ByteBuffer.allocate(32).put(new PeerFrame.PeerStatus(1, 5, false, 0).encode());
-    assertEquals(new PeerFrame.PeerStatus(1, 5, false, 0), PeerFrame.decode(longer.rewind()));
+        ByteBuffer.allocate(32)
+            .put(new PeerFrame.PeerStatus(FrameHeader.firstLayout(1), 5, false, 0, 0, 0).encode());
+    assertEquals(
+        new PeerFrame.PeerStatus(FrameHeader.firstLayout(1), 5, false, 0, 0, 0),
+        PeerFrame.decode(longer.rewind()));
   }
 
   @ParameterizedTest
   @ValueSource(ints = {0, 127, 128, 300, 65_535})
   void anyNodeNumberIsEncoded(int from) throws BadMessage {
     assertEquals(
-        from, PeerFrame.decode(new PeerFrame.PeerStatus(from, 1, true, 2).encode()).from());
+        from,
+        PeerFrame.decode(
+                new PeerFrame.PeerStatus(FrameHeader.firstLayout(from), 1, true, 2, 0, 0).encode())
+            .from());
     byte[] body = {1, 2, 3};
     PeerFrame.RelayedReport relayed =
         (PeerFrame.RelayedReport)
-            PeerFrame.decode(new PeerFrame.RelayedReport(from, 9, body).encode());
+            PeerFrame.decode(
+                new PeerFrame.RelayedReport(FrameHeader.firstLayout(from), 9, body).encode());
     assertEquals(
         from + " 9 [1, 2, 3]",
         relayed.from() + " " + relayed.requestId() + " " + Arrays.toString(relayed.body()));
     PeerFrame.RelayedReply answered =
         (PeerFrame.RelayedReply)
-            PeerFrame.decode(new PeerFrame.RelayedReply(from, 9, 421, body).encode());
+            PeerFrame.decode(
+                new PeerFrame.RelayedReply(FrameHeader.firstLayout(from), 9, null, 421, body)
+                    .encode());
     assertEquals(from + " 421", answered.from() + " " + answered.status());
   }
 
@@ -59,12 +69,19 @@
   void aWithdrawalAndItsConfirmationAreEncoded(int from) throws BadMessage {
     PeerFrame.WithdrawalConfirmationRequest withdrawal =
         new PeerFrame.WithdrawalConfirmationRequest(
-            from, 7, 41, 900, "req-000001", List.of("i-000001", "i-\u00e9"));
+            FrameHeader.firstLayout(from),
+            7,
+            41,
+            900,
+            "req-000001",
+            List.of("i-000001", "i-\u00e9"));
     assertEquals(withdrawal, PeerFrame.decode(withdrawal.encode()));
     PeerFrame.WithdrawalConfirmation confirmation =
         (PeerFrame.WithdrawalConfirmation)
             PeerFrame.decode(
-                new PeerFrame.WithdrawalConfirmation(from, 7, new byte[] {5}).encode());
+                new PeerFrame.WithdrawalConfirmation(
+                        FrameHeader.firstLayout(from), 7, new byte[] {5})
+                    .encode());
     assertEquals(
         from + " 7 [5]",
         confirmation.from()
@@ -79,7 +96,7 @@
   void aTruncatedWithdrawalIsMalformed() {
     ByteBuffer whole =
         new PeerFrame.WithdrawalConfirmationRequest(
-                1, 7, 41, 900, "req-000001", List.of("i-000001"))
+                FrameHeader.firstLayout(1), 7, 41, 900, "req-000001", List.of("i-000001"))
             .encode();
     for (int length = 0; length < whole.limit(); length++) {
       ByteBuffer truncated = ByteBuffer.wrap(Arrays.copyOf(whole.array(), length));
@@ -87,9 +104,66 @@
     }
   }
 
+  private static FrameHeader identified() {
+    return new FrameHeader(70_000, "inc-a", 3, "inc-b");
+  }
+
+  private static List<PeerFrame> identifiedFrames() {
+    return List.of(
+        new PeerFrame.PeerStatus(identified(), 41, true, 7, 900, 899),
+        new PeerFrame.RelayedReport(identified(), 1L << 62, new byte[] {1, 2}),
+        new PeerFrame.RelayedReply(
+            identified(), 9, new ReportKey("i-000001", 2, 41), 200, new byte[] {3}),
+        new PeerFrame.WithdrawalConfirmationRequest(
+            identified(), 7, 41, 900, "req-000001", List.of("i-000001", "i-\u00e9")),
+        new PeerFrame.WithdrawalConfirmation(identified(), 7, new byte[] {5}));
+  }
+
+  /** A frame of the second layout names the processes of sender and receiver. */
+  @Test
+  void anIdentifiedFrameIsEncodedWithItsHeader() throws BadMessage {
+    for (PeerFrame frame : identifiedFrames()) {
+      PeerFrame decoded = PeerFrame.decode(frame.encode());
+      assertEquals(identified(), decoded.header());
+      assertEquals(frame.getClass(), decoded.getClass());
+      assertEquals(frame.encode(), decoded.encode());
+    }
+  }
+
+  /** Builds that know the first layout only see an unknown version, and ignore the frame. */
+  @Test
+  void anIdentifiedFrameHasAVersionThatOlderBuildsDoNotKnow() {
+    for (PeerFrame frame : identifiedFrames()) {
+      assertEquals(PeerFrame.IDENTIFIED_VERSION, frame.encode().get(0));
+    }
+  }
+
+  @Test
+  void aTruncatedIdentifiedFrameIsMalformed() {
+    int bytesOfBody = 2;
+    for (PeerFrame frame : identifiedFrames()) {
+      byte[] whole = frame.encode().array();
+      for (int length = 0; length < whole.length - bytesOfBody; length++) {
+        ByteBuffer truncated = ByteBuffer.wrap(Arrays.copyOf(whole, length));
+        assertThrows(BadMessage.class, () -> PeerFrame.decode(truncated), frame + ", " + length);
+      }
+    }
+  }
+
   /** A frame of an unknown layout or kind is decoded as unknown instead of failing. */
   @ParameterizedTest
-  @ValueSource(strings = {"040102", "030902", "03FF02", "030002", "031602000000", "030602"})
+  @ValueSource(
+      strings = {
+        "050102",
+        "040602",
+        "040002",
+        "041102",
+        "030902",
+        "03FF02",
+        "030002",
+        "031602000000",
+        "030602"
+      })
   void anUnknownFrameIsNoError(String bytes) throws BadMessage {
     assertInstanceOf(PeerFrame.Unknown.class, PeerFrame.decode(fromHex(bytes)));
   }
@@ -105,7 +179,10 @@
     "0302020000",
     "030402",
     "0305020000",
-    "031402000000"
+    "031402000000",
+    "040102",
+    "04010000000200000001",
+    "040100000002000000010001610001"
   })
   void aTruncatedFrameIsMalformed(String bytes) {
     assertThrows(BadMessage.class, () -> PeerFrame.decode(fromHex(bytes)));
--- a/src/test/java/wickdrift/sim/CancellationTest.java
+++ b/src/test/java/wickdrift/sim/CancellationTest.java
@@ -3,6 +3,7 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.nio.ByteBuffer;
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.HashSet;
@@ -18,6 +19,7 @@
 import org.junit.jupiter.params.provider.ValueSource;
 import wickdrift.protocol.BadMessage;
 import wickdrift.protocol.Document;
+import wickdrift.protocol.FrameHeader;
 import wickdrift.protocol.PeerFrame;
 
 /**
@@ -349,6 +351,39 @@
     ClusterTest.assertJobsDoneAndRulesHeld(world, List.of());
   }
 
+  private static PeerFrame decodeFrame(byte[] body) {
+    try {
+      return PeerFrame.decode(ByteBuffer.wrap(body));
+    } catch (BadMessage e) {
+      throw new AssertionError(e);
+    }
+  }
+
+  /**
+   * Delivers confirmations under the number of a request to the leader: from the other controllers,
+   * from no controller (77), from an earlier process of the leader, in the first layout, and to an
+   * earlier process of the confirmer.
+   */
+  private static void deliverForgedConfirmations(
+      SimWorld world, String confirmer, String leader, long requestId) {
+    FrameHeader genuine = world.peerHeader(leader, confirmer);
+    List<FrameHeader> headers = new ArrayList<>();
+    for (int from : new int[] {0, 1, 2, 77}) {
+      if (from != genuine.from()) {
+        headers.add(
+            new FrameHeader(from, genuine.fromProcess(), genuine.to(), genuine.toProcess()));
+      }
+    }
+    headers.add(new FrameHeader(genuine.from(), "inc-ended", genuine.to(), genuine.toProcess()));
+    headers.add(new FrameHeader(genuine.from(), genuine.fromProcess(), genuine.to(), "inc-ended"));
+    headers.add(FrameHeader.firstLayout(genuine.from()));
+    byte[] allMachines = {-1, -1, -1, -1};
+    for (FrameHeader header : headers) {
+      world.deliverPeerFrame(
+          confirmer, new PeerFrame.WithdrawalConfirmation(header, requestId, allMachines));
+    }
+  }
+
   /**
    * A controller that has lost the state service and its peers keeps answering its workers. No
    * other controller may confirm the withdrawal of a task there until the task certainly no longer
@@ -362,6 +397,15 @@
     String leader = world.tables("n0").view().leader();
     world.state().setRefused(leader, true);
     world.cutFromPeers(leader, true);
+    Set<Long> requestIds = new HashSet<>();
+    world.net.faultScript =
+        (from, to, path, body) -> {
+          if (to.equals("peer:" + leader)
+              && decodeFrame(body) instanceof PeerFrame.WithdrawalConfirmationRequest request) {
+            requestIds.add(request.requestId());
+          }
+          return SimNetwork.RequestOutcome.DELIVERED;
+        };
     String confirmer = otherController(world, leader, "");
     for (int i = 0; i < JOBS; i++) {
       world.users.withdraw(jobId(i), confirmer);
@@ -387,16 +431,8 @@
     }
     world.run(300);
     if (forged) {
-      // Unsolicited answers under the numbers of all other controllers, and of no controller (77).
-      byte[] allMachines = {-1, -1, -1, -1};
-      for (int from : new int[] {0, 1, 2, 77}) {
-        for (long question = 0;
-            from != controllerNumber(world, leader) && question < 200;
-            question++) {
-          world.deliverPeerFrame(
-              confirmer, new PeerFrame.WithdrawalConfirmation(from, question, allMachines));
-        }
-      }
+      assertTrue(requestIds.size() >= 1, "the leader was not asked");
+      requestIds.forEach(id -> deliverForgedConfirmations(world, confirmer, leader, id));
     }
     world.run(600);
     world.state().setOutage(true);
--- a/src/test/java/wickdrift/sim/ConfirmationProofTest.java
+++ b/src/test/java/wickdrift/sim/ConfirmationProofTest.java
@@ -8,6 +8,10 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
+import wickdrift.bookkeeping.level.Gate;
+import wickdrift.bookkeeping.level.LevelRange;
+import wickdrift.coordination.peers.RequestIds;
+import wickdrift.protocol.FrameHeader;
 import wickdrift.protocol.PeerFrame;
 
 /**
@@ -93,7 +97,7 @@
     SimWorld world = CancellationTest.worldWithRunningJobs(4710, 200);
     String owner = world.nodes.get(1);
     String asker = world.nodes.get(0);
-    int number = CancellationTest.controllerNumber(world, asker);
+    FrameHeader header = world.peerHeader(asker, owner);
     long epoch = world.epoch(owner);
     long revision = world.tables(owner).appliedRev();
     int[] answers = new int[1];
@@ -106,15 +110,45 @@
       world.deliverPeerFrame(
           owner,
           new PeerFrame.WithdrawalConfirmationRequest(
-              number, 1, askedEpoch, revision, "req-000001", machines));
+              header, 1, askedEpoch, revision, "req-000001", machines));
       world.run(300);
       assertEquals(0, answers[0], "answered under epoch " + askedEpoch);
     }
     world.deliverPeerFrame(
         owner,
         new PeerFrame.WithdrawalConfirmationRequest(
-            number, 2, epoch, revision, "req-000001", machines));
+            header, 2, epoch, revision, "req-000001", machines));
     world.run(300);
     assertEquals(1, answers[0], "not answered under its own epoch");
   }
+
+  /**
+   * A build that counts its requests from one in each process could take the reply to an earlier
+   * process's request for the reply to its own. It gets none, and its announcement counts.
+   */
+  @Test
+  void requestWhoseNumberAnotherProcessMayUseIsNotAnswered() {
+    SimWorld world = new SimWorld(4720, 8, 8);
+    world.restartAll(new LevelRange(1, Gate.PEER_PROCESSES.level() - 1), "");
+    world.run(10_000);
+    String owner = world.nodes.get(1);
+    String asker = world.nodes.get(0);
+    FrameHeader header = FrameHeader.firstLayout(CancellationTest.controllerNumber(world, asker));
+    int[] answers = new int[1];
+    world.net.listen(
+        "peer:" + asker,
+        (from, m, p, body, done) ->
+            answers[0] += body[1] == PeerFrame.WITHDRAWAL_CONFIRMATION ? 1 : 0);
+    long epoch = world.epoch(owner);
+    long notYetRead = world.tables(owner).appliedRev() + 1;
+    for (long requestId : new long[] {1, new RequestIds("inc-other").next()}) {
+      world.deliverPeerFrame(
+          owner,
+          new PeerFrame.WithdrawalConfirmationRequest(
+              header, requestId, epoch, notYetRead, "req-000001", List.of()));
+      world.run(300);
+      assertEquals(RequestIds.isUnique(requestId) ? 1 : 0, answers[0], "request " + requestId);
+      assertTrue(world.tables(owner).isWithdrawalAnnounced("req-000001"));
+    }
+  }
 }
--- a/src/test/java/wickdrift/sim/SimNetwork.java
+++ b/src/test/java/wickdrift/sim/SimNetwork.java
@@ -228,9 +228,13 @@
     recordedReports.clear();
   }
 
-  /** Delivers every request that the script has held; the answers are discarded. */
+  /** Delivers every request that the script has held, in order; the answers are discarded. */
   void releaseHeld() {
-    heldByScript.forEach(delivery -> clock.after(transmissionDelayMs(), delivery));
+    long delayMs = 0;
+    for (Runnable delivery : heldByScript) {
+      delayMs = Math.max(delayMs, transmissionDelayMs());
+      clock.after(delayMs, delivery);
+    }
     heldByScript.clear();
   }
 
--- a/src/test/java/wickdrift/sim/SimWorld.java
+++ b/src/test/java/wickdrift/sim/SimWorld.java
@@ -26,6 +26,7 @@
 import wickdrift.daemon.Metrics;
 import wickdrift.protocol.BadMessage;
 import wickdrift.protocol.Document;
+import wickdrift.protocol.FrameHeader;
 import wickdrift.protocol.JobSpec;
 import wickdrift.protocol.MessageCodec;
 import wickdrift.protocol.PeerFrame;
@@ -98,6 +99,7 @@
   private static final class NodeProcess {
     boolean alive = true;
     boolean paused;
+    String incarnation;
     Controller controller;
     final List<Runnable> pendingTimers = new ArrayList<>();
     final List<Runnable> pendingMessages = new ArrayList<>();
@@ -267,6 +269,15 @@
     net.serverAt("peer:" + node).serve("peer", "", "", toBytes(frame.encode()), a -> {});
   }
 
+  /** Returns the header of a frame from one node's running process to another's. */
+  FrameHeader peerHeader(String from, String to) {
+    return new FrameHeader(
+        tables(from).registry().numberOf(from),
+        processes.get(from).incarnation,
+        tables(from).registry().numberOf(to),
+        processes.get(to).incarnation);
+  }
+
   private String zoneOfNode(String node) {
     return "" + setup.controllers().charAt(indexOfNode(node) % setup.controllers().length());
   }
@@ -397,6 +408,7 @@
               net.caller(name, () -> true)
                   .call("peer:" + peer.node(), "", "", toBytes(f), 1000, a -> {}));
     }
+    process.incarnation = "inc" + ++incarnationCount;
     process.controller =
         new Controller(
             settings,
@@ -404,7 +416,7 @@
             timers,
             caller(name, process),
             peers,
-            "inc" + ++incarnationCount,
+            process.incarnation,
             new Metrics(),
             supportedLevels.getOrDefault(name, LevelRange.BUILD));
     net.listen(
