The answer of another machine to a direct command tells nothing about the machine that was meant

If another machine has the address of one that is gone, its answer to a direct command was taken for the state of the machine that was meant, its counters for a restart, and the command for answered for good.

Fix: an answer counts only if its report names the machine. Otherwise the command stays unanswered (it may still arrive where it was meant), nothing of the report is taken over, and nothing more is sent to that address before the worker's next report names its address anew. An answer that can't be read is no answer either. Counted as commands.answered.by.other, one log line each. An answer to a command of an earlier ownership no longer counts as a sign that commands reach the machine.

--- a/src/main/java/wickdrift/coordination/DirectCommands.java
+++ b/src/main/java/wickdrift/coordination/DirectCommands.java
@@ -78,6 +78,7 @@
     if (report == null
         || !machine.epochAcknowledged()
         || link.inFlight
+        || link.isAddressDisproved(report)
         || machine.phase() == Machine.Phase.LOST) {
       return;
     }
@@ -107,7 +108,10 @@
   void probe(Machine machine, long session) {
     WorkerLink link = links.linkTo(machine);
     long now = timers.nowMs();
-    if (link.inFlight || now < link.nextProbeMs || machine.report() == null) {
+    if (link.inFlight
+        || now < link.nextProbeMs
+        || machine.report() == null
+        || link.isAddressDisproved(machine.report())) {
       return;
     }
     link.nextProbeMs = now + leaseMs / MAX_PROBES_PER_LEASE;
@@ -141,24 +145,45 @@
   private void handleAnswer(
       Machine machine, WorkerLink link, WorkerCommands.DirectRuns command, Caller.Response answer) {
     link.inFlight = false;
-    if (answer.status() != HTTP_OK && answer.status() != HTTP_CONFLICT) {
-      // The command may still arrive. The answers to reports repeat its content.
-      if (!command.runs().isEmpty()) {
-        links.commandUnanswered(machine, machine.report(), command.epoch());
-      }
+    Report report = reportIn(answer);
+    if (report == null) {
+      handleMissingAnswer(machine, command);
+      return;
+    }
+    if (!report.machine().equals(machine.name())) {
+      // Another machine has this address now. Its answer tells nothing about the worker that was
+      // meant, which may still get the command if it was sent there before.
+      links.commandAnsweredByOtherMachine(machine, report, command.epoch());
+      link.addressDisproved(machine.report());
+      handleMissingAnswer(machine, command);
       return;
     }
     // The worker has executed the command or refused it for good, so it cannot take effect again.
     link.commands.directCommandAnswered(command);
-    machine.markReachableForCommands();
     View view = tables.view();
-    if (!links.isCurrent(machine, link) || view == null) {
-      return;
+    if (links.isCurrent(machine, link) && view != null) {
+      machine.markReachableForCommands();
+      applyReport(machine, link, report, view);
+    }
+  }
+
+  /** Returns the report in an answer, or null if no worker has answered with a report. */
+  private Report reportIn(Caller.Response answer) {
+    if (answer.status() != HTTP_OK && answer.status() != HTTP_CONFLICT) {
+      return null;
     }
     try {
-      applyReport(machine, link, Report.parse(Document.parse(answer.body())), view);
+      return Report.parse(Document.parse(answer.body()));
     } catch (BadMessage cause) {
       malformed.record(MalformedMessages.Sender.WORKER, "answer to orders", cause);
+      return null;
+    }
+  }
+
+  /** The command may still arrive. The answers to reports repeat its content. */
+  private void handleMissingAnswer(Machine machine, WorkerCommands.DirectRuns command) {
+    if (!command.runs().isEmpty()) {
+      links.commandUnanswered(machine, machine.report(), command.epoch());
     }
   }
 
--- a/src/main/java/wickdrift/coordination/WorkerLink.java
+++ b/src/main/java/wickdrift/coordination/WorkerLink.java
@@ -25,6 +25,9 @@
   /** The newest report that was known when the last command was sent. */
   private Report newestReportAtSend;
 
+  /** The report that names an address at which another machine has answered, or null. */
+  private Report reportOfDisprovedAddress;
+
   private final Map<TaskAttempt, Long> haltedAtMs = new HashMap<>();
 
   /** Records that a command is sent. Its answer cannot be older than the newest report. */
@@ -41,6 +44,19 @@
     return newestReportAtSend != null && answer.notNewerThan(newestReportAtSend);
   }
 
+  /** Records that another machine has answered at the address in the worker's last report. */
+  void addressDisproved(Report lastReport) {
+    reportOfDisprovedAddress = lastReport;
+  }
+
+  /**
+   * Whether another machine has answered at the address in a report. The next report of the worker
+   * names its address anew.
+   */
+  boolean isAddressDisproved(Report report) {
+    return report == reportOfDisprovedAddress;
+  }
+
   /**
    * Records a halt of the attempt, unless one was recorded within {@link #HALT_REPEAT_INTERVAL_MS}.
    *
--- a/src/main/java/wickdrift/coordination/WorkerLinks.java
+++ b/src/main/java/wickdrift/coordination/WorkerLinks.java
@@ -30,6 +30,7 @@
   private final SafetyMonitor monitor = new SafetyMonitor(events);
   private long workerRestarts;
   private long unansweredCommands;
+  private long answersByOtherMachines;
 
   /** Creates an instance without links. */
   public WorkerLinks(Timers timers) {
@@ -54,6 +55,11 @@
     return unansweredCommands;
   }
 
+  /** Returns the number of answers to direct commands that came from another machine. */
+  public long answersByOtherMachines() {
+    return answersByOtherMachines;
+  }
+
   /** Returns the number of machines at which a direct run may still arrive. */
   public long machinesWithOutstandingRuns() {
     return links.values().stream().filter(link -> !link.commands.hasNoOutstandingRuns()).count();
@@ -123,6 +129,17 @@
     recordEvent(CommandEvent.Kind.DIRECT_UNANSWERED, machine, NO_ATTEMPT, report, epoch, "");
   }
 
+  /** Records that another machine than the one that was meant has answered a direct command. */
+  void commandAnsweredByOtherMachine(Machine machine, Report answer, long epoch) {
+    answersByOtherMachines++;
+    LOG.warn(
+        "command answered by another machine: machine={}, answeredBy={}, address={}, epoch={}",
+        machine.name(),
+        answer.machine(),
+        answer.address(),
+        epoch);
+  }
+
   /** Records an event together with the report on which it is based, which may be null. */
   void recordEvent(
       CommandEvent.Kind kind,
--- a/src/main/java/wickdrift/daemon/Controller.java
+++ b/src/main/java/wickdrift/daemon/Controller.java
@@ -252,6 +252,7 @@
         "workers.malformed", () -> malformedMessages.count(MalformedMessages.Sender.WORKER));
     metrics.registerGauge("workers.restarted", links::workerRestarts);
     metrics.registerGauge("commands.unanswered", links::unansweredCommands);
+    metrics.registerGauge("commands.answered.by.other", links::answersByOtherMachines);
     metrics.registerGauge("commands.uncertain.machines", links::machinesWithOutstandingRuns);
     metrics.registerGauge("invariants.violated", links.monitor()::violations);
     metrics.registerGauge("peers.rejected", rejectedFrames::total);
