--- a/src/test/java/wickdrift/coordination/ReportRelayTest.java
+++ b/src/test/java/wickdrift/coordination/ReportRelayTest.java
@@ -20,11 +20,12 @@
 import wickdrift.protocol.PeerFrame;
 import wickdrift.protocol.Report;
 import wickdrift.protocol.ReportKey;
+import wickdrift.sim.SimClock;
 import wickdrift.transport.Exchange;
-import wickdrift.transport.Timers;
 
 /** A reply reaches the worker whose report it answers, and no other. */
 class ReportRelayTest {
+  private static final long REPLY_TIMEOUT_MS = 1500;
   private static final String OWNER = "n2";
   private static final FrameHeader OWNER_HEADER = new FrameHeader(2, "p2", 1, "p1");
 
@@ -39,33 +40,16 @@
     FIRST_LAYOUT
   }
 
-  private final List<Runnable> timeouts = new ArrayList<>();
+  private final SimClock clock = new SimClock();
   private final List<PeerFrame.RelayedReport> forwarded = new ArrayList<>();
   private final List<Integer> answers = new ArrayList<>();
   private ReportRelay relay;
 
   @BeforeEach
   void create() throws Exception {
-    Timers timers =
-        new Timers() {
-          @Override
-          public long nowMs() {
-            return 0;
-          }
-
-          @Override
-          public long wallMs() {
-            return 0;
-          }
-
-          @Override
-          public void after(long delayMs, Runnable action) {
-            timeouts.add(action);
-          }
-        };
     PeerIdentity identity = TestIdentities.atLevel(Gate.PEER_PROCESSES.level());
     NodeRegistry registry = new NodeRegistry(List.of("n0", "n1", "n2"));
-    relay = new ReportRelay(timers, identity, registry, Map.of(OWNER, this::recordFrame));
+    relay = new ReportRelay(clock, identity, registry, Map.of(OWNER, this::recordFrame));
   }
 
   private void recordFrame(ByteBuffer bytes) {
@@ -138,7 +122,7 @@
     reply(OWNER_HEADER, first, key("i-1"));
     reply(OWNER_HEADER, first, key("i-1"));
     long second = forward("i-1");
-    timeouts.get(1).run();
+    clock.runUntil(clock.nowMs() + REPLY_TIMEOUT_MS);
     reply(OWNER_HEADER, second, key("i-1"));
     assertEquals(List.of(200, 421), answers);
     assertEquals(2, relay.unmatchedCount());
--- a/src/test/java/wickdrift/coordination/peers/PeerStatusesTest.java
+++ b/src/test/java/wickdrift/coordination/peers/PeerStatusesTest.java
@@ -9,41 +9,28 @@
 import wickdrift.bookkeeping.level.NodeRegistry;
 import wickdrift.protocol.FrameHeader;
 import wickdrift.protocol.PeerFrame;
-import wickdrift.transport.Timers;
+import wickdrift.sim.SimClock;
 
 /** A status that arrives late must not tell what the peer can reach now. */
 class PeerStatusesTest {
   private static final long INTERVAL_MS = 250;
   private static final int PEER = 0;
 
-  private long nowMs = 100_000;
+  private final SimClock clock = new SimClock();
   private PeerStatuses statuses;
 
   @BeforeEach
   void create() throws Exception {
-    Timers timers =
-        new Timers() {
-          @Override
-          public long nowMs() {
-            return nowMs;
-          }
-
-          @Override
-          public long wallMs() {
-            return nowMs;
-          }
-
-          @Override
-          public void after(long delayMs, Runnable action) {
-            throw new UnsupportedOperationException();
-          }
-        };
     PeerIdentity identity = TestIdentities.atLevel(Gate.PEER_PROCESSES.level());
-    statuses = new PeerStatuses(timers, identity, new NodeRegistry(List.of("n0", "n1", "n2")));
+    statuses = new PeerStatuses(clock, identity, new NodeRegistry(List.of("n0", "n1", "n2")));
+  }
+
+  private void advance(long ms) {
+    clock.runUntil(clock.nowMs() + ms);
   }
 
   private long send() {
-    nowMs += INTERVAL_MS;
+    advance(INTERVAL_MS);
     return statuses.nextStatus("n0", 7, true, 1).number();
   }
 
@@ -61,16 +48,16 @@
   void statusThatEchoesARecentOneCountsForItsTime() {
     receive("p0", "p1", 1, send());
     assertEquals(1, statuses.recent().size());
-    nowMs += 1900;
+    advance(1900);
     assertEquals(1, statuses.recent().size());
-    nowMs += 200;
+    advance(200);
     assertEquals(0, statuses.recent().size());
   }
 
   @Test
   void statusThatWasHeldBackDoesNotCount() {
     long number = send();
-    nowMs += 2500;
+    advance(2500);
     receive("p0", "p1", 1, number);
     assertEquals(0, statuses.recent().size());
     assertEquals(1, statuses.staleCount());
@@ -89,7 +76,7 @@
   void copyOfAStatusDoesNotCountAgain() {
     long number = send();
     receive("p0", "p1", 1, number);
-    nowMs += 2100 - INTERVAL_MS;
+    advance(2100 - INTERVAL_MS);
     receive("p0", "p1", 2, send());
     receive("p0", "p1", 1, number);
     receive("p0", "p1", 2, number);
--- a/src/test/java/wickdrift/sim/ReusedAddressTest.java
+++ b/src/test/java/wickdrift/sim/ReusedAddressTest.java
@@ -3,14 +3,14 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
 import java.util.List;
+import java.util.stream.IntStream;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 import wickdrift.protocol.Report;
 
 /** Direct commands are answered by another machine, which has the address of one that is gone. */
 class ReusedAddressTest {
-  private static final String JOB = "req-000001";
-  private static final String TASK = JOB + "/0";
+  private static final int JOBS = 12;
 
   /** Guards against taking another machine's report for the state of the machine that was meant. */
   @ParameterizedTest
@@ -18,22 +18,28 @@
   void answerOfAnotherMachineTellsNothingAboutTheOneThatWasMeant(long seed) {
     SimWorld world = new SimWorld(seed, 4, 4);
     world.run(10_000);
-    world.users.submit(SimJobs.job(1, "batch", 1, 1, 300), 0);
+    for (int i = 0; i < JOBS; i++) {
+      world.users.submit(SimJobs.job(i, "batch", 1, 1, 300), 0);
+    }
     world.run(15_000);
-    SimWorker gone = worker(world, world.rules.machineOf(TASK));
+    SimWorker gone =
+        world.workers().stream().filter(w -> jobsOn(world, w).size() >= 2).findFirst().get();
+    List<String> jobs = jobsOn(world, gone);
     SimWorker other = world.workers().stream().filter(w -> w != gone).findFirst().get();
     String owner = world.ownerOf("n0", gone.name);
     world.killMachine(world.workers().indexOf(gone));
     world.net.listen(gone.address, other);
-    world.users.withdraw(JOB, owner);
-    world.run(3000);
+    world.users.withdraw(jobs.get(0), owner);
+    world.run(1500);
     assertEquals(1, answersByOthers(world, owner));
     Report known = world.tables(owner).machine(gone.name).report();
     assertEquals(gone.name, known.machine());
     assertEquals(0, world.metric(owner, "wickdrift.workers.restarted"));
+    world.users.withdraw(jobs.get(1), owner);
     world.run(60_000);
     assertEquals(1, answersByOthers(world, owner), "sent to that address again");
-    assertEquals("withdrawn", world.lastReportedPhase(JOB));
+    assertEquals("withdrawn", world.lastReportedPhase(jobs.get(0)));
+    assertEquals("withdrawn", world.lastReportedPhase(jobs.get(1)));
     ClusterTest.assertJobsDoneAndRulesHeld(world, List.of());
   }
 
@@ -41,7 +47,11 @@
     return world.metric(owner, "wickdrift.commands.answered.by.other");
   }
 
-  private static SimWorker worker(SimWorld world, String name) {
-    return world.workers().stream().filter(w -> w.name.equals(name)).findFirst().get();
+  /** Returns the jobs that have a task on a machine. */
+  private static List<String> jobsOn(SimWorld world, SimWorker worker) {
+    return IntStream.range(0, JOBS)
+        .mapToObj(i -> String.format("req-%06d", i))
+        .filter(job -> worker.hasTask(job + "/0"))
+        .toList();
   }
 }
