--- a/src/main/java/wickdrift/bookkeeping/Machine.java
+++ b/src/main/java/wickdrift/bookkeeping/Machine.java
@@ -619,7 +619,7 @@
   }
 
   /**
-   * * Notes that an unsolicited report was answered, which may renew the worker's lease.
+   * Notes that an unsolicited report was answered, which may renew the worker's lease.
    *
    * @param epoch the epoch in the answer
    */
@@ -629,11 +629,6 @@
     latestLeaseRenewalMs = Math.max(latestLeaseRenewalMs, nowMs);
   }
 
-  /** When an unsolicited report was last answered. */
-  public long lastAnswerMs() {
-    return lastAnswerMs;
-  }
-
   /** The latest time at which any controller may have renewed the worker's lease. */
   public long latestLeaseRenewalMs() {
     return latestLeaseRenewalMs;
--- a/src/main/java/wickdrift/coordination/commands/CommandEvent.java
+++ b/src/main/java/wickdrift/coordination/commands/CommandEvent.java
@@ -37,8 +37,6 @@
     /** A worker restarted under the same name. */
     WORKER_RESTARTED,
     /** The confirmation of a withdrawal was decided for a machine. */
-    CONFIRMATION,
-    /** An invariant was violated. */
-    VIOLATION
+    CONFIRMATION
   }
 }
--- a/src/main/java/wickdrift/coordination/commands/WorkerCommands.java
+++ b/src/main/java/wickdrift/coordination/commands/WorkerCommands.java
@@ -280,11 +280,6 @@
     return outstandingCommands.isEmpty();
   }
 
-  /** Returns the outstanding commands, as evidence for the violation of an invariant. */
-  public List<DirectRuns> outstandingCommands() {
-    return List.copyOf(outstandingCommands);
-  }
-
   /**
    * Whether an ended attempt may be cleared from the worker, after which a run would start it
    * again.
--- a/src/main/java/wickdrift/coordination/peers/PeerStatuses.java
+++ b/src/main/java/wickdrift/coordination/peers/PeerStatuses.java
@@ -33,8 +33,8 @@
    */
   public record Status(boolean stateServiceReachable, long receivedMs, int writesPerSecond) {}
 
-  /** What this process has sent to a peer and received from it. */
-  private static final class Exchange {
+  /** Which statuses were sent to a peer and received from it. */
+  private static final class PeerCounters {
     final long[] sentMs = new long[KEPT_SEND_TIMES];
     long sentCount;
 
@@ -63,7 +63,7 @@
   private final Timers timers;
   private final PeerIdentity identity;
   private final NodeRegistry registry;
-  private final Map<Integer, Exchange> exchanges = new HashMap<>();
+  private final Map<Integer, PeerCounters> countersByPeer = new HashMap<>();
   private final Map<Integer, Status> statuses = new HashMap<>();
   private long highestEpoch;
   private long staleCount;
@@ -82,14 +82,14 @@
    */
   public PeerFrame.PeerStatus nextStatus(
       String peer, long epoch, boolean stateServiceReachable, int writesPerSecond) {
-    Exchange exchange = exchangeWith(registry.numberOf(peer));
-    FrameHeader header = identity.headerTo(peer, exchange.process);
+    PeerCounters counters = countersOf(registry.numberOf(peer));
+    FrameHeader header = identity.headerTo(peer, counters.process);
     if (header == null) {
       return null;
     }
-    long number = exchange.recordSent(timers.nowMs());
+    long number = counters.recordSent(timers.nowMs());
     return new PeerFrame.PeerStatus(
-        header, epoch, stateServiceReachable, writesPerSecond, number, exchange.newestNumber);
+        header, epoch, stateServiceReachable, writesPerSecond, number, counters.newestNumber);
   }
 
   /** Handles a peer's status that {@link PeerIdentity#judge} has accepted. */
@@ -108,19 +108,19 @@
   /** Notes which status is echoed next, and returns whether this one was sent recently. */
   private boolean isRecent(PeerFrame.PeerStatus status) {
     FrameHeader header = status.header();
-    Exchange exchange = exchangeWith(status.from());
-    boolean sameProcess = header.fromProcess().equals(exchange.process);
-    if (sameProcess && status.number() <= exchange.newestNumber) {
+    PeerCounters counters = countersOf(status.from());
+    boolean sameProcess = header.fromProcess().equals(counters.process);
+    if (sameProcess && status.number() <= counters.newestNumber) {
       return false;
     }
-    exchange.process = header.fromProcess();
-    exchange.newestNumber = status.number();
+    counters.process = header.fromProcess();
+    counters.newestNumber = status.number();
     return header.toProcess().equals(identity.process())
-        && exchange.wasSentSince(status.echoedNumber(), timers.nowMs() - MAX_AGE_MS);
+        && counters.wasSentSince(status.echoedNumber(), timers.nowMs() - MAX_AGE_MS);
   }
 
-  private Exchange exchangeWith(int peerNumber) {
-    return exchanges.computeIfAbsent(peerNumber, k -> new Exchange());
+  private PeerCounters countersOf(int peerNumber) {
+    return countersByPeer.computeIfAbsent(peerNumber, k -> new PeerCounters());
   }
 
   /** Returns the last status of each peer that has sent one recently. */
--- a/src/test/java/wickdrift/sim/LoopbackStage.java
+++ b/src/test/java/wickdrift/sim/LoopbackStage.java
@@ -117,11 +117,6 @@
     return address + "@" + node;
   }
 
-  /** Returns the real address for a simulated name, or null. */
-  String realAddress(String name) {
-    return addresses.get(name);
-  }
-
   /** Runs an action on the event loop that owns the stand-ins, and waits for its result. */
   <T> T callOnLoop(Supplier<T> action) throws Exception {
     CompletableFuture<T> result = new CompletableFuture<>();
--- a/src/test/java/wickdrift/sim/SoakPlan.java
+++ b/src/test/java/wickdrift/sim/SoakPlan.java
@@ -1,7 +1,6 @@
 package wickdrift.sim;
 
 import java.util.ArrayList;
-import java.util.Arrays;
 import java.util.Comparator;
 import java.util.List;
 import java.util.Map;
@@ -79,16 +78,6 @@
         && active.stream().noneMatch(s -> s.fault == fault);
   }
 
-  /** Returns a plan with every kind of fault once, one after another, for tests of the harness. */
-  static SoakPlan sequenceOfAll(long faultMs) {
-    List<Step> steps = new ArrayList<>();
-    for (SoakFault fault : Arrays.asList(SoakFault.values())) {
-      long startMs = faultMs * steps.size();
-      steps.add(new Step(fault, startMs, startMs + faultMs));
-    }
-    return new SoakPlan(List.copyOf(steps), faultMs * steps.size());
-  }
-
   /** Returns one line for each fault, in order of their start. */
   String describe() {
     return steps.stream()
