--- a/src/test/java/wickdrift/coordination/peers/PeerIdentityTest.java
+++ b/src/test/java/wickdrift/coordination/peers/PeerIdentityTest.java
@@ -78,6 +78,17 @@
     assertEquals(expected, PeerIdentity.isFromAskedProcess(request, reply));
   }
 
+  /** A frame of the first layout doesn't tell which process sent it. */
+  @Test
+  void replyCountsOnlyInTheLayoutOfTheRequest() {
+    FrameHeader toAnyProcess = new FrameHeader(1, "p1", 2, "");
+    assertTrue(PeerIdentity.isFromAskedProcess(toAnyProcess, new FrameHeader(2, "p2", 1, "p1")));
+    assertFalse(PeerIdentity.isFromAskedProcess(toAnyProcess, FrameHeader.firstLayout(2)));
+    FrameHeader firstLayout = new FrameHeader(1, "", 2, "");
+    assertTrue(PeerIdentity.isFromAskedProcess(firstLayout, FrameHeader.firstLayout(2)));
+    assertFalse(PeerIdentity.isFromAskedProcess(firstLayout, new FrameHeader(2, "p2", 1, "p1")));
+  }
+
   /** Guards against two processes that use the same number for different requests. */
   @Test
   void numbersOfRequestsAreNotUsedByTwoProcesses() {
