--- a/src/test/java/wickdrift/coordination/ReportRelayTest.java
+++ b/src/test/java/wickdrift/coordination/ReportRelayTest.java
@@ -109,6 +109,7 @@
       case OTHER_TICK -> reply(OWNER_HEADER, id, new ReportKey("i-1", 1, 4));
       case OTHER_NUMBER -> reply(OWNER_HEADER, id + 1, key("i-1"));
       case FIRST_LAYOUT -> reply(FrameHeader.firstLayout(2), id, null);
+      default -> throw new AssertionError(difference);
     }
     assertEquals(List.of(), answers);
     // The report goes on waiting for its own reply.
