--- a/src/test/java/wickdrift/sim/SimNetwork.java
+++ b/src/test/java/wickdrift/sim/SimNetwork.java
@@ -28,6 +28,8 @@
     }
   }
 
+  private static final String DIRECT_COMMAND_PATH = "/orders";
+
   private final SimClock clock;
   private final Random random;
   private final Map<String, Server> servers = new HashMap<>();
@@ -105,6 +107,13 @@
 
   private final List<RecordedReport> recordedReports = new ArrayList<>();
 
+  /** Whether the commands sent straight to workers are kept for {@link #replayDirectCommands}. */
+  boolean recordDirectCommands;
+
+  private record DirectCommand(String from, String to, byte[] body) {}
+
+  private final List<DirectCommand> recordedDirectCommands = new ArrayList<>();
+
   /** The callers of hosts that are real processes, by name. */
   final Map<String, Caller> processCallers = new HashMap<>();
 
@@ -228,6 +237,25 @@
     recordedReports.clear();
   }
 
+  private void recordDirectCommand(String from, String to, String path, byte[] body) {
+    if (recordDirectCommands && path.equals(DIRECT_COMMAND_PATH)) {
+      recordedDirectCommands.add(new DirectCommand(from, to, body));
+    }
+  }
+
+  /**
+   * Delivers every recorded command to an address once more, the newest first; the answers are
+   * discarded.
+   */
+  void replayDirectCommands(String address) {
+    for (int i = recordedDirectCommands.size() - 1; i >= 0; i--) {
+      DirectCommand command = recordedDirectCommands.get(i);
+      if (command.to.equals(address)) {
+        deliver(command.from, address, "POST", DIRECT_COMMAND_PATH, command.body, answer -> {});
+      }
+    }
+  }
+
   /** Delivers every request that the script has held, in order; the answers are discarded. */
   void releaseHeld() {
     long delayMs = 0;
@@ -300,6 +328,7 @@
       }
       duplicateIfSelected(from, method, path, body);
       recordIfSelected(from, path, body);
+      recordDirectCommand(from, address, path, body);
       if (delayIfSelected(from, address, method, path, body)) {
         return;
       }
--- a/src/test/java/wickdrift/sim/SimRules.java
+++ b/src/test/java/wickdrift/sim/SimRules.java
@@ -42,6 +42,11 @@
     this.world = world;
   }
 
+  /** An attempt that has started on a machine. */
+  record Start(String task, int attempt, String machine) {}
+
+  private final List<Start> starts = new ArrayList<>();
+
   private void recordViolation(String description) {
     violations.add(world.clock.nowMs() + " " + description);
     world.history.add("BROKEN " + description);
@@ -55,6 +60,7 @@
   /** An attempt has started on a machine. */
   void taskStarted(SimWorker.Task task) {
     startCount++;
+    starts.add(new Start(task.id, task.attempt, task.machine()));
     world.history.add("on " + task.machine() + ": " + task.id + " attempt " + task.attempt);
     SimWorker.Task other = runningTasks.get(task.id);
     if (other != null && !other.machine().equals(task.machine())) {
@@ -95,6 +101,18 @@
     return limit > 0 && gpus > limit;
   }
 
+  /** Returns all starts so far, in order. */
+  List<Start> starts() {
+    return List.copyOf(starts);
+  }
+
+  /** Returns the attempts that have started and do not run any more. */
+  Set<Start> attemptsOver() {
+    Set<Start> over = new HashSet<>(starts);
+    runningTasks.values().forEach(t -> over.remove(new Start(t.id, t.attempt, t.machine())));
+    return over;
+  }
+
   /** An attempt has stopped on a machine, for whatever reason. */
   void taskStopped(SimWorker.Task task) {
     Long confirmedMs = withdrawalConfirmedMs.get(jobOf(task.id));
