--- a/src/main/java/wickdrift/bookkeeping/level/Gate.java
+++ b/src/main/java/wickdrift/bookkeeping/level/Gate.java
@@ -47,7 +47,15 @@
    * older builds, are refused. No encoding of stored state changes. Can be removed, together with
    * the first layout of frames, in a build whose minimum level is 5.
    */
-  PEER_PROCESSES(5, false);
+  PEER_PROCESSES(5, false),
+
+  /**
+   * The tokens sent to workers count wake-ups, so that a worker can be made to report at once. An
+   * older build's tokens are lower, and a worker that has seen a larger one would drop them. No
+   * encoding of stored state changes. Can be removed, together with bare epochs as tokens, in a
+   * build whose minimum level is 6.
+   */
+  WAKE_UPS(6, false);
 
   private final int level;
   private final boolean requiresConversion;
--- a/src/main/java/wickdrift/coordination/CommandPlanner.java
+++ b/src/main/java/wickdrift/coordination/CommandPlanner.java
@@ -37,15 +37,33 @@
   private static final int MAX_GANG_WAIT_RESTARTS = 12;
 
   /**
-   * What may be concluded from a report.
+   * How many ended attempts, and for how long, a worker keeps after their ends are durable. To
+   * clear one of them directly makes the worker report, and so lets the next attempt start.
+   */
+  private static final int MAX_KEPT_ENDED_ATTEMPTS = 2;
+
+  private static final long KEEP_ENDED_ATTEMPT_MS = 30_000;
+
+  /**
+   * What may be concluded from a report, and how the commands travel.
    *
    * @param hasAuthority whether this node certainly holds authority; if not, nothing new is started
    *     and no conclusion is drawn from the report
    * @param unsolicited whether the worker sent the report on its own initiative, so that all
    *     answers to earlier reports have arrived or never will; only then does the absence of an
    *     attempt prove anything
+   * @param answersReport whether the commands go into the answer to a report; only there may a run
+   *     be sent
+   */
+  private record Scope(boolean hasAuthority, boolean unsolicited, boolean answersReport) {}
+
+  /**
+   * What is sent straight to a worker.
+   *
+   * @param orders the commands
+   * @param awaitsReport whether an attempt is to start, so that the worker should report
    */
-  record Scope(boolean hasAuthority, boolean unsolicited) {}
+  record DirectPlan(List<Command.Direct> orders, boolean awaitsReport) {}
 
   private final Timers timers;
   private final Tables tables;
@@ -75,7 +93,14 @@
     final Scope scope;
     final WorkerCommands commands;
     final Map<String, Report.Entry> reportedTasks = new HashMap<>();
-    final List<Command> orders = new ArrayList<>();
+    final List<Command> answerOrders = new ArrayList<>();
+    final List<Command.Direct> directOrders = new ArrayList<>();
+    final List<Report.Entry> clearable = new ArrayList<>();
+
+    /** The tasks of which another attempt must be cleared before the assigned one can start. */
+    final Set<String> tasksInTheWay = new HashSet<>();
+
+    boolean awaitsReport;
 
     Pass(Machine machine, Report report, Scope scope) {
       this.machine = machine;
@@ -84,6 +109,18 @@
       this.commands = links.commandsTo(machine);
     }
 
+    void add(Command.Direct order) {
+      answerOrders.add(order);
+      directOrders.add(order);
+    }
+
+    void discardOrders() {
+      clearable.clear();
+      answerOrders.clear();
+      directOrders.clear();
+      awaitsReport = false;
+    }
+
     CommandEvent newEvent(CommandEvent.Kind kind, TaskAttempt attempt, String reason) {
       return links.newEvent(kind, machine, attempt, report, tables.view().epoch(), reason);
     }
@@ -93,8 +130,26 @@
     }
   }
 
-  /** Returns the commands that follow from a report. */
-  List<Command> plan(Machine machine, Report report, Scope scope) {
+  /** Returns the commands for the answer to an unsolicited report that is the newest one. */
+  List<Command> planAnswer(Machine machine, Report report, boolean hasAuthority) {
+    return plan(machine, report, new Scope(hasAuthority, true, true)).answerOrders;
+  }
+
+  /**
+   * Returns the commands for an answer that is sent when a newer report of the worker is known or
+   * some time has passed. They follow from the newest report.
+   */
+  List<Command> planLaterAnswer(Machine machine, boolean hasAuthority) {
+    return plan(machine, machine.report(), new Scope(hasAuthority, false, true)).answerOrders;
+  }
+
+  /** Returns what is to be sent straight to the worker. */
+  DirectPlan planDirect(Machine machine, boolean hasAuthority) {
+    Pass pass = plan(machine, machine.report(), new Scope(hasAuthority, false, false));
+    return new DirectPlan(pass.directOrders, pass.awaitsReport);
+  }
+
+  private Pass plan(Machine machine, Report report, Scope scope) {
     Pass pass = new Pass(machine, report, scope);
     for (Report.Entry entry : report.tasks()) {
       pass.reportedTasks.put(entry.task(), entry);
@@ -103,18 +158,8 @@
     if (scope.hasAuthority) {
       planAssigned(pass);
     }
-    return pass.orders;
-  }
-
-  /**
-   * Returns only the halts of tasks whose job is cancelled. They go into the answer to a report
-   * that is not the newest one. That answer renews the worker's lease too, and a renewal without
-   * the halts would let a cancelled task run for another lease.
-   */
-  List<Command> planHaltsOfCancelledJobs(Machine machine) {
-    return plan(machine, machine.report(), new Scope(false, false)).stream()
-        .filter(order -> order instanceof Command.Halt)
-        .toList();
+    planClears(pass);
+    return pass;
   }
 
   // ---- what the report shows ----
@@ -129,6 +174,9 @@
             && state.machine() == pass.machine
             && state.attempt() == entry.attempt();
     boolean exited = entry.phase() == Report.Phase.EXITED;
+    if (!exited) {
+      links.checkStarted(pass.machine, pass.report, entry, tables.view().epoch());
+    }
     if (!isAssigned) {
       planUnassigned(pass, entry);
     } else if (exited) {
@@ -152,11 +200,38 @@
       }
       return;
     }
-    TaskAttempt attempt = attemptOf(entry);
-    Verdict verdict =
-        pass.commands.mayClear(attempt, pass.scope.unsolicited, pass.machine.epochAcknowledged());
+    Verdict verdict = pass.commands.mayClear(pass.machine.epochAcknowledged());
     if (verdict.isAllowed()) {
-      addClear(pass, entry, verdict);
+      pass.clearable.add(entry);
+    }
+  }
+
+  /**
+   * Clears the ended attempts. In an answer the latest ones are kept for a while; directly one is
+   * cleared if the worker should report.
+   */
+  private void planClears(Pass pass) {
+    int keepable = MAX_KEPT_ENDED_ATTEMPTS;
+    for (int i = pass.clearable.size() - 1; i >= 0; i--) {
+      Report.Entry entry = pass.clearable.get(i);
+      long keptMs = links.linkTo(pass.machine).keptMs(attemptOf(entry), timers.nowMs());
+      boolean isInTheWay = pass.tasksInTheWay.contains(entry.task());
+      boolean isKept = !isInTheWay && keptMs < KEEP_ENDED_ATTEMPT_MS && keepable-- > 0;
+      if (isInTheWay || pass.scope.answersReport && !isKept) {
+        addClear(pass, entry);
+      }
+    }
+    if (!pass.scope.answersReport) {
+      planDirectClear(pass);
+    }
+  }
+
+  private void planDirectClear(Pass pass) {
+    if (!pass.tasksInTheWay.isEmpty()) {
+      pass.awaitsReport = true;
+    } else if (pass.awaitsReport && !pass.clearable.isEmpty()) {
+      // Answers clear the oldest ones, so the newest one is certainly there.
+      addClear(pass, pass.clearable.get(pass.clearable.size() - 1));
     }
   }
 
@@ -165,11 +240,10 @@
     if (gaveUpGangWait && pass.scope.hasAuthority && mayRestartGangWait(pass, job, state, entry)) {
       if (pass.scope.unsolicited) {
         // The wait restarts with the same attempt on the same machine, so the other members keep
-        // the images they are fetching. The attempt is wanted, so a run that is still outstanding
-        // does no harm after the clear.
+        // the images they are fetching.
         pass.commands.gangWaitRestarted(attemptOf(entry));
-        pass.orders.add(new Command.Clear(entry.job(), entry.index(), entry.attempt()));
-        pass.orders.add(new Command.Run(entry.job(), entry.index(), entry.attempt()));
+        pass.answerOrders.add(new Command.Clear(entry.job(), entry.index(), entry.attempt()));
+        pass.answerOrders.add(new Command.Run(entry.job(), entry.index(), entry.attempt()));
       }
       return;
     }
@@ -182,61 +256,11 @@
     // arrives: by then the answer with that command has arrived or never will.
     boolean isOver =
         pass.scope.unsolicited || pass.commands.gangWaitRestarts(attemptOf(entry)) == 0;
-    if (pass.scope.hasAuthority && isOver && mayRecordExit(pass, job, entry)) {
+    if (pass.scope.hasAuthority && isOver) {
       handleExit(pass, job, entry);
     }
   }
 
-  /**
-   * Whether an exit may be recorded. Its worker refuses a run that still arrives, but not after a
-   * restart. A task that is done has no next attempt that such a run could meet, so it does not
-   * wait, unless its user may have been told that the job is cancelled.
-   */
-  private boolean mayRecordExit(Pass pass, Job job, Report.Entry entry) {
-    if (Report.EXIT_DONE.equals(entry.exitReason()) && !job.withdrawnOrAnnounced()) {
-      return true;
-    }
-    TaskAttempt attempt = attemptOf(entry);
-    Verdict verdict = pass.commands.mayRecordEnd(attempt, tables.view().epoch());
-    if (!verdict.isAllowed()) {
-      pass.commands.holdEnd(new WorkerCommands.HeldEnd(attempt, entry.exitReason()));
-      pass.recordEvent(CommandEvent.Kind.END_REFUSED, attempt, verdict.name());
-    }
-    return verdict.isAllowed();
-  }
-
-  /** Records the ends that waited for the epoch that is in force now. */
-  void recordHeldEnds(Machine machine) {
-    WorkerCommands commands = links.commandsTo(machine);
-    Map<TaskAttempt, WorkerCommands.HeldEnd> held = new HashMap<>();
-    commands.takeHeldEnds().forEach(end -> held.put(end.attempt(), end));
-    long epoch = tables.view().epoch();
-    for (Machine.Slot slot : machine.slots()) {
-      TaskAttempt attempt = attemptOf(slot);
-      WorkerCommands.HeldEnd end = held.get(attempt);
-      if (end != null && commands.mayRecordEnd(attempt, epoch).isAllowed()) {
-        recordEnd(machine, slot, end, epoch);
-      }
-    }
-  }
-
-  private void recordEnd(
-      Machine machine, Machine.Slot slot, WorkerCommands.HeldEnd end, long epoch) {
-    String exitReason = end.exitReason();
-    boolean isNew =
-        pipeline.recordExit(slot.job(), slot.index(), slot.state().attempt(), machine, exitReason);
-    if (isNew) {
-      links.recordEvent(
-          CommandEvent.Kind.ATTEMPT_ENDED,
-          machine,
-          end.attempt(),
-          machine.report(),
-          epoch,
-          "held before, " + (exitReason == null ? "not reported" : "reported as " + exitReason));
-      noteExitReason(machine, slot.job(), slot.taskName(), exitReason);
-    }
-  }
-
   /**
    * Whether a gang member that gave up waiting for the others should wait again. An image may take
    * longer to fetch on one machine than a gang member waits on another. If the attempt ended for
@@ -267,8 +291,12 @@
       // The worker reports the exit until it is cleared, but the failure counts only once.
       return;
     }
-    pass.recordEvent(
-        CommandEvent.Kind.ATTEMPT_ENDED, attemptOf(entry), "reported as " + entry.exitReason());
+    links.recordEnd(
+        pass.machine,
+        pass.newEvent(
+            CommandEvent.Kind.ATTEMPT_ENDED,
+            attemptOf(entry),
+            "reported as " + entry.exitReason()));
     noteExitReason(pass.machine, job, entry.task(), entry.exitReason());
   }
 
@@ -300,16 +328,25 @@
       if (entry != null && entry.attempt() == attempt.attempt()) {
         boolean firstReport =
             pass.commands.attemptReported(attempt, pass.report.tick(), pass.report.tenure());
+        if (firstReport) {
+          links.recordStart(slot.ageMs(timers.nowMs()));
+        }
         if (firstReport && pass.scope.unsolicited) {
           // The worker was told to run this attempt and does, so commands reach it.
           pass.machine.markReachableForCommands();
         }
-      } else if (entry == null && !isExiting(slot)) {
-        // If the worker still has another attempt of the task, this one starts when the other is
-        // gone. An attempt that is known to be over must not start again while its end is being
-        // written.
+      } else if (entry != null) {
+        // The worker still has another attempt of the task: this one starts when the other is gone.
+        if (entry.phase() == Report.Phase.EXITED) {
+          pass.tasksInTheWay.add(slot.taskName());
+        }
+        if (slot.mustStop() && !pass.commands.wasSent(attempt) && !isExiting(slot)) {
+          planUnreported(pass, slot, attempt);
+        }
+      } else if (!isExiting(slot)) {
+        // An attempt that is known to be over must not start again while its end is being written.
         if (planUnreported(pass, slot, attempt) == Verdict.WORKER_RESTARTED) {
-          pass.orders.clear();
+          pass.discardOrders();
           links.workerRestarted(pass.machine, pass.report, tables.view().epoch());
           return;
         }
@@ -325,7 +362,6 @@
   private Verdict planUnreported(Pass pass, Machine.Slot slot, TaskAttempt attempt) {
     Machine machine = pass.machine;
     Report report = pass.report;
-    boolean unreachable = machine.unreachableForCommandsSinceMs() > 0;
     Verdict verdict =
         pass.commands.mayEnd(
             attempt,
@@ -333,28 +369,30 @@
                 pass.scope.unsolicited,
                 machine.epochAcknowledged(),
                 report.tenure(),
-                unreachable,
-                slot.mustStop(),
-                tables.view().epoch()));
+                machine.unreachableForCommandsSinceMs() > 0,
+                slot.mustStop()));
     if (verdict == Verdict.PROVEN) {
       handleLoss(pass, slot, attempt, verdict);
-    } else if (pass.commands.wasReported(attempt) || slot.mustStop()) {
-      if (verdict == Verdict.DIRECT_RUN_UNANSWERED) {
-        pass.recordEvent(CommandEvent.Kind.END_REFUSED, attempt, verdict.name());
-      }
-    } else if (unreachable) {
-      // No command reaches the worker, so a run sent now could only arrive late. The attempt is
-      // recorded as sent, so that the worker's next session proves that it never started.
-      if (!pass.commands.hasLastRun(attempt)) {
-        pass.commands.runSent(attempt, report.tick(), report.tenure(), timers.nowMs());
+    } else if (mayRun(pass, slot, attempt)) {
+      if (pass.scope.answersReport) {
+        addRun(pass, slot, attempt);
+      } else {
+        pass.awaitsReport = true;
       }
-    } else if (machine.phase() != Machine.Phase.GONE
-        && (pass.scope.unsolicited || !pass.commands.wasSentAfter(attempt, report.tick()))) {
-      addRun(pass, slot, attempt);
     }
     return verdict;
   }
 
+  /** Whether an attempt that its worker does not report is to be started now. */
+  private static boolean mayRun(Pass pass, Machine.Slot slot, TaskAttempt attempt) {
+    boolean isSentAlready =
+        !pass.scope.unsolicited && pass.commands.wasSentAfter(attempt, pass.report.tick());
+    return !pass.commands.wasReported(attempt)
+        && !slot.mustStop()
+        && pass.machine.phase() != Machine.Phase.GONE
+        && !isSentAlready;
+  }
+
   /**
    * Records the end of an attempt that is no longer on its machine and for which the worker
    * reported no exit.
@@ -363,15 +401,12 @@
     CommandEvent event =
         pass.newEvent(CommandEvent.Kind.ATTEMPT_ENDED, attempt, "not reported: " + verdict);
     boolean isProven =
-        pass.scope.unsolicited
-            && !pass.commands.isRunOutstanding(attempt)
-            && (pass.machine.unreachableForCommandsSinceMs() > 0
-                || !pass.commands.isRunUnanswered(attempt, tables.view().epoch()));
+        verdict.isAllowed() && (pass.scope.unsolicited || !pass.commands.wasSent(attempt));
     if (!monitor.check(Invariant.NO_END_WITHOUT_PROOF, isProven, event)) {
       return;
     }
     if (pipeline.recordExit(slot.job(), slot.index(), attempt.attempt(), pass.machine, null)) {
-      links.record(event);
+      links.recordEnd(pass.machine, event);
       if (pass.commands.wasReported(attempt)) {
         LOG.info(
             "task lost: machine={}, task={}, tenure={}",
@@ -385,9 +420,8 @@
   // ---- commands, checked against the invariants before they are sent ----
 
   private void addRun(Pass pass, Machine.Slot slot, TaskAttempt attempt) {
-    CommandEvent.Kind kind =
-        pass.scope.unsolicited ? CommandEvent.Kind.RUN_IN_ANSWER : CommandEvent.Kind.RUN_DIRECT;
-    CommandEvent event = pass.newEvent(kind, attempt, "assigned, not reported");
+    CommandEvent event =
+        pass.newEvent(CommandEvent.Kind.RUN_IN_ANSWER, attempt, "assigned, not reported");
     boolean isCancelled = slot.job().withdrawnOrAnnounced();
     boolean isAssigned = slot.state().isLive() && slot.state().machine() == pass.machine;
     boolean holdsLease = membership.status() == Membership.Status.MEMBER;
@@ -399,22 +433,22 @@
     }
     Report report = pass.report;
     pass.commands.runSent(attempt, report.tick(), report.tenure(), timers.nowMs());
-    pass.orders.add(new Command.Run(slot.job().id(), slot.index(), attempt.attempt()));
+    pass.answerOrders.add(new Command.Run(slot.job().id(), slot.index(), attempt.attempt()));
     links.record(event);
   }
 
   private void addHalt(Pass pass, Report.Entry entry, double graceS, String reason) {
-    pass.orders.add(new Command.Halt(entry.job(), entry.index(), entry.attempt(), graceS));
+    pass.add(new Command.Halt(entry.job(), entry.index(), entry.attempt(), graceS));
     pass.recordEvent(CommandEvent.Kind.HALT, attemptOf(entry), reason);
   }
 
-  private void addClear(Pass pass, Report.Entry entry, Verdict verdict) {
+  private void addClear(Pass pass, Report.Entry entry) {
     TaskAttempt attempt = attemptOf(entry);
-    CommandEvent event = pass.newEvent(CommandEvent.Kind.CLEAR, attempt, verdict.name());
-    boolean nothingArrives = !pass.commands.isRunOutstanding(attempt);
+    CommandEvent event = pass.newEvent(CommandEvent.Kind.CLEAR, attempt, "its end is durable");
+    boolean nothingArrives = !pass.commands.isRunInFlight(attempt);
     if (monitor.check(Invariant.NO_CLEAR_WHILE_A_RUN_MAY_ARRIVE, nothingArrives, event)) {
-      pass.orders.add(new Command.Clear(entry.job(), entry.index(), entry.attempt()));
-      links.record(event);
+      pass.add(new Command.Clear(entry.job(), entry.index(), entry.attempt()));
+      links.recordEnd(pass.machine, event);
     }
   }
 
--- a/src/main/java/wickdrift/coordination/DirectCommands.java
+++ b/src/main/java/wickdrift/coordination/DirectCommands.java
@@ -7,22 +7,24 @@
 import wickdrift.bookkeeping.Machine;
 import wickdrift.bookkeeping.Tables;
 import wickdrift.bookkeeping.View;
+import wickdrift.bookkeeping.level.Gate;
 import wickdrift.coordination.commands.CommandEvent;
 import wickdrift.coordination.commands.TaskAttempt;
-import wickdrift.coordination.commands.WorkerCommands;
 import wickdrift.protocol.BadMessage;
 import wickdrift.protocol.Command;
 import wickdrift.protocol.Document;
 import wickdrift.protocol.MalformedMessages;
 import wickdrift.protocol.MessageCodec;
 import wickdrift.protocol.Report;
+import wickdrift.protocol.WorkerToken;
 import wickdrift.transport.Caller;
 import wickdrift.transport.Timers;
 
 /**
  * Sends commands to a worker immediately, instead of with the answer to its next report. At most
- * one command per worker awaits its answer; a command without an answer may still arrive at any
- * later time.
+ * one command per worker awaits its answer. A direct command may arrive at any later time and any
+ * number of times, so none of them starts anything: where an attempt is to start, the worker is
+ * woken up, and the answer to its report carries the run.
  */
 final class DirectCommands {
   /**
@@ -82,23 +84,32 @@
         || machine.phase() == Machine.Phase.LOST) {
       return;
     }
-    List<Command> orders = new ArrayList<>();
-    List<TaskAttempt> runs = new ArrayList<>();
-    for (Command order :
-        planner.plan(machine, report, new CommandPlanner.Scope(hasAuthority, false))) {
+    CommandPlanner.DirectPlan plan = planner.planDirect(machine, hasAuthority);
+    boolean wantsReport = plan.awaitsReport() && !link.isReportExpected(timers.nowMs());
+    boolean clears = false;
+    List<Command.Direct> orders = new ArrayList<>();
+    for (Command.Direct order : plan.orders()) {
       TaskAttempt attempt = new TaskAttempt(order.job() + "/" + order.index(), order.attempt());
       boolean isRepeatedHalt =
           order instanceof Command.Halt && !link.tryRecordHalt(attempt, timers.nowMs());
-      if (orders.size() < MAX_ORDERS_PER_MESSAGE && !isRepeatedHalt) {
+      boolean isNeedlessClear = order instanceof Command.Clear && !wantsReport;
+      if (orders.size() < MAX_ORDERS_PER_MESSAGE && !isRepeatedHalt && !isNeedlessClear) {
         orders.add(order);
-        if (order instanceof Command.Run) {
-          runs.add(attempt);
-        }
+        clears |= order instanceof Command.Clear;
       }
     }
-    if (!orders.isEmpty()) {
-      sendCommand(machine, link, report.tenure(), orders, runs);
+    boolean wakesUp = wantsReport && !clears && canWakeUp(link);
+    if (clears || wakesUp) {
+      link.reportRequested(timers.nowMs());
     }
+    if (!orders.isEmpty() || wakesUp) {
+      sendCommand(machine, link, report.tenure(), orders, wakesUp);
+    }
+  }
+
+  private boolean canWakeUp(WorkerLink link) {
+    return tables.isOpen(Gate.WAKE_UPS)
+        && link.wakeUps.canWake(tables.view().epoch(), timers.nowMs());
   }
 
   /**
@@ -115,51 +126,49 @@
       return;
     }
     link.nextProbeMs = now + leaseMs / MAX_PROBES_PER_LEASE;
-    sendCommand(machine, link, session, List.of(), List.of());
+    sendCommand(machine, link, session, List.of(), false);
   }
 
   private void sendCommand(
       Machine machine,
       WorkerLink link,
       long session,
-      List<Command> orders,
-      List<TaskAttempt> runs) {
+      List<Command.Direct> orders,
+      boolean wakesUp) {
     long epoch = tables.view().epoch();
-    WorkerCommands.DirectRuns command =
-        new WorkerCommands.DirectRuns(epoch, session, timers.nowMs(), List.copyOf(runs));
+    WorkerToken token = wakesUp ? link.wakeUps.nextToken(epoch) : link.wakeUps.tokenFor(epoch);
+    link.wakeUps.tokenSent(token, machine.report().token(), timers.nowMs());
+    if (wakesUp) {
+      links.wokeUp(machine, token);
+    }
     Map<String, Object> body = new LinkedHashMap<>();
-    body.put("epoch", epoch);
+    body.put("epoch", token.toWire(tables.isOpen(Gate.WAKE_UPS)));
     body.put("tenure", session);
     body.put("orders", orders.stream().map(Command::toWire).toList());
     link.commandSent(machine.report());
-    link.commands.directCommandSent(command);
     caller.call(
         machine.report().address(),
         "POST",
         "/orders",
         MessageCodec.encode(body),
         ANSWER_TIMEOUT_MS,
-        answer -> handleAnswer(machine, link, command, answer));
+        answer -> handleAnswer(machine, link, epoch, answer));
   }
 
-  private void handleAnswer(
-      Machine machine, WorkerLink link, WorkerCommands.DirectRuns command, Caller.Response answer) {
+  private void handleAnswer(Machine machine, WorkerLink link, long epoch, Caller.Response answer) {
     link.inFlight = false;
     Report report = reportIn(answer);
     if (report == null) {
-      handleMissingAnswer(machine, command);
+      links.commandUnanswered(machine, machine.report(), epoch);
       return;
     }
     if (!report.machine().equals(machine.name())) {
       // Another machine has this address now. Its answer tells nothing about the worker that was
-      // meant, which may still get the command if it was sent there before.
-      links.commandAnsweredByOtherMachine(machine, report, command.epoch());
+      // meant.
+      links.commandAnsweredByOtherMachine(machine, report, epoch);
       link.addressDisproved(machine.report());
-      handleMissingAnswer(machine, command);
       return;
     }
-    // The worker has executed the command or refused it for good, so it cannot take effect again.
-    link.commands.directCommandAnswered(command);
     View view = tables.view();
     if (links.isCurrent(machine, link) && view != null) {
       machine.markReachableForCommands();
@@ -180,13 +189,6 @@
     }
   }
 
-  /** The command may still arrive. The answers to reports repeat its content. */
-  private void handleMissingAnswer(Machine machine, WorkerCommands.DirectRuns command) {
-    if (!command.runs().isEmpty()) {
-      links.commandUnanswered(machine, machine.report(), command.epoch());
-    }
-  }
-
   /**
    * Applies the report in the answer to a command. It shows the worker's current state because,
    * unlike a report, an answer to a command cannot arrive as a late copy.
@@ -203,9 +205,7 @@
     }
     boolean provesAlive = machine.receiveReply(report, view.epoch(), timers.nowMs());
     machine.setEpochAcknowledged(provesAlive && report.epoch() == view.epoch());
-    if (provesAlive) {
-      link.commands.epochReported(report.epoch(), report.tenure());
-    }
+    link.wakeUps.tokenReported(report.token(), view.epoch());
     if (membership.status() == Membership.Status.MEMBER) {
       sendPlannedCommands(machine, true);
     }
--- a/src/main/java/wickdrift/coordination/MachineHealthMonitor.java
+++ b/src/main/java/wickdrift/coordination/MachineHealthMonitor.java
@@ -7,23 +7,16 @@
 import wickdrift.bookkeeping.Tables;
 import wickdrift.bookkeeping.View;
 import wickdrift.coordination.commands.CommandEvent;
-import wickdrift.coordination.commands.TaskAttempt;
-import wickdrift.coordination.commands.WorkerCommands;
 import wickdrift.transport.Timers;
 
 /**
  * Periodically checks for machines that are silent or unreachable for commands, for workers whose
- * lease has certainly expired, and for commands that only a higher epoch can void.
+ * lease has certainly expired, and for restarted workers, which need a higher epoch.
  */
 final class MachineHealthMonitor {
   private static final Logger LOG = LoggerFactory.getLogger(MachineHealthMonitor.class);
   private static final long CHECK_INTERVAL_MS = 500;
 
-  /**
-   * Time after which an unanswered run command for an unwanted attempt is voided by a higher epoch.
-   */
-  private static final long UNCERTAIN_RUN_TIMEOUT_MS = 5000;
-
   /** Time that a new epoch has to reach the workers before a higher one is proposed for them. */
   private static final long MIN_EPOCH_INTERVAL_MS = 2000;
 
@@ -36,7 +29,6 @@
   private final ZoneHealth zones;
   private final WorkerLinks links;
   private final String node;
-  private long epoch;
   private long epochSinceMs;
 
   MachineHealthMonitor(
@@ -66,8 +58,7 @@
   }
 
   /** Called when this node starts to work under a new epoch. */
-  void onEpochStarted(long newEpoch, long nowMs) {
-    epoch = newEpoch;
+  void onEpochStarted(long nowMs) {
     epochSinceMs = nowMs;
   }
 
@@ -93,7 +84,6 @@
     }
     zones.evaluate(pauseDetector.uninterruptedSinceMs(), now);
     if (needsHigherEpoch) {
-      // Only a report with a higher epoch proves that a command can no longer reach the worker.
       membership.raiseEpoch();
     }
   }
@@ -134,46 +124,16 @@
           machine.report(),
           view.epoch(),
           "not renewed for " + (now - lastRenewalMs) + " ms");
-      WorkerCommands commands = links.commandsTo(machine);
-      pipeline.onWorkerLeaseExpired(
-          machine, attempt -> commands.mayRecordEnd(attempt, view.epoch()).isAllowed());
+      pipeline.onWorkerLeaseExpired(machine);
       links.forgetRuns(machine);
     }
   }
 
-  private boolean needsHigherEpoch(Machine machine, View view, long now) {
-    // A restarted worker is trusted again once it reports a higher epoch. Epochs are not raised
-    // faster for this than they reach the workers.
-    boolean needsNewToken = machine.trustedFromEpoch() > view.epoch() || holdsEnd(machine, now);
-    return needsNewToken && now - epochSinceMs > MIN_EPOCH_INTERVAL_MS
-        || hasUncertainCommand(machine, now);
-  }
-
-  /** Whether an attempt is over, but its end waits for a run that will not be answered any more. */
-  private boolean holdsEnd(Machine machine, long now) {
-    WorkerCommands commands = links.commandsIfKnown(machine);
-    return commands != null && commands.isEndHeld(epoch, DirectCommands.ANSWER_TIMEOUT_MS, now);
-  }
-
   /**
-   * Returns whether a run command that may still arrive blocks other work: its attempt is to be
-   * stopped, or has ended and can't be cleared because of it for longer than a worker's lease.
-   * Attempts that are not cleared make the reports grow.
+   * A restarted worker is trusted again once it reports a higher epoch. Epochs are not raised
+   * faster for this than they reach the workers.
    */
-  private boolean hasUncertainCommand(Machine machine, long now) {
-    WorkerCommands commands = links.commandsIfKnown(machine);
-    if (commands == null
-        || commands.hasNoOutstandingRuns()
-        || now - machine.lastReportMs() > DirectCommands.ANSWER_TIMEOUT_MS) {
-      return false;
-    }
-    for (Machine.Slot slot : machine.slots()) {
-      TaskAttempt attempt = new TaskAttempt(slot.taskName(), slot.state().attempt());
-      if (slot.mustStop()
-          && commands.isRunOutstandingLongerThan(attempt, epoch, UNCERTAIN_RUN_TIMEOUT_MS, now)) {
-        return true;
-      }
-    }
-    return commands.isClearOverdue(epoch, tuning.workerLeaseExpiryMs(), now);
+  private boolean needsHigherEpoch(Machine machine, View view, long now) {
+    return machine.trustedFromEpoch() > view.epoch() && now - epochSinceMs > MIN_EPOCH_INTERVAL_MS;
   }
 }
--- a/src/main/java/wickdrift/coordination/ReportHandler.java
+++ b/src/main/java/wickdrift/coordination/ReportHandler.java
@@ -12,7 +12,7 @@
 import wickdrift.bookkeeping.StateServiceClient;
 import wickdrift.bookkeeping.Tables;
 import wickdrift.bookkeeping.View;
-import wickdrift.coordination.commands.CommandEvent;
+import wickdrift.bookkeeping.level.Gate;
 import wickdrift.coordination.commands.TaskAttempt;
 import wickdrift.coordination.commands.Verdict;
 import wickdrift.coordination.commands.WorkerCommands;
@@ -21,6 +21,7 @@
 import wickdrift.protocol.Document;
 import wickdrift.protocol.MalformedMessages;
 import wickdrift.protocol.Report;
+import wickdrift.protocol.WorkerToken;
 import wickdrift.transport.Caller;
 import wickdrift.transport.Exchange;
 import wickdrift.transport.Timers;
@@ -33,10 +34,7 @@
 public final class ReportHandler {
   private static final Logger LOG = LoggerFactory.getLogger(ReportHandler.class);
 
-  /**
-   * By then a run that was sent directly and in the answers to reports has arrived, or commands do
-   * not reach the worker.
-   */
+  /** By then a run that was sent in an answer has arrived, or commands do not reach the worker. */
   private static final long RUN_DELIVERY_TIMEOUT_MS = 3500;
 
   private static final long CATCH_UP_TIMEOUT_MS = 1000;
@@ -55,6 +53,7 @@
   private final CommandPlanner planner;
   private final DirectCommands directCommands;
   private final MachineHealthMonitor healthMonitor;
+  private final HeldAnswers heldAnswers;
 
   /** Machines whose workers were directed to their owner in this view. */
   private final Set<String> redirectedMachines = new HashSet<>();
@@ -102,6 +101,7 @@
     planner = new CommandPlanner(timers, tables, pipeline, membership, links);
     directCommands =
         new DirectCommands(timers, tables, membership, links, planner, caller, leaseMs, malformed);
+    heldAnswers = new HeldAnswers(timers, this::sendHeldAnswer);
     healthMonitor =
         new MachineHealthMonitor(
             timers, tables, membership, pipeline, tuning, pauseDetector, zones, links, node);
@@ -123,12 +123,26 @@
     if (view != null && membership.status() == Membership.Status.MEMBER) {
       for (Machine machine : changed) {
         if (ownedMachines.contains(machine.name()) && machine.pollChanged()) {
-          directCommands.sendPlannedCommands(machine, true);
+          sendChanges(machine);
         }
       }
     }
   }
 
+  /** Sends what follows from a change of the machine's assigned attempts. */
+  private void sendChanges(Machine machine) {
+    HeldAnswers.HeldAnswer held = heldAnswers.find(machine);
+    if (held != null && mayStartWith(held)) {
+      List<Command> orders = planner.planLaterAnswer(machine, true);
+      if (!orders.isEmpty()) {
+        heldAnswers.take(machine);
+        sendAnswer(held, orders);
+        return;
+      }
+    }
+    directCommands.sendPlannedCommands(machine, true);
+  }
+
   private void viewChanged(View view) {
     // If a view was skipped, for example during a process pause, another node may have owned any of
     // these machines in between and may have answered its worker.
@@ -138,7 +152,7 @@
     viewEpoch = view.epoch();
     redirectedMachines.clear();
     viewStartedMs = timers.nowMs();
-    healthMonitor.onEpochStarted(viewEpoch, viewStartedMs);
+    healthMonitor.onEpochStarted(viewStartedMs);
     LOG.info(
         "view changed: epoch={}, memberIncarnations={}, leader={}, revision={}",
         view.epoch(),
@@ -170,7 +184,7 @@
       }
     }
     ownedMachines = ownedNow;
-    resolveHeldEnds();
+    heldAnswers.sendAll();
     pipeline.onNewView();
     // After a takeover nothing is placed on the machines taken over until there was time for
     // reports to arrive, or all known machines have reported. A machine takes no task before it has
@@ -184,18 +198,6 @@
     }
   }
 
-  /** Records the ends that waited for a higher epoch, on machines that this node owned before. */
-  private void resolveHeldEnds() {
-    for (String name : ownedMachines) {
-      Machine machine = tables.machine(name);
-      WorkerCommands commands = machine == null ? null : links.commandsIfKnown(machine);
-      if (commands != null) {
-        commands.epochStarted(viewEpoch);
-        planner.recordHeldEnds(machine);
-      }
-    }
-  }
-
   /**
    * Whether this node owned a machine until this change of view. A machine whose zone was unknown
    * at the last change may have been assigned to this node by its name alone, while the controllers
@@ -298,44 +300,119 @@
     Report lastReport = machine.report();
     boolean isOutdated =
         lastReport != null && machine.provedAlive() && report.notNewerThan(lastReport);
-    List<Command> orders;
-    if (!isOutdated) {
-      long now = timers.nowMs();
-      boolean provesAlive = machine.receiveReport(report, view.epoch(), now);
-      machine.setEpochAcknowledged(provesAlive && report.epoch() == view.epoch());
-      if (provesAlive) {
-        links.commandsTo(machine).epochReported(report.epoch(), report.tenure());
-      }
-      machine.updateCommandReachability(
-          report, provesAlive, hasIgnoredRun(machine, report, now), leaseMs, now);
-      if (unreportedMachines.remove(machine.name()) && unreportedMachines.isEmpty()) {
-        pipeline.settleNow();
-      }
-      updateMachineRecord(machine, report, provesAlive);
-      // A report that may be a copy proves nothing. It is answered, so that the worker's next
-      // report shows this node's epoch.
-      boolean hasAuthority = status == Membership.Status.MEMBER && provesAlive;
-      orders = planner.plan(machine, report, new CommandPlanner.Scope(hasAuthority, true));
-    } else {
-      // This answer renews the lease too, if the worker still waits for it.
-      orders = planner.planHaltsOfCancelledJobs(machine);
+    HeldAnswers.HeldAnswer superseded = heldAnswers.take(machine);
+    if (superseded != null) {
+      // A worker that sends another report does not wait for this answer any more.
+      superseded.exchange().reply(503, null, 1);
+    }
+    links.linkTo(machine).wakeUps.tokenReported(report.token(), view.epoch());
+    HeldAnswers.HeldAnswer answer = new HeldAnswers.HeldAnswer(machine, report, exchange);
+    if (isOutdated) {
+      // A newer report is known from the answer to a direct command. This answer renews the lease
+      // too, if the worker still waits for it.
+      sendAnswer(answer, planner.planLaterAnswer(machine, status == Membership.Status.MEMBER));
+      return;
+    }
+    links.linkTo(machine).reportReceived();
+    long now = timers.nowMs();
+    boolean provesAlive = machine.receiveReport(report, view.epoch(), now);
+    machine.setEpochAcknowledged(provesAlive && report.epoch() == view.epoch());
+    machine.updateCommandReachability(
+        report, provesAlive, hasIgnoredRun(machine, report, now), leaseMs, now);
+    if (unreportedMachines.remove(machine.name()) && unreportedMachines.isEmpty()) {
+      pipeline.settleNow();
     }
-    machine.recordAnswer(timers.nowMs(), view.epoch());
+    updateMachineRecord(machine, report, provesAlive);
+    // A report that may be a copy proves nothing. It is answered, so that the worker's next
+    // report shows this node's epoch.
+    boolean hasAuthority = status == Membership.Status.MEMBER && provesAlive;
+    List<Command> orders = planner.planAnswer(machine, report, hasAuthority);
     // The worker of a newly owned machine is probed, so that it can prove itself before its next
     // report.
-    boolean notYetProvedAlive =
-        !isOutdated && !machine.provedAlive() && machine.phase() == Machine.Phase.UP;
+    boolean notYetProvedAlive = !machine.provedAlive() && machine.phase() == Machine.Phase.UP;
     if (machine.unreachableForCommandsSinceMs() > 0 || notYetProvedAlive) {
       directCommands.probe(machine, report.tenure());
     }
+    long holdMs =
+        mayRelay && orders.isEmpty() && mayStartWith(answer) ? HeldAnswers.holdMs(report) : 0;
+    if (holdMs > 0) {
+      heldAnswers.hold(answer, holdMs);
+    } else {
+      sendAnswer(answer, orders);
+    }
+  }
+
+  /** Whether tasks may start with an answer: this node owns the machine, which takes tasks. */
+  private boolean mayStartWith(HeldAnswers.HeldAnswer answer) {
+    Machine machine = answer.machine();
+    return membership.status() == Membership.Status.MEMBER
+        && !membership.isLeaving()
+        && tables.view().epoch() == viewEpoch
+        && node.equals(machine.owner(tables.view()))
+        && machine.report() != null
+        && machine.provedAlive()
+        && machine.epochAcknowledged()
+        && answer.report().epoch() == viewEpoch
+        && takesTasks(machine.phase());
+  }
+
+  /** Whether a machine takes tasks, or will as soon as its record shows that it is up. */
+  private static boolean takesTasks(Machine.Phase phase) {
+    return switch (phase) {
+      case UNKNOWN, BOOTING, UP -> true;
+      case LOST, DRAINING, GONE -> false;
+    };
+  }
+
+  /** Sends an answer whose time is over, unless this node may not answer the report any more. */
+  private void sendHeldAnswer(HeldAnswers.HeldAnswer answer) {
+    if (!membership.caughtUp()) {
+      stateService.barrier(CATCH_UP_TIMEOUT_MS, ok -> finishHeldAnswer(answer));
+      return;
+    }
+    finishHeldAnswer(answer);
+  }
+
+  private void finishHeldAnswer(HeldAnswers.HeldAnswer answer) {
+    View view = tables.view();
+    boolean isFollowing = stateService.phase() == StateServiceClient.Phase.FOLLOWING;
+    if (!isFollowing || membership.status() == Membership.Status.OUTSIDE) {
+      answer.exchange().reply(503, null, 1);
+      return;
+    }
+    String owner = answer.machine().owner(view);
+    if (membership.isViewOutdated()) {
+      answer.exchange().reply(421, Map.of());
+    } else if (!owner.equals(node)) {
+      answer.exchange().reply(421, Map.of("upstream", owner));
+    } else {
+      boolean mayStart = mayStartWith(answer);
+      sendAnswer(answer, mayStart ? planner.planLaterAnswer(answer.machine(), true) : List.of());
+    }
+  }
+
+  private void sendAnswer(HeldAnswers.HeldAnswer answer, List<Command> orders) {
+    Machine machine = answer.machine();
+    long epoch = tables.view().epoch();
+    WorkerToken token = links.tokenSent(machine, answer.report(), epoch);
+    machine.recordAnswer(timers.nowMs(), epoch);
     LOG.debug(
-        "report answered: machine={}, epoch={}, orders={}", report.machine(), view.epoch(), orders);
+        "report answered: machine={}, tick={}, token={}, orders={}",
+        machine.name(),
+        answer.report().tick(),
+        token,
+        orders);
     Map<String, Object> body = new LinkedHashMap<>();
-    body.put("epoch", view.epoch());
+    body.put("epoch", token.toWire(tables.isOpen(Gate.WAKE_UPS)));
     body.put(
         "orders",
         orders.stream().limit(DirectCommands.MAX_ORDERS_PER_MESSAGE).map(Command::toWire).toList());
-    exchange.reply(200, body);
+    answer.exchange().reply(200, body);
+  }
+
+  /** Sends all answers that wait, because this node is about to leave. */
+  public void sendHeldAnswers() {
+    heldAnswers.sendAll();
   }
 
   /** Updates the machine's durable record to what the report says. */
@@ -417,14 +494,11 @@
       return false;
     }
     WorkerCommands commands = links.commandsTo(machine);
-    // This includes runs that were sent directly and have since been reported: a direct run may
-    // arrive once more.
-    Verdict verdict = commands.verifyNoRunPending(job, viewEpoch);
+    Verdict verdict = commands.verifyNoRunPending(job);
     if (verdict.isAllowed()) {
       verdict = verifyReportedTasks(commands, report, job);
     }
-    links.recordEvent(
-        CommandEvent.Kind.CONFIRMATION, machine, report, viewEpoch, job + ": " + verdict);
+    links.recordConfirmation(machine, report, viewEpoch, job, verdict);
     return verdict.isAllowed();
   }
 
--- a/src/main/java/wickdrift/coordination/TransactionPipeline.java
+++ b/src/main/java/wickdrift/coordination/TransactionPipeline.java
@@ -6,7 +6,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
-import java.util.function.Predicate;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import wickdrift.bookkeeping.Job;
@@ -21,7 +20,6 @@
 import wickdrift.bookkeeping.TerminalState;
 import wickdrift.bookkeeping.Transaction;
 import wickdrift.bookkeeping.level.Gate;
-import wickdrift.coordination.commands.TaskAttempt;
 import wickdrift.protocol.JobSpec;
 import wickdrift.protocol.Report;
 import wickdrift.settings.Settings;
@@ -300,16 +298,11 @@
   /**
    * Records the loss of all tasks on a machine whose worker's lease has expired: nobody can have
    * renewed the lease, so the worker has killed all its tasks.
-   *
-   * @param mayRecordEnd whether an attempt that its worker has killed counts as over
    */
-  public void onWorkerLeaseExpired(Machine machine, Predicate<TaskAttempt> mayRecordEnd) {
+  public void onWorkerLeaseExpired(Machine machine) {
     int newExits = 0;
     for (Machine.Slot slot : machine.slots()) {
-      TaskAttempt attempt = new TaskAttempt(slot.taskName(), slot.state().attempt());
-      boolean isNew =
-          mayRecordEnd.test(attempt)
-              && recordExit(slot.job(), slot.index(), attempt.attempt(), machine, null);
+      boolean isNew = recordExit(slot.job(), slot.index(), slot.state().attempt(), machine, null);
       newExits += isNew ? 1 : 0;
     }
     if (newExits > 0) {
--- a/src/main/java/wickdrift/coordination/commands/Verdict.java
+++ b/src/main/java/wickdrift/coordination/commands/Verdict.java
@@ -7,8 +7,6 @@
 public enum Verdict {
   /** No command can arrive any more, and the worker has shown that it does not have the attempt. */
   PROVEN,
-  /** A run that was sent directly has no answer: it may arrive at any time. */
-  DIRECT_RUN_UNANSWERED,
   /** The answer to a report carries a run, and no later unsolicited report has arrived. */
   ANSWER_IN_FLIGHT,
   /**
--- a/src/main/java/wickdrift/coordination/commands/WorkerCommands.java
+++ b/src/main/java/wickdrift/coordination/commands/WorkerCommands.java
@@ -1,42 +1,21 @@
 package wickdrift.coordination.commands;
 
-import java.util.ArrayList;
 import java.util.HashMap;
-import java.util.HashSet;
-import java.util.List;
 import java.util.Map;
 import java.util.Set;
 
 /**
- * The commands that were sent to one worker, and which of them may still take effect.
+ * What was sent to one worker, and what its reports prove about the attempts on it.
  *
- * <p>A command in the answer to a report has arrived, or never will, once a later unsolicited
- * report arrives. A direct command is <em>outstanding</em> until it is answered, or until the
- * worker is certain to refuse it: the worker has shown a higher epoch or a newer session in a
- * report that is no late copy. Each command counts separately: the answer to a later command for
- * the same attempt proves nothing about an earlier one.
- *
- * <p>A worker that restarts under the same name counts its sessions from one and has seen no epoch.
- * Commands to its previous incarnation stay outstanding until the worker shows a higher epoch than
- * theirs. Whatever a worker has shown, its restart makes it accept a direct run that was never
- * answered, until it is told a higher epoch. So an attempt with such a run ends only when the epoch
- * of the run is no longer in force: then whoever contacts the worker first tells it a higher one.
+ * <p>A run is sent in the answer to a report only. Once a later unsolicited report arrives, the
+ * answer has arrived or never will: a worker has a single report in flight and drops late answers.
+ * What is sent straight to a worker starts nothing, so no proof depends on whether it was answered.
  */
 public final class WorkerCommands {
   /**
-   * The runs of one direct command.
+   * The last run of a task.
    *
-   * @param epoch under which the command was sent; a worker that has seen a higher one refuses it
-   * @param session the worker's session at that time; in another session the worker refuses the
-   *     command
-   * @param sentMs when the command was sent
-   */
-  public record DirectRuns(long epoch, long session, long sentMs, List<TaskAttempt> runs) {}
-
-  /**
-   * The last run of a task, whichever way it was sent.
-   *
-   * @param reportTick the tick of the report after which the run was sent
+   * @param reportTick the tick of the newest report when the run was sent
    * @param reported whether a report has shown the attempt
    * @param session the worker's session at that time
    * @param incarnation how often the worker had restarted by then
@@ -59,72 +38,22 @@
    * @param session the session that the report shows
    * @param unreachable whether commands seem not to reach the worker
    * @param endRequested whether the attempt is to end
-   * @param epoch the epoch in force
    */
   public record AbsenceEvidence(
       boolean unsolicited,
       boolean epochReported,
       long session,
       boolean unreachable,
-      boolean endRequested,
-      long epoch) {}
-
-  /**
-   * The end of an attempt that is recorded as soon as a higher epoch is in force.
-   *
-   * @param exitReason the reason that the worker reported, or null if the attempt was absent
-   */
-  public record HeldEnd(TaskAttempt attempt, String exitReason) {}
-
-  private final List<DirectRuns> outstandingCommands = new ArrayList<>();
-
-  /** Direct commands without an answer, whatever the worker has shown since. */
-  private final List<DirectRuns> unansweredCommands = new ArrayList<>();
-
-  /** Attempts that are over on the worker, but whose end or job waits for an unanswered run. */
-  private final Set<TaskAttempt> waitingEnds = new HashSet<>();
-
-  /** What reports have proved about the waiting ends; no later report need prove it again. */
-  private final Map<TaskAttempt, HeldEnd> heldEnds = new HashMap<>();
+      boolean endRequested) {}
 
   private final Map<String, LastRun> lastRuns = new HashMap<>();
   private final Map<TaskAttempt, Integer> gangWaitRestarts = new HashMap<>();
-
-  /**
-   * Attempts that ended on the worker and may not be cleared yet, because a run of them is
-   * outstanding.
-   */
-  private final Set<TaskAttempt> refusedClears = new HashSet<>();
-
   private int incarnation;
 
   // ---- what was sent, and its outcome ----
 
-  /** Records that a direct command is sent. */
-  public void directCommandSent(DirectRuns command) {
-    if (!command.runs().isEmpty()) {
-      outstandingCommands.add(command);
-      unansweredCommands.add(command);
-    }
-  }
-
-  /**
-   * Records that a command was executed or refused for good: this command, and no other, can no
-   * longer arrive.
-   */
-  public void directCommandAnswered(DirectRuns command) {
-    outstandingCommands.removeIf(outstanding -> outstanding == command);
-    unansweredCommands.removeIf(unanswered -> unanswered == command);
-  }
-
-  /** Records that a higher epoch is in force: from now on every contact tells it to the worker. */
-  public void epochStarted(long epoch) {
-    unansweredCommands.removeIf(command -> command.epoch() < epoch);
-  }
-
-  /** Records that the attempt is told to run, directly or in the answer to a report. */
+  /** Records that the attempt is told to run in the answer to a report. */
   public void runSent(TaskAttempt run, long tick, long session, long nowMs) {
-    heldEnds.remove(run);
     LastRun previousRun = lastRun(run);
     long firstSentMs =
         previousRun == null || previousRun.incarnation < incarnation
@@ -140,21 +69,11 @@
    * @return whether the attempt was told to run and is reported for the first time since then
    */
   public boolean attemptReported(TaskAttempt run, long tick, long session) {
-    heldEnds.values().removeIf(end -> end.attempt().equals(run) && end.exitReason() == null);
     LastRun previousRun = lastRuns.get(run.task());
     lastRuns.put(run.task(), new LastRun(run.attempt(), tick, true, session, incarnation, 0));
     return previousRun != null && !previousRun.reported;
   }
 
-  /**
-   * Records the epoch and session in a report that is certainly no late copy. Commands with a lower
-   * epoch or session are no longer outstanding.
-   */
-  public void epochReported(long epoch, long session) {
-    outstandingCommands.removeIf(command -> epoch > command.epoch() || session > command.session());
-    refusedClears.removeIf(attempt -> !isRunOutstanding(attempt));
-  }
-
   /**
    * Records that the worker restarted, so that it has nothing of what its previous incarnation had.
    */
@@ -162,13 +81,17 @@
     incarnation++;
   }
 
+  /** Returns how often the worker has restarted under the same name. */
+  public int incarnation() {
+    return incarnation;
+  }
+
   /**
    * Forgets the runs, because the worker's lease has ended or another node may have commanded it
    * meanwhile.
    */
   public void forgetRuns() {
     lastRuns.clear();
-    heldEnds.clear();
   }
 
   /** Removes the state of all tasks except those still assigned to the machine. */
@@ -191,184 +114,48 @@
 
   // ---- what may still happen ----
 
-  /** Whether a direct run may still start the attempt. */
-  public boolean isRunOutstanding(TaskAttempt attempt) {
-    for (DirectRuns command : outstandingCommands) {
-      if (command.runs().contains(attempt)) {
-        return true;
-      }
-    }
-    return false;
-  }
-
-  /**
-   * Whether a direct run of the attempt was sent under the given epoch, or a higher one, and never
-   * answered: the worker might execute it after a restart.
-   */
-  public boolean isRunUnanswered(TaskAttempt attempt, long epoch) {
-    return unansweredCommands.stream()
-        .anyMatch(command -> command.epoch() >= epoch && command.runs().contains(attempt));
-  }
-
-  /**
-   * Whether an attempt that is over on the worker may be recorded as over, so that another one may
-   * start elsewhere.
-   *
-   * @param epoch the epoch in force
-   */
-  public Verdict mayRecordEnd(TaskAttempt attempt, long epoch) {
-    if (isRunUnanswered(attempt, epoch)) {
-      waitingEnds.add(attempt);
-      return Verdict.DIRECT_RUN_UNANSWERED;
-    }
-    waitingEnds.remove(attempt);
-    return Verdict.PROVEN;
-  }
-
-  /** Keeps an end that a report has proved until a higher epoch is in force. */
-  public void holdEnd(HeldEnd end) {
-    heldEnds.put(end.attempt(), end);
-  }
-
-  /** Returns and forgets the held ends. */
-  public List<HeldEnd> takeHeldEnds() {
-    List<HeldEnd> taken = List.copyOf(heldEnds.values());
-    heldEnds.clear();
-    return taken;
-  }
-
-  /**
-   * Whether an end has waited for a run that was sent under the given epoch more than {@code
-   * longerThanMs} ago, so that only a higher epoch resolves it.
-   */
-  public boolean isEndHeld(long epoch, long longerThanMs, long nowMs) {
-    waitingEnds.removeIf(attempt -> !isRunUnanswered(attempt, epoch));
-    return unansweredCommands.stream()
-        .anyMatch(
-            command ->
-                nowMs - command.sentMs() > longerThanMs
-                    && command.runs().stream().anyMatch(waitingEnds::contains));
-  }
-
-  /**
-   * Whether a run of the attempt, sent under the given epoch, has been outstanding for longer than
-   * {@code longerThanMs}.
-   */
-  public boolean isRunOutstandingLongerThan(
-      TaskAttempt attempt, long epoch, long longerThanMs, long nowMs) {
-    for (DirectRuns command : outstandingCommands) {
-      if (command.epoch() == epoch
-          && nowMs - command.sentMs() > longerThanMs
-          && command.runs().contains(attempt)) {
-        return true;
-      }
-    }
-    return false;
-  }
-
-  /**
-   * Whether an ended attempt cannot be cleared because a run of it has been outstanding for longer
-   * than {@code longerThanMs}.
-   */
-  public boolean isClearOverdue(long epoch, long longerThanMs, long nowMs) {
-    return refusedClears.stream()
-        .anyMatch(attempt -> isRunOutstandingLongerThan(attempt, epoch, longerThanMs, nowMs));
+  /** Whether a run of the attempt was sent and no report has shown the attempt since. */
+  public boolean isRunInFlight(TaskAttempt attempt) {
+    LastRun lastRun = lastRun(attempt);
+    return lastRun != null && !lastRun.reported;
   }
 
-  /** Whether no direct run is outstanding. */
-  public boolean hasNoOutstandingRuns() {
-    return outstandingCommands.isEmpty();
+  /** Whether an ended attempt, which a report shows, may be cleared from the worker. */
+  public Verdict mayClear(boolean epochReported) {
+    return epochReported ? Verdict.PROVEN : Verdict.EPOCH_NOT_REPORTED;
   }
 
-  /**
-   * Whether an ended attempt may be cleared from the worker, after which a run would start it
-   * again.
-   */
-  public Verdict mayClear(TaskAttempt attempt, boolean unsolicited, boolean epochReported) {
-    if (!unsolicited) {
-      return Verdict.NOT_UNSOLICITED;
-    }
-    if (!epochReported) {
-      return Verdict.EPOCH_NOT_REPORTED;
-    }
-    if (isRunOutstanding(attempt)) {
-      refusedClears.add(attempt);
-      return Verdict.DIRECT_RUN_UNANSWERED;
-    }
-    return Verdict.PROVEN;
+  /** Whether a run of the attempt was sent, or a report has shown it. */
+  public boolean wasSent(TaskAttempt attempt) {
+    return lastRun(attempt) != null;
   }
 
   /** Whether an attempt that a report does not show is over. */
   public Verdict mayEnd(TaskAttempt attempt, AbsenceEvidence absence) {
+    LastRun lastRun = lastRun(attempt);
+    if (lastRun == null && absence.endRequested && absence.epochReported) {
+      // No run was sent under this epoch, and the worker drops those of earlier ones.
+      return Verdict.PROVEN;
+    }
     if (!absence.unsolicited) {
       return Verdict.NOT_UNSOLICITED;
     }
-    LastRun lastRun = lastRun(attempt);
-    if (lastRun != null
-        && lastRun.reported
-        && lastRun.incarnation == incarnation
-        && lastRun.session == absence.session) {
+    boolean wasReported = lastRun != null && lastRun.reported;
+    if (wasReported && lastRun.incarnation == incarnation && lastRun.session == absence.session) {
       return Verdict.WORKER_RESTARTED;
     }
-    if (isRunOutstanding(attempt)) {
-      return Verdict.DIRECT_RUN_UNANSWERED;
-    }
-    boolean wasReported = lastRun != null && lastRun.reported;
     boolean sentEarlier =
         lastRun != null && (lastRun.incarnation < incarnation || lastRun.session < absence.session);
     if (wasReported
         || absence.endRequested && absence.epochReported
         || (absence.endRequested || absence.unreachable) && sentEarlier) {
-      return mayEndAbsent(attempt, absence);
-    }
-    return absence.endRequested ? Verdict.EPOCH_NOT_REPORTED : Verdict.SESSION_CONTINUES;
-  }
-
-  /**
-   * Whether an attempt that is gone from the worker may be recorded as over. A worker that no
-   * command reaches shows no higher epoch, after which its reports would prove nothing any more; so
-   * its ends do not wait for one.
-   */
-  private Verdict mayEndAbsent(TaskAttempt attempt, AbsenceEvidence absence) {
-    if (absence.unreachable) {
       return Verdict.PROVEN;
     }
-    Verdict verdict = mayRecordEnd(attempt, absence.epoch);
-    if (!verdict.isAllowed()) {
-      holdEnd(new HeldEnd(attempt, null));
-    }
-    return verdict;
-  }
-
-  private List<TaskAttempt> unansweredRunsOf(String job, long epoch) {
-    return unansweredCommands.stream()
-        .filter(command -> command.epoch() >= epoch)
-        .flatMap(command -> command.runs().stream())
-        .filter(attempt -> attempt.belongsToJob(job))
-        .toList();
-  }
-
-  private static boolean runsTaskOf(DirectRuns command, String job) {
-    return command.runs().stream().anyMatch(attempt -> attempt.belongsToJob(job));
+    return absence.endRequested ? Verdict.EPOCH_NOT_REPORTED : Verdict.SESSION_CONTINUES;
   }
 
-  /**
-   * Whether no run of any task of the job may still arrive.
-   *
-   * @param epoch the epoch in force
-   */
-  public Verdict verifyNoRunPending(String job, long epoch) {
-    boolean outstanding =
-        outstandingCommands.stream().anyMatch(command -> runsTaskOf(command, job));
-    if (outstanding) {
-      return Verdict.DIRECT_RUN_UNANSWERED;
-    }
-    List<TaskAttempt> unanswered = unansweredRunsOf(job, epoch);
-    if (!unanswered.isEmpty()) {
-      // The worker has nothing of them any more, so nothing else would ask for a higher epoch.
-      waitingEnds.addAll(unanswered);
-      return Verdict.DIRECT_RUN_UNANSWERED;
-    }
+  /** Whether no run of any task of the job may still arrive. */
+  public Verdict verifyNoRunPending(String job) {
     for (Map.Entry<String, LastRun> entry : lastRuns.entrySet()) {
       boolean ofJob = new TaskAttempt(entry.getKey(), entry.getValue().attempt).belongsToJob(job);
       if (ofJob && !entry.getValue().reported) {
@@ -378,11 +165,6 @@
     return Verdict.PROVEN;
   }
 
-  /** Whether a run or a report of the attempt is recorded here. */
-  public boolean hasLastRun(TaskAttempt attempt) {
-    return lastRun(attempt) != null;
-  }
-
   /** Whether a report has shown the attempt. */
   public boolean wasReported(TaskAttempt attempt) {
     LastRun lastRun = lastRun(attempt);
--- a/src/main/java/wickdrift/daemon/Controller.java
+++ b/src/main/java/wickdrift/daemon/Controller.java
@@ -155,7 +155,8 @@
         new TransactionPipeline(
             timers, stateService, tables, scheduling, types, membership, tuning, settings);
     ZoneHealth zones = new ZoneHealth(tuning.reportsOverdueMs());
-    WorkerLinks links = new WorkerLinks(timers);
+    long workerLeaseMs = (long) (settings.workers().leaseS() * 1000);
+    WorkerLinks links = new WorkerLinks(timers, workerLeaseMs, tables::appliedRev);
     reportHandler =
         new ReportHandler(
             timers,
@@ -169,7 +170,7 @@
             pauseDetector,
             zones,
             links,
-            (long) (settings.workers().leaseS() * 1000),
+            workerLeaseMs,
             settings.node(),
             malformedMessages);
     history = new JobHistory(timers, stateService, tables);
@@ -253,7 +254,10 @@
     metrics.registerGauge("workers.restarted", links::workerRestarts);
     metrics.registerGauge("commands.unanswered", links::unansweredCommands);
     metrics.registerGauge("commands.answered.by.other", links::answersByOtherMachines);
-    metrics.registerGauge("commands.uncertain.machines", links::machinesWithOutstandingRuns);
+    metrics.registerGauge("workers.woken.up", links::wakeUps);
+    metrics.registerGauge("starts.unexplained", links::unexplainedStarts);
+    metrics.registerGauge("starts.delay.p50.ms", () -> links.startDelayMs(50));
+    metrics.registerGauge("starts.delay.p99.ms", () -> links.startDelayMs(99));
     metrics.registerGauge("invariants.violated", links.monitor()::violations);
     metrics.registerGauge("peers.rejected", rejectedFrames::total);
     metrics.registerGauge("peers.statuses.stale", peerStatuses::staleCount);
@@ -290,6 +294,7 @@
    */
   public void shutDown(long timeoutMs, Runnable done) {
     membership.leave();
+    reportHandler.sendHeldAnswers();
     awaitIdle(pauseDetector.monitoredTimers().nowMs() + timeoutMs, done);
   }
 
--- a/src/main/java/wickdrift/protocol/Report.java
+++ b/src/main/java/wickdrift/protocol/Report.java
@@ -11,7 +11,7 @@
  * @param tenure the number of the worker's session; it increases with each session of an
  *     incarnation
  * @param tick a number that increases with each report of a session
- * @param epoch the highest epoch that the worker has received; 0: none
+ * @param token the highest token that the worker has received
  * @param reclaimNoticeS the time until the machine is reclaimed; null: no reclaim was announced
  * @param tasks the attempts on the worker, including exited ones until they are cleared
  */
@@ -23,7 +23,7 @@
     boolean spot,
     long tenure,
     long tick,
-    long epoch,
+    WorkerToken token,
     Double reclaimNoticeS,
     List<Entry> tasks) {
 
@@ -74,6 +74,11 @@
   /** Exit reason: the worker refused the attempt as unknown. */
   public static final String EXIT_UNKNOWN = "unknown";
 
+  /** Returns the highest epoch that the worker has received; 0: none. */
+  public long epoch() {
+    return token.epoch();
+  }
+
   /** Returns what identifies this report. */
   public ReportKey key() {
     return new ReportKey(machine, tenure, tick);
@@ -120,7 +125,7 @@
         report.flag("reclaimable", false),
         report.count("tenure"),
         report.count("tick"),
-        report.count("epoch", 0),
+        WorkerToken.fromWire(report.count("epoch", 0)),
         report.amountOrNull("warningS"),
         tasks);
   }
--- a/src/test/java/wickdrift/bookkeeping/MachineTest.java
+++ b/src/test/java/wickdrift/bookkeeping/MachineTest.java
@@ -6,9 +6,11 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 import wickdrift.protocol.Report;
+import wickdrift.protocol.WorkerToken;
 
 /** What reports prove about a machine: that it is alive, and that commands reach its worker. */
 class MachineTest {
+  private static final WorkerToken TOKEN = new WorkerToken(7, 0);
   private static final long LEASE_MS = 16_000;
 
   /**
@@ -59,7 +61,7 @@
               false,
               Long.parseLong(fields[1]),
               Long.parseLong(fields[2]),
-              Long.parseLong(fields[3]),
+              WorkerToken.fromWire(Long.parseLong(fields[3])),
               null,
               List.of());
       boolean proves = machine.receiveReport(report, epoch, nowMs);
@@ -75,10 +77,10 @@
   @CsvSource({"1, 1, true", "1, 5, true", "1, 6, false", "2, 1, false"})
   void aReportOlderThanAnUnsolicitedOneIsADuplicate(long session, long tick, boolean duplicate) {
     Machine machine = new Machine("m", 0, x -> {});
-    Report unsolicited = new Report("m", "a", "t", "z", false, 1, 5, 7, null, List.of());
+    Report unsolicited = new Report("m", "a", "t", "z", false, 1, 5, TOKEN, null, List.of());
     machine.updateCommandReachability(
         unsolicited, machine.receiveReport(unsolicited, 7, 1), false, LEASE_MS, 1);
-    Report report = new Report("m", "a", "t", "z", false, session, tick, 7, null, List.of());
+    Report report = new Report("m", "a", "t", "z", false, session, tick, TOKEN, null, List.of());
     assertEquals(duplicate, machine.hasNewerUnsolicitedReport(report));
   }
 
@@ -112,7 +114,7 @@
       }
       long session = Long.parseLong(fields[1]);
       long tick = Long.parseLong(fields[2]);
-      Report report = new Report("m", "a", "t", "z", false, session, tick, 7, null, List.of());
+      Report report = new Report("m", "a", "t", "z", false, session, tick, TOKEN, null, List.of());
       if (event.startsWith("h")) {
         machine.receiveReport(report, 7, nowMs);
         lastReportMs = nowMs;
--- a/src/test/java/wickdrift/bookkeeping/level/LevelUpgradeTest.java
+++ b/src/test/java/wickdrift/bookkeeping/level/LevelUpgradeTest.java
@@ -52,10 +52,14 @@
     "1, a3 b3 c2, a3 b3 c2, a b c, ,          0, 2, ''",
     "1, a3 b3 c3, a3 b3 c3, a b c, held takes, 0, 2, ''",
     "1, a3 b3 c3, a3 b3 c3, a b c, held numbers, 0, 1, gate numbers is held back",
-    // Level 6 has no gate in this build and may change encodings: it waits for the conversion.
-    "5, a6 b6,    a6 b6,    a b,   ,          2, 5, records of a form older than level 5 are left",
-    "5, a6 b6,    a6 b6,    a b,   ,          5, 6, ''",
-    "6, a6 b6,    a6 b6,    a b,   ,          6, 6, ''",
+    // Level 7 has no gate in this build and may change encodings: it waits for the conversion.
+    "6, a7 b7,    a7 b7,    a b,   ,          2, 6, records of a form older than level 6 are left",
+    "6, a7 b7,    a7 b7,    a b,   ,          6, 7, ''",
+    "7, a7 b7,    a7 b7,    a b,   ,          7, 7, ''",
+    // Level 6 changes no encoding and doesn't wait.
+    "5, a6 b6,    a6 b6,    a b,   ,          2, 6, ''",
+    "5, a6 b6 c5, a6 b6 c6, a b c, ,          2, 5, c speaks levels 1 to 5",
+    "5, a6 b6 c6, a6 b6 c6, a b c, held wake_ups, 2, 5, gate wake_ups is held back",
     // Level 5 changes no encoding and doesn't wait.
     "4, a5 b5,    a5 b5,    a b,   ,          2, 5, ''",
     "4, a5 b5 c4, a5 b5 c5, a b c, ,          2, 4, c speaks levels 1 to 4",
@@ -101,7 +105,7 @@
     LevelUpgrade upgrade =
         LevelUpgrade.evaluate(
             currentLevel,
-            new LevelRange(1, 6),
+            new LevelRange(1, 7),
             live,
             List.of(configuredNodes.split(" ")),
             registry);
--- a/src/test/java/wickdrift/coordination/ReportRelayTest.java
+++ b/src/test/java/wickdrift/coordination/ReportRelayTest.java
@@ -20,6 +20,7 @@
 import wickdrift.protocol.PeerFrame;
 import wickdrift.protocol.Report;
 import wickdrift.protocol.ReportKey;
+import wickdrift.protocol.WorkerToken;
 import wickdrift.sim.SimClock;
 import wickdrift.transport.Exchange;
 
@@ -61,7 +62,8 @@
   }
 
   private long forward(String machine) {
-    Report report = new Report(machine, "", "g4", "a", false, 1, 5, 7, null, List.of());
+    Report report =
+        new Report(machine, "", "g4", "a", false, 1, 5, new WorkerToken(7, 0), null, List.of());
     Exchange exchange =
         new Exchange() {
           @Override
--- a/src/test/java/wickdrift/coordination/commands/SafetyMonitorTest.java
+++ b/src/test/java/wickdrift/coordination/commands/SafetyMonitorTest.java
@@ -8,12 +8,22 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
+import wickdrift.protocol.WorkerToken;
 
 /** Invariants that are checked at run time, and the recent events logged with a violation. */
 class SafetyMonitorTest {
   private static CommandEvent event(String machine, long atMs) {
     return new CommandEvent(
-        atMs, CommandEvent.Kind.CLEAR, machine, new TaskAttempt("req-000001/0", 1), 7, 1, 3, "x");
+        atMs,
+        CommandEvent.Kind.CLEAR,
+        machine,
+        0,
+        new TaskAttempt("req-000001/0", 1),
+        new WorkerToken(7, 0),
+        1,
+        3,
+        12,
+        "x");
   }
 
   @ParameterizedTest
--- a/src/test/java/wickdrift/coordination/commands/WorkerCommandsRandomWalkTest.java
+++ b/src/test/java/wickdrift/coordination/commands/WorkerCommandsRandomWalkTest.java
@@ -14,22 +14,20 @@
 import org.junit.jupiter.params.provider.ValueSource;
 
 /**
- * Applies random sequences of sent, lost and delayed commands, reports, lease expiries, epoch
- * changes and worker restarts to {@link WorkerCommands} and to a model of the worker and the
- * network that holds every message. It guards against an attempt that starts again after it was
- * ended or cleared, because a command for it was still in flight.
+ * Applies random sequences of runs in answers, lost answers, clears that are copied again and
+ * again, reports, lease expiries, epoch changes and worker restarts to {@link WorkerCommands} and
+ * to a model of the worker and the network. It guards against an attempt that starts again after it
+ * was ended or cleared, because a command for it was still in flight.
  */
 class WorkerCommandsRandomWalkTest {
   private static final int STEPS = 400;
   private static final int TASKS = 3;
 
-  /** A command in flight to the worker. */
-  private record Message(
-      long epoch, long session, TaskAttempt run, WorkerCommands.DirectRuns directRuns) {
-    boolean isDirect() {
-      return directRuns != null;
-    }
-  }
+  /** A run in an answer to the worker. */
+  private record RunMessage(long epoch, long session, TaskAttempt run) {}
+
+  /** A clear that was sent straight to the worker; copies of it arrive at any time. */
+  private record ClearMessage(long epoch, long session, TaskAttempt attempt) {}
 
   /** The reference model of the worker. */
   private static final class Worker {
@@ -43,10 +41,10 @@
   private final Random random;
   private final Worker worker = new Worker();
   private final WorkerCommands commands = new WorkerCommands();
-  private final List<Message> inFlight = new ArrayList<>();
+  private final List<ClearMessage> sentClears = new ArrayList<>();
 
   /** Runs in the answer to the last report; at the next report they have arrived or are lost. */
-  private final List<Message> runsInLastAnswer = new ArrayList<>();
+  private final List<RunMessage> runsInLastAnswer = new ArrayList<>();
 
   private final Map<String, Integer> bookedAttempts = new HashMap<>();
   private final Set<TaskAttempt> finishedAttempts = new HashSet<>();
@@ -81,9 +79,8 @@
     }
     for (int step = 0; step < STEPS; step++) {
       switch (random.nextInt(10)) {
-        case 0, 1, 2 -> receiveReport();
-        case 3 -> sendDirectly();
-        case 4, 5 -> deliver(seed);
+        case 0, 1, 2 -> receiveReport(seed);
+        case 3, 4, 5 -> deliverCopyOfClear();
         case 6 -> endFirstRunningAttempt();
         case 7 -> epoch += random.nextInt(4) == 0 ? 1 : 0;
         case 8 -> expireLease();
@@ -96,37 +93,18 @@
     return new TaskAttempt(task, bookedAttempts.get(task));
   }
 
-  private void sendDirectly() {
-    String task = "req-000001/" + random.nextInt(TASKS);
-    TaskAttempt run = attemptOf(task);
-    boolean synced = worker.epoch == epoch && worker.epoch >= trustedFromEpoch;
-    if (synced && !worker.runningAttempts.contains(run) && !commands.wasReported(run)) {
-      WorkerCommands.DirectRuns directRuns =
-          new WorkerCommands.DirectRuns(epoch, worker.session, 0, List.of(run));
-      commands.directCommandSent(directRuns);
-      commands.runSent(run, worker.tick, worker.session, 0);
-      inFlight.add(new Message(epoch, worker.session, run, directRuns));
-    }
-  }
-
-  /** Delivers a random command that is in flight; its answer may be lost for good. */
-  private void deliver(int seed) {
-    if (inFlight.isEmpty()) {
-      return;
-    }
-    int index = random.nextInt(inFlight.size());
-    boolean isToldAnEpoch = worker.epoch > 0;
-    if (!isToldAnEpoch && finishedAttempts.contains(inFlight.get(index).run)) {
+  private void deliverCopyOfClear() {
+    if (sentClears.isEmpty()) {
       return;
     }
-    Message message = inFlight.remove(index);
-    execute(message, seed);
-    if (random.nextInt(3) > 0) {
-      commands.directCommandAnswered(message.directRuns);
+    ClearMessage clear = sentClears.get(random.nextInt(sentClears.size()));
+    if (clear.epoch >= worker.epoch && clear.session == worker.session) {
+      worker.epoch = clear.epoch;
+      worker.endedAttempts.remove(clear.attempt);
     }
   }
 
-  private void execute(Message message, int seed) {
+  private void execute(RunMessage message, int seed) {
     if (message.epoch < worker.epoch || message.session != worker.session) {
       return;
     }
@@ -142,10 +120,10 @@
   }
 
   /** At this report the answer to the previous one has arrived or is lost. */
-  private void receiveReport() {
-    for (Message message : runsInLastAnswer) {
+  private void receiveReport(int seed) {
+    for (RunMessage message : runsInLastAnswer) {
       if (random.nextBoolean()) {
-        execute(message, -1);
+        execute(message, seed);
       }
     }
     runsInLastAnswer.clear();
@@ -157,10 +135,10 @@
       raiseEpochAfterRestart();
       return;
     }
-    commands.epochReported(worker.epoch, worker.session);
     for (TaskAttempt ended : Set.copyOf(worker.endedAttempts)) {
-      if (finishedAttempts.contains(ended) && commands.mayClear(ended, true, true).isAllowed()) {
+      if (finishedAttempts.contains(ended) && commands.mayClear(true).isAllowed()) {
         worker.endedAttempts.remove(ended);
+        sentClears.add(new ClearMessage(epoch, worker.session, ended));
         clearCount++;
       }
     }
@@ -182,16 +160,14 @@
     }
     if (worker.endedAttempts.contains(attempt)) {
       commands.attemptReported(attempt, worker.tick, worker.session);
-      if (commands.mayRecordEnd(attempt, epoch).isAllowed()) {
-        finishAndBookNext(attempt);
-      }
+      finishAndBookNext(attempt);
       return;
     }
     boolean unwanted = random.nextInt(4) == 0;
     Verdict verdict =
         commands.mayEnd(
             attempt,
-            new WorkerCommands.AbsenceEvidence(true, true, worker.session, false, unwanted, epoch));
+            new WorkerCommands.AbsenceEvidence(true, true, worker.session, false, unwanted));
     if (verdict == Verdict.WORKER_RESTARTED) {
       commands.workerRestarted();
       trustedFromEpoch = epoch + 1;
@@ -200,7 +176,7 @@
       finishAndBookNext(attempt);
     } else if (!commands.wasReported(attempt) && !unwanted) {
       commands.runSent(attempt, worker.tick, worker.session, 0);
-      runsInLastAnswer.add(new Message(epoch, worker.session, attempt, null));
+      runsInLastAnswer.add(new RunMessage(epoch, worker.session, attempt));
     }
   }
 
@@ -229,16 +205,13 @@
     }
   }
 
-  /**
-   * Restarts the worker in its first session without an epoch. The restarted worker would refuse
-   * direct commands for a later session of its predecessor until it reaches that session itself, so
-   * the model restarts workers in their first session only. Commands in flight for attempts that
-   * finished arrive once the worker has been told an epoch: until then nothing stands against them.
-   */
+  /** Restarts the worker in its first session without an epoch. */
   private void restartWorker() {
-    if (random.nextInt(6) > 0 || worker.session > 1) {
+    if (random.nextInt(6) > 0) {
       return;
     }
+    worker.session = 1;
+    worker.tick = 0;
     worker.runningAttempts.clear();
     worker.endedAttempts.clear();
     worker.epoch = 0;
--- a/src/test/java/wickdrift/sim/LateCommandTest.java
+++ b/src/test/java/wickdrift/sim/LateCommandTest.java
@@ -1,6 +1,7 @@
 package wickdrift.sim;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.List;
@@ -9,13 +10,11 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
-import wickdrift.protocol.BadMessage;
-import wickdrift.protocol.Document;
 
 /**
- * A run command that was sent directly to a worker is delayed without an answer and arrives after
- * its attempt has ended, under the same epoch and in the same session. It must not start the task
- * again.
+ * Commands that were sent directly to a worker are delayed without an answer and arrive after the
+ * attempt there has ended, under the same epoch and in the same session. They must not start the
+ * task again.
  */
 class LateCommandTest {
   private static final int JOB = 1;
@@ -24,6 +23,7 @@
   private static final int OTHER_JOB = 2;
   private static final long STEP_MS = 5;
   private static final long WAIT_TIMEOUT_MS = 60_000;
+  private static final long LOST_ANSWERS_MS = 6_000;
 
   /** How the attempt ended before the delayed command arrives. */
   enum Ending {
@@ -35,54 +35,30 @@
 
   private SimWorld world;
 
-  /** The worker that the first command to run the task was sent to. */
+  /** The worker on which the task started first. */
   private SimWorker worker;
 
-  /** Number of commands to run the task that were sent directly to a worker. */
-  private int directRunCommands;
-
   /** Whether the answers to the worker's reports are lost. */
   private boolean loseReportAnswers;
 
   @BeforeEach
-  void holdTheFirstRunCommand() {
+  void holdTheDirectCommands() {
     world = new SimWorld(new SimSetup(4401, 2, 2));
     world.run(10_000);
     world.net.faultScript = this::fateOf;
   }
 
   private SimNetwork.RequestOutcome fateOf(String from, String to, String path, byte[] body) {
-    if (path.equals("/orders") && runsTheTask(body)) {
-      directRunCommands++;
-      worker = worker == null ? workerAt(to) : worker;
-      return directRunCommands == 1
-          ? SimNetwork.RequestOutcome.HELD
-          : SimNetwork.RequestOutcome.DELIVERED;
+    if (path.equals("/orders") && (worker == null || to.equals(worker.address))) {
+      return SimNetwork.RequestOutcome.HELD;
     }
-    boolean report = path.equals("/hello") && worker != null && from.equals(worker.address);
-    return report && loseReportAnswers
+    return path.equals("/hello") && loseReportAnswers
         ? SimNetwork.RequestOutcome.ANSWER_LOST
         : SimNetwork.RequestOutcome.DELIVERED;
   }
 
-  private static boolean runsTheTask(byte[] body) {
-    try {
-      for (Document order : Document.parse(body).documents("orders")) {
-        if (order.text("verb").equals("run") && order.text("shard").equals(TASK)) {
-          return true;
-        }
-      }
-      return false;
-    } catch (BadMessage e) {
-      throw new AssertionError(e);
-    }
-  }
-
-  private SimWorker workerAt(String address) {
-    return world.workers().stream()
-        .filter(candidate -> candidate.address.equals(address))
-        .findFirst()
-        .get();
+  private SimWorker workerNamed(String name) {
+    return world.workers().stream().filter(w -> w.name.equals(name)).findFirst().get();
   }
 
   private void runUntil(String condition, BooleanSupplier reached) {
@@ -93,12 +69,13 @@
     }
   }
 
-  /**
-   * Submits the job and waits until the first command to run its task has been sent and is held.
-   */
   private void submit() {
     world.users.submit(SimJobs.job(JOB, "batch", 1, 1, 100), 0);
-    runUntil("the first run command is held", () -> directRunCommands == 1);
+  }
+
+  private void awaitFirstStart() {
+    runUntil("the task runs", () -> machineOfTask() != null);
+    worker = workerNamed(machineOfTask());
   }
 
   private String machineOfTask() {
@@ -136,34 +113,30 @@
     runUntil("the restarted worker is told an epoch", () -> worker.knowsEpoch());
   }
 
-  private void assertHeldRunCommandStartsNothing() {
+  private void assertHeldCommandsStartNothing() {
     int starts = world.startCount();
     world.net.releaseHeld();
     world.run(30_000);
     assertEquals(List.of(), world.violations());
-    assertEquals(starts, world.startCount(), "the delayed command has started the task again");
+    assertEquals(starts, world.startCount(), "a delayed command has started the task again");
   }
 
-  /**
-   * The run command is sent directly a second time because no report showed the task, and this one
-   * is answered. The answer says nothing about the first command, which is still in transit.
-   */
+  /** The run is sent again, since the answers with the first ones are lost. */
   @ParameterizedTest
   @EnumSource(Ending.class)
-  void firstRunCommandArrivesAfterTheSecondWasAnswered(Ending ending) {
+  void directCommandsArriveAfterTheRunWasSentAgain(Ending ending) {
     loseReportAnswers = true;
+    // Reports that were sent before are answered by then.
+    world.run(LOST_ANSWERS_MS);
     submit();
-    long tick = worker.tick;
-    // The controller gives up on the first command, and the answer to the next report is lost.
-    world.run(4000);
-    runUntil("the worker sends its next report", () -> worker.tick > tick);
+    world.run(LOST_ANSWERS_MS);
     world.users.submit(SimJobs.job(OTHER_JOB, "batch", 6, 1, 100), 0);
-    runUntil("the second run command is sent", () -> directRunCommands == 2);
+    assertNull(machineOfTask(), "a run has reached a worker though all answers were lost");
     loseReportAnswers = false;
-    runUntil("the task runs on its first worker", () -> worker.name.equals(machineOfTask()));
+    awaitFirstStart();
     world.run(5000);
     endAttempt(ending);
-    assertHeldRunCommandStartsNothing();
+    assertHeldCommandsStartNothing();
   }
 
   /**
@@ -173,9 +146,9 @@
    */
   @ParameterizedTest
   @EnumSource(Ending.class)
-  void runCommandArrivesAfterTheWorkerRestartedInTheSameSession(Ending ending) {
+  void directCommandsArriveAfterTheWorkerRestartedInTheSameSession(Ending ending) {
     submit();
-    runUntil("the task runs on its first worker", () -> worker.name.equals(machineOfTask()));
+    awaitFirstStart();
     world.run(5000);
     long tick = worker.tick;
     worker.restart();
@@ -189,30 +162,29 @@
           "the task runs on another machine",
           () -> machineOfTask() != null && !machineOfTask().equals(worker.name));
     }
-    assertHeldRunCommandStartsNothing();
+    assertHeldCommandsStartNothing();
   }
 
   /**
-   * Guards against an end that is recorded while a run of the attempt is unanswered: the worker
-   * restarts after the next attempt has started elsewhere, knows no attempt any more, and takes the
-   * run from before.
+   * The worker restarts after the next attempt has started elsewhere, knows no attempt any more,
+   * and takes what was sent before.
    */
   @ParameterizedTest
   @EnumSource(Ending.class)
-  void runCommandArrivesAfterTheAttemptEndedAndItsWorkerRestarted(Ending ending) {
+  void directCommandsArriveAfterTheAttemptEndedAndItsWorkerRestarted(Ending ending) {
     submit();
-    runUntil("the task runs on its first worker", () -> worker.name.equals(machineOfTask()));
+    awaitFirstStart();
     endAttemptForUsers(ending);
     restartWorker();
     awaitContact();
-    assertHeldRunCommandStartsNothing();
+    assertHeldCommandsStartNothing();
   }
 
   /** The same for an attempt that ended because its worker's lease expired. */
   @Test
-  void runCommandArrivesAfterTheLeaseExpiredAndTheWorkerRestarted() {
+  void directCommandsArriveAfterTheLeaseExpiredAndTheWorkerRestarted() {
     submit();
-    runUntil("the task runs on its first worker", () -> worker.name.equals(machineOfTask()));
+    awaitFirstStart();
     int machine = world.workers().indexOf(worker);
     world.cutMachine(machine, false);
     runUntil(
@@ -221,6 +193,6 @@
     restartWorker();
     world.healMachine(machine, "");
     awaitContact();
-    assertHeldRunCommandStartsNothing();
+    assertHeldCommandsStartNothing();
   }
 }
--- a/src/test/java/wickdrift/sim/MalformedResponsesTest.java
+++ b/src/test/java/wickdrift/sim/MalformedResponsesTest.java
@@ -17,6 +17,10 @@
  * recorded once, and all jobs finish after the responses are well-formed again.
  */
 class MalformedResponsesTest {
+  private static final int FIRST_CANCELLED_JOB = 100;
+  private static final int CANCELLED_JOBS = 4;
+  private static final long CANCEL_AFTER_MS = 25_000;
+
   @ParameterizedTest
   @EnumSource(names = {"STATE_SERVICE", "CLOUD", "WORKER"})
   void malformedResponsesAreCountedAndJobsFinish(Sender sender) {
@@ -28,6 +32,10 @@
       world.clock.after(
           8000 + 700L * n, () -> world.users.submit(SimJobs.job(n, "batch", 2, 2, 15), 0));
     }
+    // Cancelled while they run, so that commands are sent directly to their workers.
+    for (int i = 0; i < CANCELLED_JOBS; i++) {
+      world.users.submit(SimJobs.job(FIRST_CANCELLED_JOB + i, "batch", 1, 1, 300), CANCEL_AFTER_MS);
+    }
     world.clock.after(12_000, () -> setMalformed(world, sender, true));
     world.clock.after(45_000, () -> setMalformed(world, sender, false));
     world.run(240_000);
--- a/src/test/java/wickdrift/sim/PipelineTest.java
+++ b/src/test/java/wickdrift/sim/PipelineTest.java
@@ -446,7 +446,10 @@
     world.users.submit(SimJobs.job(1, "batch", 1, 1, 60), 0);
     world.users.submitAfterDependencies(pipelineJob(2, 1), 0);
     world.users.submitAfterDependencies(pipelineJob(3, 2), 0);
-    world.run(4000);
+    for (int i = 0; i < 100 && !world.isRunning(jobId(1) + "/0"); i++) {
+      world.run(100);
+    }
+    assertTrue(world.isRunning(jobId(1) + "/0"), "not started");
     // The terminal states of its dependents are never written.
     world.state().outcomeOf =
         (from, transaction) ->
--- a/src/test/java/wickdrift/sim/SimGang.java
+++ b/src/test/java/wickdrift/sim/SimGang.java
@@ -39,7 +39,7 @@
       return;
     }
     started = true;
-    members.forEach(member -> member.phase = "running");
+    members.forEach(SimWorker.Task::startRunning);
     scheduleCompletion((long) (spec.estimatedRunS() * 1000));
   }
 
--- a/src/test/java/wickdrift/sim/SimJobs.java
+++ b/src/test/java/wickdrift/sim/SimJobs.java
@@ -33,6 +33,15 @@
     return fields;
   }
 
+  /** Returns the ids of the jobs numbered from 0. */
+  static List<String> ids(int count) {
+    List<String> ids = new ArrayList<>();
+    for (int i = 0; i < count; i++) {
+      ids.add(String.format("req-%06d", i));
+    }
+    return ids;
+  }
+
   /** Adds dependencies to a submission, and returns it. */
   public static Map<String, Object> addAwaits(Map<String, Object> job, int... others) {
     List<String> ids = new ArrayList<>();
--- a/src/test/java/wickdrift/sim/SimNetwork.java
+++ b/src/test/java/wickdrift/sim/SimNetwork.java
@@ -120,10 +120,48 @@
   /** Called with each address at which a server starts to listen. */
   Consumer<String> listenObserver = a -> {};
 
-  /** Creates a network without servers and faults. */
-  public SimNetwork(SimClock clock, Random random) {
+  /**
+   * Copies a share of the commands that are sent straight to workers, whether they arrive and are
+   * answered or not. A copy arrives after a random delay, at whatever has the address by then.
+   *
+   * @param maxDelayMs the longest delay; short ones are as frequent as long ones on a logarithmic
+   *     scale
+   */
+  record DirectCopies(double share, long minDelayMs, long maxDelayMs) {}
+
+  /** Applies unless a test says otherwise. */
+  DirectCopies directCopies = new DirectCopies(0.3, 50, 180_000);
+
+  private final Random copyRandom;
+
+  /** How many copies of direct commands have arrived. */
+  int directCopyCount;
+
+  /**
+   * Creates a network without servers and without faults other than {@link #directCopies}.
+   *
+   * @param seed determines which direct commands are copied, and when the copies arrive
+   */
+  public SimNetwork(SimClock clock, Random random, long seed) {
     this.clock = clock;
     this.random = random;
+    this.copyRandom = new Random(seed);
+  }
+
+  private void copyIfSelected(String from, String to, String path, byte[] body) {
+    if (!path.equals(DIRECT_COMMAND_PATH) || copyRandom.nextDouble() >= directCopies.share) {
+      return;
+    }
+    double range = Math.log((double) directCopies.maxDelayMs / directCopies.minDelayMs);
+    double delayMs = directCopies.minDelayMs * Math.exp(copyRandom.nextDouble() * range);
+    clock.after(
+        (long) delayMs,
+        () -> {
+          if (!cutLinks.contains(linkKey(from, to)) && !inboundBlocked.contains(to)) {
+            directCopyCount++;
+            deliver(from, to, "POST", DIRECT_COMMAND_PATH, body, answer -> {});
+          }
+        });
   }
 
   /** Registers a server for an address, and notifies {@link #listenObserver}. */
@@ -204,8 +242,11 @@
         faultScript.lateMs(),
         () -> {
           Server current = servers.get(to);
-          // A restart closes the connection, and the requests on their way are lost.
-          if (current == null || current.incarnation() == incarnation) {
+          // A restart closes the connection, and requests on their way are lost, but for commands:
+          // the protocol lets them arrive whenever token and session match.
+          if (path.equals(DIRECT_COMMAND_PATH)
+              || current == null
+              || current.incarnation() == incarnation) {
             deliver(from, to, method, path, body, a -> {});
           }
         });
@@ -329,6 +370,7 @@
       duplicateIfSelected(from, method, path, body);
       recordIfSelected(from, path, body);
       recordDirectCommand(from, address, path, body);
+      copyIfSelected(from, address, path, body);
       if (delayIfSelected(from, address, method, path, body)) {
         return;
       }
--- a/src/test/java/wickdrift/sim/SimWorker.java
+++ b/src/test/java/wickdrift/sim/SimWorker.java
@@ -37,8 +37,23 @@
   private long tenure = 1;
   private int incarnation;
 
-  /** When a report was last scheduled soon because the epoch had risen. */
-  private long lastImmediateReportMs = Long.MIN_VALUE / 2;
+  /** The shortest time between two reports. */
+  private static final long MIN_REPORT_GAP_MS = 500;
+
+  /** When a rise of the highest token was last counted as a change. */
+  private long lastTokenRiseMs = Long.MIN_VALUE / 2;
+
+  private long lastReportSentMs = Long.MIN_VALUE / 2;
+  private boolean reportInFlight;
+
+  /** Whether something has changed since the last report was sent. */
+  private boolean changed;
+
+  /** Identifies the report that is scheduled; an earlier one that falls due is not sent. */
+  private int scheduledReport;
+
+  /** The earliest time of the next report after an answer that sent the worker elsewhere. */
+  private long retryAtMs = Long.MIN_VALUE / 2;
 
   long tick;
   private long epoch;
@@ -87,6 +102,12 @@
       return hung;
     }
 
+    /** Ends the wait of this task for the rest of its gang. */
+    void startRunning() {
+      phase = "running";
+      noteChange();
+    }
+
     /** Ends this task successfully. */
     void complete() {
       completedTaskIds.add(id);
@@ -125,7 +146,7 @@
     this.leaseStartMs = clock.nowMs();
     this.nodeIndex = random.nextInt(world.nodes.size());
     world.net.listen(address, this);
-    clock.after(random.nextInt(500), this::sendReport);
+    scheduleReport(random.nextInt(500));
     checkLeasePeriodically();
   }
 
@@ -158,6 +179,13 @@
     tick = 0;
     epoch = 0;
     leaseStartMs = clock.nowMs();
+    lastTokenRiseMs = Long.MIN_VALUE / 2;
+    noteChange();
+  }
+
+  /** Tells the worker a token, as a copy of a command to another machine at its address does. */
+  void tellToken(long token) {
+    setToken(token);
   }
 
   /** Whether anyone has told the worker an epoch since it started. */
@@ -255,6 +283,7 @@
     tasks.clear();
     tenure++;
     leaseStartMs = clock.nowMs();
+    noteChange();
   }
 
   /** Makes the machine hang, or resume; if its lease expired meanwhile, its tasks are killed. */
@@ -292,7 +321,49 @@
   }
 
   private void scheduleReport(long delayMs) {
-    clock.after(delayMs, this::sendReport);
+    int scheduled = ++scheduledReport;
+    clock.after(
+        delayMs,
+        () -> {
+          if (scheduled == scheduledReport) {
+            sendReport();
+          }
+        });
+  }
+
+  /** Schedules a report, because the worker's tasks, session or highest token have changed. */
+  private void noteChange() {
+    changed = true;
+    if (!reportInFlight) {
+      scheduleReportOfChange();
+    }
+  }
+
+  private void scheduleReportOfChange() {
+    long dueMs = Math.max(retryAtMs, lastReportSentMs + MIN_REPORT_GAP_MS);
+    scheduleReport(Math.max(0, dueMs - clock.nowMs()));
+  }
+
+  private void setToken(long newToken) {
+    long now = clock.nowMs();
+    if (newToken > epoch && now - lastTokenRiseMs >= world.leaseMs / 2) {
+      lastTokenRiseMs = now;
+      noteChange();
+    }
+    epoch = newToken;
+  }
+
+  private void scheduleNextReport() {
+    if (changed) {
+      scheduleReportOfChange();
+    } else {
+      scheduleReport((long) (world.reportIntervalMs * (0.75 + random.nextDouble() / 2)));
+    }
+  }
+
+  private void retryAfter(long delayMs) {
+    retryAtMs = clock.nowMs() + delayMs;
+    scheduleReport(delayMs);
   }
 
   private void sendReport() {
@@ -305,6 +376,9 @@
     }
     long sentMs = clock.nowMs();
     long sentSession = sessionId();
+    reportInFlight = true;
+    changed = false;
+    lastReportSentMs = sentMs;
     String target = world.nodes.get(nodeIndex % world.nodes.size());
     caller.call(
         target,
@@ -316,6 +390,7 @@
   }
 
   private void handleReportAnswer(Response answer, long sentMs, long sentSession) {
+    reportInFlight = false;
     if (hung) {
       // The machine hangs; it reads the answer too late to use it.
       scheduleReport(200);
@@ -324,19 +399,13 @@
     try {
       if (answer.status() == 200) {
         Document response = Document.parse(answer.body());
-        long answerEpoch = response.count("epoch");
-        // A higher epoch is reported soon, but no more often than twice within a lease's duration.
-        boolean reportSoon = false;
-        if (sentSession == sessionId() && answerEpoch >= epoch) {
-          long now = clock.nowMs();
-          reportSoon = answerEpoch > epoch && now - lastImmediateReportMs >= world.leaseMs / 2;
-          lastImmediateReportMs = reportSoon ? now : lastImmediateReportMs;
-          epoch = answerEpoch;
+        long answerToken = response.count("epoch");
+        if (sentSession == sessionId() && answerToken >= epoch) {
+          setToken(answerToken);
           leaseStartMs = Math.max(leaseStartMs, sentMs);
           applyCommands(response);
         }
-        scheduleReport(
-            reportSoon ? 500 : (long) (world.reportIntervalMs * (0.75 + random.nextDouble() / 2)));
+        scheduleNextReport();
         return;
       }
       if (answer.status() == 421) {
@@ -344,7 +413,7 @@
         int upstreamIndex = upstream == null ? -1 : world.nodes.indexOf(upstream);
         if (upstreamIndex >= 0 && upstreamIndex != nodeIndex) {
           nodeIndex = upstreamIndex;
-          scheduleReport(random.nextInt(500));
+          retryAfter(random.nextInt(500));
           return;
         }
       }
@@ -352,7 +421,7 @@
       throw new AssertionError(e);
     }
     nodeIndex = (nodeIndex + 1) % world.nodes.size();
-    scheduleReport(1000);
+    retryAfter(1000);
   }
 
   private void applyCommands(Document message) throws BadMessage {
@@ -375,6 +444,7 @@
         case "clear" -> {
           if (task != null && task.attempt == attempt && task.phase.equals("ended")) {
             tasks.remove(id);
+            noteChange();
           }
         }
         default -> throw new AssertionError("verb");
@@ -391,6 +461,7 @@
       return;
     }
     tasks.put(id, task);
+    noteChange();
     double gpus = 0;
     for (Task other : tasks.values()) {
       gpus += other.phase.equals("ended") ? 0 : other.spec.gpus();
@@ -417,6 +488,7 @@
 
   private void imageReady(Task task) {
     task.active = true;
+    noteChange();
     world.rules.taskStarted(task);
     if (completedTaskIds.contains(task.id)) {
       endTask(task, "done");
@@ -461,6 +533,7 @@
     task.phase = "ended";
     task.exitReason = exitReason;
     deactivate(task);
+    noteChange();
   }
 
   @Override
@@ -483,7 +556,7 @@
         done.accept(SimStateService.answer(409, buildReport(from)));
         return;
       }
-      epoch = messageEpoch;
+      setToken(messageEpoch);
       applyCommands(message);
       done.accept(SimStateService.answer(200, buildReport(from)));
     } catch (BadMessage e) {
--- a/src/test/java/wickdrift/sim/SimWorld.java
+++ b/src/test/java/wickdrift/sim/SimWorld.java
@@ -150,7 +150,7 @@
       nodes.add("n" + i);
     }
     random = new Random(setup.seed());
-    net = new SimNetwork(clock, random);
+    net = new SimNetwork(clock, random, setup.seed());
     state = new SimStateService(clock, setup.writeRps());
     state.maxValueBytes = (int) (setup.valueKb() * 1024);
     state.maxTransactionChanges =
