Answers wait at every machine with room, also when they would only clear; ended attempts are not kept to wake workers up

But a clear was preferred to a wake-up. And an answer that carried nothing but a clear went out at once, some tens of milliseconds before the next placement.

--- a/src/main/java/wickdrift/coordination/CommandPlanner.java
+++ b/src/main/java/wickdrift/coordination/CommandPlanner.java
@@ -36,14 +36,6 @@
    */
   private static final int MAX_GANG_WAIT_RESTARTS = 12;
 
-  /**
-   * How many ended attempts, and for how long, a worker keeps after their ends are durable. To
-   * clear one of them directly makes the worker report, and so lets the next attempt start.
-   */
-  private static final int MAX_KEPT_ENDED_ATTEMPTS = 2;
-
-  private static final long KEEP_ENDED_ATTEMPT_MS = 30_000;
-
   /**
    * What may be concluded from a report, and how the commands travel.
    *
@@ -207,32 +199,15 @@
   }
 
   /**
-   * Clears the ended attempts. In an answer the latest ones are kept for a while; directly one is
-   * cleared if the worker should report.
+   * Clears the ended attempts; directly only those in the way of another attempt of their task,
+   * which starts sooner so.
    */
   private void planClears(Pass pass) {
-    int keepable = MAX_KEPT_ENDED_ATTEMPTS;
-    for (int i = pass.clearable.size() - 1; i >= 0; i--) {
-      Report.Entry entry = pass.clearable.get(i);
-      long keptMs = links.linkTo(pass.machine).keptMs(attemptOf(entry), timers.nowMs());
-      boolean isInTheWay = pass.tasksInTheWay.contains(entry.task());
-      boolean isKept = !isInTheWay && keptMs < KEEP_ENDED_ATTEMPT_MS && keepable-- > 0;
-      if (isInTheWay || pass.scope.answersReport && !isKept) {
+    for (Report.Entry entry : pass.clearable) {
+      if (pass.scope.answersReport || pass.tasksInTheWay.contains(entry.task())) {
         addClear(pass, entry);
       }
     }
-    if (!pass.scope.answersReport) {
-      planDirectClear(pass);
-    }
-  }
-
-  private void planDirectClear(Pass pass) {
-    if (!pass.tasksInTheWay.isEmpty()) {
-      pass.awaitsReport = true;
-    } else if (pass.awaitsReport && !pass.clearable.isEmpty()) {
-      // Answers clear the oldest ones, so the newest one is certainly there.
-      addClear(pass, pass.clearable.get(pass.clearable.size() - 1));
-    }
   }
 
   private void planExited(Pass pass, Job job, TaskState state, Report.Entry entry) {
--- a/src/main/java/wickdrift/coordination/DirectCommands.java
+++ b/src/main/java/wickdrift/coordination/DirectCommands.java
@@ -85,23 +85,16 @@
       return;
     }
     CommandPlanner.DirectPlan plan = planner.planDirect(machine, hasAuthority);
-    boolean wantsReport = plan.awaitsReport() && !link.isReportExpected(timers.nowMs());
-    boolean clears = false;
     List<Command.Direct> orders = new ArrayList<>();
     for (Command.Direct order : plan.orders()) {
       TaskAttempt attempt = new TaskAttempt(order.job() + "/" + order.index(), order.attempt());
       boolean isRepeatedHalt =
           order instanceof Command.Halt && !link.tryRecordHalt(attempt, timers.nowMs());
-      boolean isNeedlessClear = order instanceof Command.Clear && !wantsReport;
-      if (orders.size() < MAX_ORDERS_PER_MESSAGE && !isRepeatedHalt && !isNeedlessClear) {
+      if (orders.size() < MAX_ORDERS_PER_MESSAGE && !isRepeatedHalt) {
         orders.add(order);
-        clears |= order instanceof Command.Clear;
       }
     }
-    boolean wakesUp = wantsReport && !clears && canWakeUp(link);
-    if (clears || wakesUp) {
-      link.reportRequested(timers.nowMs());
-    }
+    boolean wakesUp = plan.awaitsReport() && canWakeUp(link);
     if (!orders.isEmpty() || wakesUp) {
       sendCommand(machine, link, report.tenure(), orders, wakesUp);
     }
--- a/src/main/java/wickdrift/coordination/HeldAnswers.java
+++ b/src/main/java/wickdrift/coordination/HeldAnswers.java
@@ -46,15 +46,10 @@
     this.sender = sender;
   }
 
-  /** Returns for how long the answer to a report may wait; 0: it may not. */
+  /** Returns for how long the answer to a report of a machine that has room may wait. */
   static long holdMs(Report report) {
     boolean isIdle = report.tasks().stream().allMatch(task -> task.phase() == Report.Phase.EXITED);
-    if (isIdle) {
-      return IDLE_WORKER_HOLD_MS;
-    }
-    boolean hasRoomAgain =
-        report.tasks().stream().anyMatch(task -> task.phase() == Report.Phase.EXITED);
-    return hasRoomAgain ? BUSY_WORKER_HOLD_MS : 0;
+    return isIdle ? IDLE_WORKER_HOLD_MS : BUSY_WORKER_HOLD_MS;
   }
 
   /** Holds an answer until it is taken or its time is over. */
--- a/src/main/java/wickdrift/coordination/ReportHandler.java
+++ b/src/main/java/wickdrift/coordination/ReportHandler.java
@@ -50,6 +50,7 @@
   private final ZoneHealth zones;
   private final MalformedMessages malformed;
   private final WorkerLinks links;
+  private final MachineTypes types;
   private final CommandPlanner planner;
   private final DirectCommands directCommands;
   private final MachineHealthMonitor healthMonitor;
@@ -83,6 +84,7 @@
       PauseDetector pauseDetector,
       ZoneHealth zones,
       WorkerLinks links,
+      MachineTypes types,
       long leaseMs,
       String node,
       MalformedMessages malformed) {
@@ -95,6 +97,7 @@
     this.reportRelay = reportRelay;
     this.zones = zones;
     this.links = links;
+    this.types = types;
     this.leaseMs = leaseMs;
     this.node = node;
     this.malformed = malformed;
@@ -313,7 +316,6 @@
       sendAnswer(answer, planner.planLaterAnswer(machine, status == Membership.Status.MEMBER));
       return;
     }
-    links.linkTo(machine).reportReceived();
     long now = timers.nowMs();
     boolean provesAlive = machine.receiveReport(report, view.epoch(), now);
     machine.setEpochAcknowledged(provesAlive && report.epoch() == view.epoch());
@@ -333,15 +335,25 @@
     if (machine.unreachableForCommandsSinceMs() > 0 || notYetProvedAlive) {
       directCommands.probe(machine, report.tenure());
     }
-    long holdMs =
-        mayRelay && orders.isEmpty() && mayStartWith(answer) ? HeldAnswers.holdMs(report) : 0;
-    if (holdMs > 0) {
-      heldAnswers.hold(answer, holdMs);
+    // Only clears may wait: nothing depends on how soon an ended attempt is forgotten.
+    boolean mayWait = orders.stream().allMatch(Command.Clear.class::isInstance);
+    if (mayRelay && mayWait && mayStartWith(answer) && hasRoom(machine, report)) {
+      heldAnswers.hold(answer, HeldAnswers.holdMs(report));
     } else {
       sendAnswer(answer, orders);
     }
   }
 
+  /** Whether a machine could take another task, or will once the ends it reports are durable. */
+  private boolean hasRoom(Machine machine, Report report) {
+    MachineType type = types.find(report.type());
+    boolean hasEnded = report.tasks().stream().anyMatch(t -> t.phase() == Report.Phase.EXITED);
+    return hasEnded
+        || type != null
+            && machine.cpus() < type.cpus() - FreeCapacity.EPS
+            && machine.memoryGb() < type.memoryGb() - FreeCapacity.EPS;
+  }
+
   /** Whether tasks may start with an answer: this node owns the machine, which takes tasks. */
   private boolean mayStartWith(HeldAnswers.HeldAnswer answer) {
     Machine machine = answer.machine();
--- a/src/main/java/wickdrift/coordination/WorkerLink.java
+++ b/src/main/java/wickdrift/coordination/WorkerLink.java
@@ -16,11 +16,6 @@
    */
   private static final long HALT_REPEAT_INTERVAL_MS = 3000;
 
-  /** By then a worker that was made to report has done so, or has not counted the change. */
-  private static final long REPORT_TIMEOUT_MS = 1500;
-
-  private static final long MAX_KEPT_RECORD_MS = 120_000;
-
   final WorkerCommands commands = new WorkerCommands();
 
   final WakeUps wakeUps;
@@ -30,12 +25,6 @@
   /** Whether a direct command to the worker awaits its answer. */
   boolean inFlight;
 
-  /** When the worker was last made to report; reset by its next report. */
-  private long reportRequestedMs = Long.MIN_VALUE / 2;
-
-  /** Since when the end of an attempt that the worker still shows has been durable. */
-  private final Map<TaskAttempt, Long> keptSinceMs = new HashMap<>();
-
   /** The earliest time of the next probe. */
   long nextProbeMs;
 
@@ -70,27 +59,6 @@
     return newestReportAtSend != null && answer.notNewerThan(newestReportAtSend);
   }
 
-  /** Whether the worker was made to report a moment ago, and its report has not arrived yet. */
-  boolean isReportExpected(long nowMs) {
-    return nowMs - reportRequestedMs < REPORT_TIMEOUT_MS;
-  }
-
-  /** Records that the worker is made to report. */
-  void reportRequested(long nowMs) {
-    reportRequestedMs = nowMs;
-  }
-
-  /** Records that a report of the worker has arrived. */
-  void reportReceived() {
-    reportRequestedMs = Long.MIN_VALUE / 2;
-  }
-
-  /** Returns for how long the worker has kept an ended attempt, from the first call on. */
-  long keptMs(TaskAttempt attempt, long nowMs) {
-    keptSinceMs.values().removeIf(since -> nowMs - since > MAX_KEPT_RECORD_MS);
-    return nowMs - keptSinceMs.computeIfAbsent(attempt, k -> nowMs);
-  }
-
   /** Records that another machine has answered at the address in the worker's last report. */
   void addressDisproved(Report lastReport) {
     reportOfDisprovedAddress = lastReport;
--- a/src/main/java/wickdrift/daemon/Controller.java
+++ b/src/main/java/wickdrift/daemon/Controller.java
@@ -170,6 +170,7 @@
             pauseDetector,
             zones,
             links,
+            types,
             workerLeaseMs,
             settings.node(),
             malformedMessages);
