--- a/src/main/java/wickdrift/coordination/ReportHandler.java
+++ b/src/main/java/wickdrift/coordination/ReportHandler.java
@@ -140,9 +140,9 @@
       if (!orders.isEmpty()) {
         heldAnswers.take(machine);
         sendAnswer(held, orders);
-        return;
       }
     }
+    // The worker may be gone and the answer lost, so halts are sent directly too.
     directCommands.sendPlannedCommands(machine, true);
   }
 
