--- a/src/test/java/wickdrift/sim/SimNetwork.java
+++ b/src/test/java/wickdrift/sim/SimNetwork.java
@@ -124,6 +124,8 @@
    * Copies a share of the commands that are sent straight to workers, whether they arrive and are
    * answered or not. A copy arrives after a random delay, at whatever has the address by then.
    *
+   * @param share the share of the commands that is copied
+   * @param minDelayMs the shortest delay
    * @param maxDelayMs the longest delay; short ones are as frequent as long ones on a logarithmic
    *     scale
    */
--- a/src/test/java/wickdrift/sim/WakeUpTest.java
+++ b/src/test/java/wickdrift/sim/WakeUpTest.java
@@ -60,6 +60,7 @@
     }
     world.run(180_000);
     assertEquals(0, directStarts);
+    assertTrue(!gateIsOpen || world.net.directCopyCount > 0, "no direct command arrived again");
     double wakeUps = world.metricSum("wickdrift.workers.woken.up");
     assertEquals(gateIsOpen, wakeUps > 0, "wake-ups: " + wakeUps);
     assertEquals(0, world.metricSum("wickdrift.starts.unexplained"));
