--- a/src/main/java/wickdrift/bookkeeping/Job.java
+++ b/src/main/java/wickdrift/bookkeeping/Job.java
@@ -17,6 +17,7 @@
 import wickdrift.protocol.JobSpec;
 import wickdrift.protocol.MessageCodec;
 import wickdrift.protocol.Report;
+import wickdrift.protocol.Unsigned;
 
 /** An unfinished job: its specification and the states of its tasks, which are stored in chunks. */
 public final class Job {
@@ -237,7 +238,7 @@
 
   /** Takes over the job's record as read from the state service. */
   void applyRecord(Document document, long newStamp) throws BadMessage {
-    Document specDocument = Document.of(document.raw("spec"));
+    Document specDocument = Document.of(document.value("spec"));
     unknownSpecFields = JobSpec.unknownFields(specDocument);
     if (spec == null) {
       spec = JobSpec.parse(specDocument);
@@ -249,8 +250,7 @@
       waitingIndices = new BitSet(tasks.length);
       waitingIndices.set(0, tasks.length);
       awaits = spec.awaits();
-      overflow =
-          document.raw("more") == null ? null : AwaitsOverflow.parse(id, document.raw("more"));
+      overflow = !document.has("more") ? null : AwaitsOverflow.parse(id, document.raw("more"));
     }
     acceptedWallMs = document.count("at");
     partition = document.text("part");
@@ -340,7 +340,7 @@
     }
     Map<String, Object> fields =
         new LinkedHashMap<>(unknownChunkFields.getOrDefault(chunk, Map.of()));
-    fields.put("rev", revision);
+    fields.put("rev", Unsigned.toWire(revision));
     fields.put("done", doneRanges);
     fields.put("live", liveTasks);
     fields.put("tried", triedTasks);
@@ -450,7 +450,7 @@
       unknownChunkFields.put(chunk, unknown);
     }
     chunkRevisions[chunk] =
-        document == null ? 0 : Math.max(chunkRevisions[chunk], document.count("rev"));
+        document == null ? 0 : Unsigned.max(chunkRevisions[chunk], document.unsigned("rev"));
   }
 
   /** Replaces the states of a chunk's tasks by the stored ones. */
--- a/src/main/java/wickdrift/bookkeeping/LogPage.java
+++ b/src/main/java/wickdrift/bookkeeping/LogPage.java
@@ -9,6 +9,7 @@
 import wickdrift.protocol.BadMessage;
 import wickdrift.protocol.Document;
 import wickdrift.protocol.MessageCodec;
+import wickdrift.protocol.Unsigned;
 
 /**
  * One page of a node's log: the changes of tasks and machines made by its transactions, in a single
@@ -76,12 +77,10 @@
     Document document = Encoding.decode(value, Encoding.NUMBERED);
     List<Run> runs = new ArrayList<>();
     for (Object o : document.list(RUNS_FIELD)) {
-      if (!(o instanceof List<?> l)
-          || l.size() != 2
-          || !(l.get(0) instanceof Long rev)
-          || !(l.get(1) instanceof List<?> entries)) {
+      if (!(o instanceof List<?> l) || l.size() != 2 || !(l.get(1) instanceof List<?> entries)) {
         throw new BadMessage("log page holds an element that is not a run");
       }
+      long rev = Unsigned.fromWire(l.get(0));
       runs.add(new Run(rev == 0 ? stamp : rev, entries));
     }
     int encoding = Encoding.versionOf(value);
@@ -135,7 +134,7 @@
           }
         }
         if (!kept.isEmpty()) {
-          runs.add(List.of(r.rev, kept));
+          runs.add(List.of(Unsigned.toWire(r.rev), kept));
         }
       }
     }
--- a/src/main/java/wickdrift/bookkeeping/Machine.java
+++ b/src/main/java/wickdrift/bookkeeping/Machine.java
@@ -9,6 +9,7 @@
 import java.util.function.Consumer;
 import wickdrift.protocol.JobSpec;
 import wickdrift.protocol.Report;
+import wickdrift.protocol.Unsigned;
 
 /**
  * A machine: its durable record, the task attempts placed on it, and the last reports its owner
@@ -472,7 +473,7 @@
       notifyChange();
     }
     if (provesAlive || !provedAlive) {
-      if (report == null || newReport.tenure() > report.tenure()) {
+      if (report == null || Unsigned.isGreater(newReport.tenure(), report.tenure())) {
         // The new session began no later than now, and with it a lease that no controller has
         // renewed yet. A worker that cannot reach any controller starts session after session, and
         // still runs what it is sent directly.
@@ -537,7 +538,7 @@
     // If the last answer had reached the worker, its lease could not have expired yet.
     boolean leaseExpired =
         lastUnsolicitedReport != null
-            && newReport.tenure() > lastUnsolicitedReport.tenure()
+            && Unsigned.isGreater(newReport.tenure(), lastUnsolicitedReport.tenure())
             && nowMs - lastAnswerMs < leaseMs * 3 / 4;
     boolean epochRose = highestReportedEpoch >= 0 && newReport.epoch() > highestReportedEpoch;
     highestReportedEpoch = Math.max(highestReportedEpoch, newReport.epoch());
--- a/src/main/java/wickdrift/bookkeeping/StateServiceClient.java
+++ b/src/main/java/wickdrift/bookkeeping/StateServiceClient.java
@@ -13,6 +13,7 @@
 import wickdrift.protocol.Document;
 import wickdrift.protocol.MalformedMessages;
 import wickdrift.protocol.MessageCodec;
+import wickdrift.protocol.Unsigned;
 import wickdrift.transport.Caller;
 import wickdrift.transport.Timers;
 
@@ -124,11 +125,11 @@
      */
     void onKeyChanged(Change change) {
       long expected = transaction.conditions().get(change.key());
-      if (change.stamp() <= expected) {
+      if (!Unsigned.isGreater(change.stamp(), expected)) {
         return;
       }
       // A key required to be absent may be deleted again; a required stamp never returns.
-      settled |= expected > 0;
+      settled |= expected != 0;
       if (!changeSeen) {
         changeSeen = true;
         timers.after(
@@ -409,7 +410,7 @@
   /** Loads a full copy, then follows the changes. */
   public void start() {
     loadCount++;
-    load(0, null, new ArrayList<>(), Long.MAX_VALUE);
+    load(0, null, new ArrayList<>(), Unsigned.MAX_VALUE);
   }
 
   private void load(int prefix, String from, List<Change> records, long minRev) {
@@ -437,7 +438,7 @@
           }
           try {
             Document document = Document.parse(answer.body());
-            long oldestRev = Math.min(minRev, document.count("ledgerRev"));
+            long oldestRev = Unsigned.min(minRev, document.unsigned("ledgerRev"));
             ListResult page = parseListing(document);
             records.addAll(page.entries);
             if (page.truncated && !page.entries.isEmpty()) {
@@ -456,7 +457,7 @@
   private void catchUp() {
     call(
         "GET",
-        "/follow?prefix=" + PREFIX + "&from=" + rev + "&holdMs=0",
+        "/follow?prefix=" + PREFIX + "&from=" + Unsigned.toText(rev) + "&holdMs=0",
         null,
         CALL_TIMEOUT_MS,
         answer -> {
@@ -468,7 +469,7 @@
             reload();
           } else {
             phase = Phase.FOLLOWING;
-            LOG.info("tables loaded: revision={}", rev);
+            LOG.info("tables loaded: revision={}", Unsigned.toText(rev));
             listener.changesApplied();
             follow();
           }
@@ -479,7 +480,7 @@
     int loadCountBefore = loadCount;
     call(
         "GET",
-        "/follow?prefix=" + PREFIX + "&from=" + rev + "&holdMs=" + WATCH_HOLD_MS,
+        "/follow?prefix=" + PREFIX + "&from=" + Unsigned.toText(rev) + "&holdMs=" + WATCH_HOLD_MS,
         null,
         WATCH_HOLD_MS + 60_000,
         answer -> {
@@ -519,16 +520,16 @@
     long newRev;
     try {
       Document document = Document.parse(body);
-      newRev = document.count("ledgerRev");
+      newRev = document.unsigned("ledgerRev");
       for (Document e : document.documents("news")) {
-        long stamp = e.count("stamp");
+        long stamp = e.unsigned("stamp");
         String written = e.textOrNull("write");
-        if (stamp <= rev) {
+        if (!Unsigned.isGreater(stamp, rev)) {
           continue;
         }
         changes.add(
             written != null
-                ? new Change(written, e.raw("v"), stamp)
+                ? new Change(written, e.value("v"), stamp)
                 : new Change(e.text("delete"), null, stamp));
       }
     } catch (BadMessage e) {
@@ -536,7 +537,7 @@
       return false;
     }
     listener.apply(changes, newRev);
-    rev = Math.max(rev, newRev);
+    rev = Unsigned.max(rev, newRev);
     for (Change c : changes) {
       InFlightTransaction inFlight = inFlightByKey.get(c.key());
       if (inFlight != null) {
@@ -551,7 +552,7 @@
       }
       for (int i = 0; i < revWaiters.size(); ) {
         RevWaiter w = revWaiters.get(i);
-        if (w.rev <= rev) {
+        if (!Unsigned.isGreater(w.rev, rev)) {
           revWaiters.remove(i);
           w.done.run();
         } else {
@@ -576,7 +577,7 @@
    * Runs a callback once the tables have reached a revision that a commit of this node returned.
    */
   public void runAtRevision(long wantedRev, Runnable done) {
-    if (rev >= wantedRev && phase == Phase.FOLLOWING) {
+    if (!Unsigned.isGreater(wantedRev, rev) && phase == Phase.FOLLOWING) {
       done.run();
       return;
     }
@@ -633,7 +634,7 @@
     int loadCountBefore = loadCount;
     call(
         "GET",
-        "/follow?prefix=" + PREFIX + "&from=" + rev + "&holdMs=0",
+        "/follow?prefix=" + PREFIX + "&from=" + Unsigned.toText(rev) + "&holdMs=0",
         null,
         CALL_TIMEOUT_MS,
         answer -> {
@@ -658,7 +659,12 @@
 
   /** Ends a lease of this node at once and deletes the keys tied to it. */
   public void revokeLease(long leaseId, Runnable done) {
-    call("DELETE", "/grants/" + leaseId, null, CALL_TIMEOUT_MS, answer -> done.run());
+    call(
+        "DELETE",
+        "/grants/" + Unsigned.toText(leaseId),
+        null,
+        CALL_TIMEOUT_MS,
+        answer -> done.run());
   }
 
   /** Result of reading one key: a null value with {@code ok} means that the key does not exist. */
@@ -678,7 +684,8 @@
             } else if (answer.status() == 200) {
               Document document = Document.parse(answer.body());
               done.accept(
-                  new ReadResult(true, Document.of(document.raw("v")), document.count("stamp")));
+                  new ReadResult(
+                      true, Document.of(document.value("v")), document.unsigned("stamp")));
             } else {
               done.accept(new ReadResult(false, null, 0));
             }
@@ -717,7 +724,7 @@
   private static ListResult parseListing(Document document) throws BadMessage {
     List<Change> entries = new ArrayList<>();
     for (Document e : document.documents("entries")) {
-      entries.add(new Change(e.text("key"), e.raw("v"), e.count("stamp")));
+      entries.add(new Change(e.text("key"), e.value("v"), e.unsigned("stamp")));
     }
     return new ListResult(entries, document.flag("truncated", false));
   }
@@ -786,13 +793,13 @@
       switch (answer.status()) {
         case 200:
           return new CommitResult(
-              Outcome.OK, Document.parse(answer.body()).count("ledgerRev"), Set.of(), false);
+              Outcome.OK, Document.parse(answer.body()).unsigned("ledgerRev"), Set.of(), false);
         case 409:
           failedByCondition++;
           Document document = Document.parse(answer.body());
           return new CommitResult(
               Outcome.CONDITION_FAILED,
-              document.count("ledgerRev"),
+              document.unsigned("ledgerRev"),
               new HashSet<>(document.texts("failed")),
               false);
         case 429:
@@ -835,7 +842,7 @@
         answer -> {
           try {
             done.accept(
-                answer.status() == 200 ? Document.parse(answer.body()).count("tether") : 0L);
+                answer.status() == 200 ? Document.parse(answer.body()).unsigned("tether") : 0L);
           } catch (BadMessage e) {
             noteMalformed("grant", e);
             done.accept(0L);
@@ -847,7 +854,7 @@
   public void extendLease(long leaseId, Consumer<Integer> done) {
     call(
         "POST",
-        "/grants/" + leaseId + "/extend",
+        "/grants/" + Unsigned.toText(leaseId) + "/extend",
         MessageCodec.encode(Map.of()),
         CALL_TIMEOUT_MS,
         answer -> done.accept(answer.status()));
--- a/src/main/java/wickdrift/bookkeeping/Tables.java
+++ b/src/main/java/wickdrift/bookkeeping/Tables.java
@@ -20,6 +20,7 @@
 import wickdrift.bookkeeping.level.NodeRegistry;
 import wickdrift.protocol.BadMessage;
 import wickdrift.protocol.Document;
+import wickdrift.protocol.Unsigned;
 
 /** Replica of the stored state as of a revision; only changes from the state service modify it. */
 public final class Tables implements StateServiceClient.ChangeListener {
@@ -353,7 +354,7 @@
    * rev}, as of which the job's record is withdrawn. False if too many are held to keep this one.
    */
   public boolean announceWithdrawal(String id, long rev) {
-    if (rev <= appliedRev || announcedWithdrawals.containsKey(id)) {
+    if (!Unsigned.isGreater(rev, appliedRev) || announcedWithdrawals.containsKey(id)) {
       return true;
     }
     if (announcedWithdrawals.size() >= MAX_ANNOUNCED_WITHDRAWALS) {
@@ -374,7 +375,7 @@
 
   private void advanceTo(long rev) {
     appliedRev = rev;
-    announcedWithdrawals.values().removeIf(announcedRev -> announcedRev <= rev);
+    announcedWithdrawals.values().removeIf(announcedRev -> !Unsigned.isGreater(announcedRev, rev));
   }
 
   public void rememberTerminalState(String id, TerminalState terminalState) {
@@ -454,7 +455,7 @@
       }
     }
     Map<String, Object> record = new LinkedHashMap<>(archiveBucket(bucket).extra);
-    record.put("rev", rev);
+    record.put("rev", Unsigned.toWire(rev));
     record.put("m", list);
     return record;
   }
@@ -483,7 +484,7 @@
     try {
       String subject = LogEntry.subject(entry);
       if (LogEntry.aboutMachine(entry)) {
-        return rev <= archiveBucket(Machine.archiveBucketOf(subject)).rev;
+        return !Unsigned.isGreater(rev, archiveBucket(Machine.archiveBucketOf(subject)).rev);
       }
       Job job = jobs.get(subject);
       if (job == null) {
@@ -491,7 +492,8 @@
       }
       int width = LogEntry.valuesPerTask(entry);
       for (int i = LogEntry.firstTaskIndex(entry); i + width <= entry.size(); i += width) {
-        if (rev > job.chunkRevision(LogEntry.number(entry, i) / Job.TASKS_PER_CHUNK)) {
+        int chunk = LogEntry.number(entry, i) / Job.TASKS_PER_CHUNK;
+        if (Unsigned.isGreater(rev, job.chunkRevision(chunk))) {
           return false;
         }
       }
@@ -502,13 +504,13 @@
     }
   }
 
-  /** Revision of the oldest run in any log page; {@code Long.MAX_VALUE} if there is none. */
+  /** Revision of the oldest run in any log page; {@link Unsigned#MAX_VALUE} if there is none. */
   public long oldestEntryRev() {
-    long oldest = Long.MAX_VALUE;
+    long oldest = Unsigned.MAX_VALUE;
     for (TreeMap<Long, LogPage> pages : pagesByNode.values()) {
       for (LogPage p : pages.values()) {
         for (LogPage.Run r : p.runs()) {
-          oldest = Math.min(oldest, r.rev());
+          oldest = Unsigned.min(oldest, r.rev());
         }
       }
     }
@@ -534,7 +536,7 @@
     String kind = LogEntry.kind(entry);
     String subject = LogEntry.subject(entry);
     if (LogEntry.aboutMachine(entry)) {
-      if (rev > archiveBucket(Machine.archiveBucketOf(subject)).rev) {
+      if (Unsigned.isGreater(rev, archiveBucket(Machine.archiveBucketOf(subject)).rev)) {
         Machine machine = getOrCreateMachine(subject);
         boolean applies =
             kind.equals(LogEntry.MACHINE)
@@ -564,7 +566,8 @@
     for (int i = LogEntry.firstTaskIndex(entry); i + width <= entry.size(); i += width) {
       int index = LogEntry.number(entry, i);
       int attempt = LogEntry.number(entry, i + 1);
-      if (index >= job.taskCount() || rev <= job.chunkRevision(index / Job.TASKS_PER_CHUNK)) {
+      if (index >= job.taskCount()
+          || !Unsigned.isGreater(rev, job.chunkRevision(index / Job.TASKS_PER_CHUNK))) {
         continue;
       }
       boolean applies =
@@ -610,9 +613,9 @@
         }
       }
     }
-    runs.sort(Comparator.comparingLong(o -> o.run.rev()));
+    runs.sort((a, b) -> Unsigned.compare(a.run.rev(), b.run.rev()));
     for (PageRun o : runs) {
-      if (o.run.rev() <= rev) {
+      if (!Unsigned.isGreater(o.run.rev(), rev)) {
         applyRun(o.page, o.run);
       }
     }
@@ -640,7 +643,7 @@
         LogPage page = updatePage(change);
         for (LogPage.Run r : page == null ? List.<LogPage.Run>of() : page.runs()) {
           // A page changed twice arrives twice in full; one transaction may write several pages.
-          if (r.rev() > appliedRev && seen.add(r.rev() + change.key())) {
+          if (Unsigned.isGreater(r.rev(), appliedRev) && seen.add(r.rev() + change.key())) {
             steps.add(new Step(r.rev(), Step.RUN, change.key(), () -> applyRun(change.key(), r)));
           }
         }
@@ -648,16 +651,18 @@
       }
       steps.add(new Step(change.stamp(), Step.RECORD, change.key(), () -> apply(change, false)));
       long holds = archivedUpTo(change);
-      if (holds > appliedRev) {
+      if (Unsigned.isGreater(holds, appliedRev)) {
         // Newer than the tables: the log entries it replaces may already be deleted from the pages.
         steps.add(new Step(holds, Step.STORED, change.key(), () -> apply(change, true)));
       }
     }
     // Pages of one transaction apply in key order: a placement may depend on an earlier exit.
     steps.sort(
-        Comparator.comparingLong(Step::rev).thenComparingInt(Step::order).thenComparing(Step::key));
+        Comparator.comparing(Step::rev, Unsigned::compare)
+            .thenComparingInt(Step::order)
+            .thenComparing(Step::key));
     steps.forEach(s -> s.action.run());
-    advanceTo(Math.max(appliedRev, rev));
+    advanceTo(Unsigned.max(appliedRev, rev));
     updateBlockedReason();
   }
 
@@ -666,7 +671,7 @@
     boolean stored = Job.isChunkKey(change.key()) || change.key().startsWith("w/h/");
     try {
       return stored && change.value() != null
-          ? Encoding.decode(change.value(), newestReadableEncoding(change.key())).count("rev")
+          ? Encoding.decode(change.value(), newestReadableEncoding(change.key())).unsigned("rev")
           : 0;
     } catch (BadMessage e) {
       return 0;
@@ -735,7 +740,7 @@
       return;
     }
     for (int k = 0; k < job.chunkCount(); k++) {
-      if (job.chunkStamp(k) > 0) {
+      if (job.chunkStamp(k) != 0) {
         orphans.add(job.chunkKey(k), job.chunkStamp(k));
       }
     }
@@ -775,8 +780,8 @@
       case 'c' -> registry.apply(name, document, change.stamp());
       case 'j' -> {
         pendingHistory.remove(name);
-        if (document != null && document.raw("over") != null) {
-          TerminalState terminalState = TerminalState.parse(Document.of(document.raw("over")));
+        if (document != null && document.has("over")) {
+          TerminalState terminalState = TerminalState.parse(Document.of(document.value("over")));
           pendingHistory.put(name, new PendingHistoryEntry(terminalState, change.stamp()));
           rememberTerminalState(name, terminalState);
           discard(name);
@@ -895,7 +900,8 @@
       return;
     }
     archiveBuckets.put(
-        bucket, new ArchiveBucket(stamp, document.count("rev"), document.fieldsExcept("rev", "m")));
+        bucket,
+        new ArchiveBucket(stamp, document.unsigned("rev"), document.fieldsExcept("rev", "m")));
     if (whole) {
       machinesInBucket(bucket).forEach(m -> m.restore(null));
       for (Object o : document.list("m")) {
--- a/src/main/java/wickdrift/bookkeeping/Transaction.java
+++ b/src/main/java/wickdrift/bookkeeping/Transaction.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import java.util.Set;
 import wickdrift.protocol.MessageCodec;
+import wickdrift.protocol.Unsigned;
 
 /**
  * A transaction under construction: conditions on stamps, and the writes and deletions to apply.
@@ -38,8 +39,8 @@
     Map<String, Object> change = new LinkedHashMap<>();
     change.put("write", key);
     change.put("v", value);
-    if (leaseId > 0) {
-      change.put("tether", leaseId);
+    if (leaseId != 0) {
+      change.put("tether", Unsigned.toWire(leaseId));
     }
     putChange(key, change);
     return this;
@@ -59,7 +60,7 @@
   }
 
   private static Map<String, Object> condition(String key, long stamp) {
-    return Map.of("key", key, "stamp", stamp);
+    return Map.of("key", key, "stamp", Unsigned.toWire(stamp));
   }
 
   /** The size of an element of a list as JSON, with its comma. */
--- a/src/main/java/wickdrift/bookkeeping/View.java
+++ b/src/main/java/wickdrift/bookkeeping/View.java
@@ -96,8 +96,7 @@
    */
   public static View parse(Object value) throws BadMessage {
     Document document = Encoding.decode(value, Encoding.NUMBERED);
-    Map<String, String> zones =
-        document.raw("zones") == null ? Map.of() : texts(document.raw("zones"));
+    Map<String, String> zones = !document.has("zones") ? Map.of() : texts(document.raw("zones"));
     long level = document.count(LEVEL_FIELD, 1);
     if (level < 1
         || level > Integer.MAX_VALUE
@@ -117,7 +116,7 @@
   private static Map<String, String> texts(Object map) throws BadMessage {
     Map<String, String> out = new TreeMap<>();
     Document m = Document.of(map);
-    for (Object k : ((Map<?, ?>) m.rawMap()).keySet()) {
+    for (Object k : m.rawMap().keySet()) {
       out.put((String) k, m.text((String) k));
     }
     return out;
--- a/src/main/java/wickdrift/bookkeeping/level/Encoding.java
+++ b/src/main/java/wickdrift/bookkeeping/level/Encoding.java
@@ -1,9 +1,11 @@
 package wickdrift.bookkeeping.level;
 
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import wickdrift.protocol.BadMessage;
 import wickdrift.protocol.Document;
+import wickdrift.protocol.EncodedValue;
 
 /**
  * Encoding versions of stored records. Version 1 is a bare map without a version number; every
@@ -39,6 +41,9 @@
    * @throws BadMessage if it is neither a map nor a list of encoding version and map
    */
   public static int versionOf(Object value) throws BadMessage {
+    if (value instanceof EncodedValue encoded) {
+      return versionOf(withDecodedVersion(encoded));
+    }
     if (value instanceof Map<?, ?>) {
       return FIRST;
     }
@@ -47,12 +52,25 @@
         && l.get(0) instanceof Long version
         && version > FIRST
         && version <= Integer.MAX_VALUE
-        && l.get(1) instanceof Map<?, ?>) {
+        && (l.get(1) instanceof Map<?, ?>
+            || l.get(1) instanceof EncodedValue encoded && encoded.isMap())) {
       return version.intValue();
     }
     throw new BadMessage("neither a map nor a list of encoding version and map");
   }
 
+  /** Returns a value of which only the outermost list and its first element are decoded. */
+  private static Object withDecodedVersion(EncodedValue value) throws BadMessage {
+    if (value.isMap()) {
+      return Map.of();
+    }
+    List<Object> elements = value.isList() ? new ArrayList<>(value.elements()) : List.of();
+    if (!elements.isEmpty()) {
+      elements.set(0, ((EncodedValue) elements.get(0)).decode());
+    }
+    return elements;
+  }
+
   /**
    * The map of a stored value.
    *
@@ -65,6 +83,11 @@
       throw new BadMessage(
           "form " + version + " is newer than this build, which reads up to " + newest);
     }
-    return Document.of(version == FIRST ? value : ((List<?>) value).get(1));
+    if (version == FIRST) {
+      return Document.of(value);
+    }
+    List<?> versionAndMap =
+        value instanceof EncodedValue encoded ? encoded.elements() : (List<?>) value;
+    return Document.of(versionAndMap.get(1));
   }
 }
--- a/src/main/java/wickdrift/bookkeeping/level/LevelRange.java
+++ b/src/main/java/wickdrift/bookkeeping/level/LevelRange.java
@@ -35,7 +35,7 @@
    * @throws BadMessage if only one end is present, an end is out of bounds, or the range is empty
    */
   public static LevelRange parse(Document document) throws BadMessage {
-    if (document.raw(MIN_FIELD) == null && document.raw(MAX_FIELD) == null) {
+    if (!document.has(MIN_FIELD) && !document.has(MAX_FIELD)) {
       return FIRST;
     }
     long min = document.count(MIN_FIELD);
--- a/src/main/java/wickdrift/coordination/DirectCommands.java
+++ b/src/main/java/wickdrift/coordination/DirectCommands.java
@@ -16,6 +16,7 @@
 import wickdrift.protocol.MalformedMessages;
 import wickdrift.protocol.MessageCodec;
 import wickdrift.protocol.Report;
+import wickdrift.protocol.Unsigned;
 import wickdrift.protocol.WorkerToken;
 import wickdrift.transport.Caller;
 import wickdrift.transport.Timers;
@@ -136,7 +137,7 @@
     }
     Map<String, Object> body = new LinkedHashMap<>();
     body.put("epoch", token.toWire(tables.isOpen(Gate.WAKE_UPS)));
-    body.put("tenure", session);
+    body.put("tenure", Unsigned.toWire(session));
     body.put("orders", orders.stream().map(Command::toWire).toList());
     link.commandSent(machine.report());
     caller.call(
--- a/src/main/java/wickdrift/coordination/LogCompaction.java
+++ b/src/main/java/wickdrift/coordination/LogCompaction.java
@@ -14,6 +14,7 @@
 import wickdrift.bookkeeping.StateServiceLimits;
 import wickdrift.bookkeeping.Tables;
 import wickdrift.protocol.MessageCodec;
+import wickdrift.protocol.Unsigned;
 import wickdrift.transport.Timers;
 
 /**
@@ -139,7 +140,7 @@
     nextArchiveCleanupMs = now + ARCHIVE_CLEANUP_INTERVAL_MS;
     long oldestEntryRevision = tables.oldestEntryRev();
     for (Map.Entry<String, Tables.ArchiveBucket> entry : tables.archiveBuckets().entrySet()) {
-      if (entry.getValue().rev() < oldestEntryRevision
+      if (Unsigned.isGreater(oldestEntryRevision, entry.getValue().rev())
           && tables.isArchiveBucketEmpty(entry.getKey())
           && builder.canAddWrites()) {
         builder.addCondition(Tables.archiveBucketKey(entry.getKey()), entry.getValue().stamp());
--- a/src/main/java/wickdrift/coordination/Membership.java
+++ b/src/main/java/wickdrift/coordination/Membership.java
@@ -271,7 +271,7 @@
           tuning.memberLeaseMs(),
           grantedId -> {
             leaseRequestInFlight = false;
-            if (grantedId > 0) {
+            if (grantedId != 0) {
               leaseId = grantedId;
               leaseCount++;
               incarnation = PeerIdentity.underLease(processIncarnation, leaseCount);
@@ -570,7 +570,7 @@
    */
   private boolean mayPropose() {
     return incarnation.equals(tables.members().get(node))
-        || tables.members().isEmpty() && tables.view() != null && leaseId > 0;
+        || tables.members().isEmpty() && tables.view() != null && leaseId != 0;
   }
 
   /** Returns this node's position among the live members, which sets the order of proposals. */
--- a/src/main/java/wickdrift/coordination/ReportHandler.java
+++ b/src/main/java/wickdrift/coordination/ReportHandler.java
@@ -21,6 +21,7 @@
 import wickdrift.protocol.Document;
 import wickdrift.protocol.MalformedMessages;
 import wickdrift.protocol.Report;
+import wickdrift.protocol.Unsigned;
 import wickdrift.protocol.WorkerToken;
 import wickdrift.transport.Caller;
 import wickdrift.transport.Exchange;
@@ -161,7 +162,7 @@
         view.epoch(),
         view.members(),
         view.leader(),
-        tables.appliedRev());
+        Unsigned.toText(tables.appliedRev()));
     boolean isLeader = view.leader().equals(node);
     boolean becameLeader = isLeader && !view.leader().equals(lastLeader);
     boolean ownedNothing = ownedMachines.isEmpty();
--- a/src/main/java/wickdrift/coordination/Submissions.java
+++ b/src/main/java/wickdrift/coordination/Submissions.java
@@ -15,7 +15,9 @@
 import wickdrift.bookkeeping.level.Gate;
 import wickdrift.protocol.BadMessage;
 import wickdrift.protocol.Document;
+import wickdrift.protocol.EncodedValue;
 import wickdrift.protocol.JobSpec;
+import wickdrift.protocol.JsonSize;
 import wickdrift.protocol.MessageCodec;
 import wickdrift.transport.Exchange;
 import wickdrift.transport.Timers;
@@ -39,6 +41,9 @@
 
   private static final int MAX_BATCHES_IN_FLIGHT = 4;
 
+  /** The protocol's limit of a request, which it measures as JSON. */
+  private static final int MAX_SUBMISSION_BYTES = 64 * 1024;
+
   /** Bytes of a job's record other than the submitted specification. */
   private static final int RECORD_OVERHEAD_BYTES = 160;
 
@@ -114,11 +119,11 @@
     JobSpec spec;
     String missingField;
     try {
-      Document document = Document.parse(exchange.body());
+      Document document = Document.of(parseBody(exchange));
       spec = JobSpec.parse(document);
       missingField = JobSpec.missingField(document);
     } catch (BadMessage e) {
-      exchange.reply(400, Map.of("error", e.getMessage()));
+      UserRequests.replyMalformed(exchange, e);
       return;
     }
     if (tables.job(spec.id()) != null || tables.terminalState(spec.id()) != null) {
@@ -143,6 +148,14 @@
     }
   }
 
+  private static EncodedValue parseBody(Exchange exchange) throws BadMessage {
+    EncodedValue body = EncodedValue.of(exchange.body());
+    if (JsonSize.lowerBound(body) > MAX_SUBMISSION_BYTES) {
+      throw new BadMessage("the request is larger than 64 KiB as JSON");
+    }
+    return body;
+  }
+
   /**
    * Returns the Retry-After time of a rejected submission: the time in which half of the queue is
    * written at the rate reserved for users, so that the queue does not run empty before the retry.
--- a/src/main/java/wickdrift/coordination/TransactionBuilder.java
+++ b/src/main/java/wickdrift/coordination/TransactionBuilder.java
@@ -316,7 +316,7 @@
     otherWrites += writesPerEnd();
     for (int chunk = 0; chunk < job.chunkCount(); chunk++) {
       // Chunks that do not fit remain as orphans and are deleted later.
-      if (job.chunkStamp(chunk) > 0 && canAddWrites()) {
+      if (job.chunkStamp(chunk) != 0 && canAddWrites()) {
         delete(job.chunkKey(chunk));
       }
     }
--- a/src/main/java/wickdrift/coordination/TransactionPipeline.java
+++ b/src/main/java/wickdrift/coordination/TransactionPipeline.java
@@ -71,7 +71,7 @@
    *
    * @param lostInEpoch the epoch in which the attempt disappeared without an exit, otherwise 0
    */
-  private record PendingExit(Machine machine, int attempt, String exitReason, long lostInEpoch) {}
+  private record PendingExit(Machine machine, long attempt, String exitReason, long lostInEpoch) {}
 
   /** Identifies a task. */
   private record TaskKey(String job, int index) {}
@@ -275,7 +275,7 @@
    * @param exitReason the reason that the worker reported, or null if the attempt was lost
    * @return whether the end was not recorded before
    */
-  public boolean recordExit(Job job, int index, int attempt, Machine machine, String exitReason) {
+  public boolean recordExit(Job job, int index, long attempt, Machine machine, String exitReason) {
     PendingExit exit =
         new PendingExit(
             machine, attempt, exitReason, exitReason == null ? tables.view().epoch() : 0);
@@ -290,7 +290,7 @@
    * Whether the attempt is known to be over but its end is not durable yet. Until it is, a command
    * to run the attempt would start it once more, beside the next attempt.
    */
-  public boolean isExiting(Job job, int index, int attempt) {
+  public boolean isExiting(Job job, int index, long attempt) {
     PendingExit exit = pendingExits.get(new TaskKey(job.id(), index));
     return exit != null && exit.attempt == attempt;
   }
--- a/src/main/java/wickdrift/coordination/WithdrawalConfirmations.java
+++ b/src/main/java/wickdrift/coordination/WithdrawalConfirmations.java
@@ -22,6 +22,7 @@
 import wickdrift.coordination.peers.RequestIds;
 import wickdrift.protocol.FrameHeader;
 import wickdrift.protocol.PeerFrame;
+import wickdrift.protocol.Unsigned;
 import wickdrift.transport.Timers;
 
 /**
@@ -272,7 +273,8 @@
    */
   public boolean handleAnnouncement(PeerFrame.WithdrawalConfirmationRequest request) {
     boolean alreadyKnown =
-        tables.isWithdrawalAnnounced(request.job()) || request.revision() <= tables.appliedRev();
+        tables.isWithdrawalAnnounced(request.job())
+            || !Unsigned.isGreater(request.revision(), tables.appliedRev());
     if (!tables.announceWithdrawal(request.job(), request.revision())) {
       LOG.error("too many announced withdrawals, announcement ignored: job={}", request.job());
       return false;
--- a/src/main/java/wickdrift/coordination/commands/WorkerCommands.java
+++ b/src/main/java/wickdrift/coordination/commands/WorkerCommands.java
@@ -22,7 +22,7 @@
    * @param firstSentMs when the attempt was first told to run
    */
   private record LastRun(
-      int attempt,
+      long attempt,
       long reportTick,
       boolean reported,
       long session,
--- a/src/main/java/wickdrift/daemon/Controller.java
+++ b/src/main/java/wickdrift/daemon/Controller.java
@@ -1,6 +1,7 @@
 package wickdrift.daemon;
 
 import java.nio.ByteBuffer;
+import java.util.Locale;
 import java.util.Map;
 import java.util.function.Consumer;
 import org.slf4j.Logger;
@@ -16,6 +17,7 @@
 import wickdrift.coordination.MachineTypes;
 import wickdrift.coordination.Membership;
 import wickdrift.coordination.PauseDetector;
+import wickdrift.coordination.RefusedRequests;
 import wickdrift.coordination.ReportHandler;
 import wickdrift.coordination.ReportRelay;
 import wickdrift.coordination.SchedulingState;
@@ -69,6 +71,7 @@
   private final Admission admission;
   private final FleetManager fleet;
   private final Metrics metrics;
+  private final RefusedRequests refusedRequests;
   private long unknownFrameCount;
   private final MalformedMessages malformedMessages = new MalformedMessages();
 
@@ -108,6 +111,7 @@
       Metrics metrics,
       LevelRange levels) {
     this.metrics = metrics;
+    refusedRequests = new RefusedRequests(this::registerRefusal);
     pauseDetector = new PauseDetector(unmonitoredTimers, tuning.pauseThresholdMs());
     Timers timers = pauseDetector.monitoredTimers();
     Caller caller =
@@ -271,6 +275,18 @@
     metrics.registerGauge("withdrawals.unkept", confirmations::unconfirmedCount);
   }
 
+  /** Registers the count of the requests that are refused for a cause. */
+  private void registerRefusal(RefusedRequests.Cause cause) {
+    String name =
+        "users.refused."
+            + String.join(
+                ".",
+                cause.kind().name().toLowerCase(Locale.ROOT),
+                Integer.toString(cause.status()),
+                cause.reason().replace(' ', '-'));
+    metrics.registerGauge(name, () -> refusedRequests.count(cause));
+  }
+
   /** Returns the tables, which hold the stored state as this node knows it. */
   public Tables tables() {
     return tables;
@@ -409,10 +425,12 @@
     } else if (path.equals("/metrics")) {
       exchange.reply(200, metrics.snapshot());
     } else if (path.equals(JOBS_PATH)) {
+      Exchange submission =
+          refusedRequests.observe(exchange, RefusedRequests.Kind.SUBMISSION, null);
       if (isPost) {
-        admission.submit(exchange);
+        admission.submit(submission);
       } else {
-        replyMethodNotAllowed(exchange);
+        replyMethodNotAllowed(submission);
       }
     } else if (path.startsWith(JOBS_PATH + "/")) {
       handleJobRequest(exchange, path.substring(JOBS_PATH.length() + 1), isGet, isPost);
@@ -421,11 +439,17 @@
     }
   }
 
-  private void handleJobRequest(Exchange exchange, String subPath, boolean isGet, boolean isPost) {
+  private void handleJobRequest(Exchange received, String subPath, boolean isGet, boolean isPost) {
     int slash = subPath.indexOf('/');
     String id = slash < 0 ? subPath : subPath.substring(0, slash);
     boolean isWithdrawal = slash >= 0 && subPath.substring(slash).equals("/withdraw");
-    if (slash >= 0 && !isWithdrawal || !JobSpec.validId(id)) {
+    boolean isValidId = JobSpec.validId(id);
+    Exchange exchange =
+        refusedRequests.observe(
+            received,
+            isWithdrawal ? RefusedRequests.Kind.CANCELLATION : RefusedRequests.Kind.POLL,
+            isValidId ? id : "unknown");
+    if (slash >= 0 && !isWithdrawal || !isValidId) {
       exchange.reply(404, Map.of("error", "no such job"));
     } else if (isWithdrawal && isPost) {
       admission.withdraw(exchange, id);
--- a/src/main/java/wickdrift/operator/Restore.java
+++ b/src/main/java/wickdrift/operator/Restore.java
@@ -73,7 +73,7 @@
     StoredRecords existing = StoredRecords.read(store);
     StoredRecords.StoredValue existingView = existing.byKey().get(View.KEY);
     if (existingView == null && !existing.byKey().isEmpty()
-        || existingView != null && !restoreMarker.equals(existingView.value())) {
+        || existingView != null && !equalAsStored(restoreMarker, existingView.value())) {
       throw new RestoreRefusedException(
           "the store is not empty: it holds "
               + existing.byKey().size()
--- a/src/main/java/wickdrift/operator/Snapshot.java
+++ b/src/main/java/wickdrift/operator/Snapshot.java
@@ -15,7 +15,9 @@
 import net.jpountz.lz4.LZ4FrameOutputStream.FLG;
 import wickdrift.protocol.BadMessage;
 import wickdrift.protocol.Document;
+import wickdrift.protocol.EncodedValue;
 import wickdrift.protocol.MessageCodec;
+import wickdrift.protocol.Unsigned;
 
 /**
  * Reads and writes snapshot files, which hold all records at one revision.
@@ -52,10 +54,13 @@
             FLG.Bits.CONTENT_CHECKSUM,
             FLG.Bits.BLOCK_CHECKSUM,
             FLG.Bits.BLOCK_INDEPENDENCE);
-    writeValue(lz4, Map.of("rev", records.revision(), "records", records.byKey().size()));
+    writeValue(
+        lz4, Map.of("rev", Unsigned.toWire(records.revision()), "records", records.byKey().size()));
     for (Map.Entry<String, StoredRecords.StoredValue> entry : records.byKey().entrySet()) {
       writeValue(
-          lz4, Arrays.asList(entry.getKey(), entry.getValue().value(), entry.getValue().stamp()));
+          lz4,
+          Arrays.asList(
+              entry.getKey(), entry.getValue().value(), Unsigned.toWire(entry.getValue().stamp())));
     }
     writeValue(lz4, Map.of("end", records.byKey().size()));
     lz4.close();
@@ -98,12 +103,11 @@
       TreeMap<String, StoredRecords.StoredValue> byKey = new TreeMap<>();
       for (; recordIndex < count; recordIndex++) {
         position = "record " + (recordIndex + 1) + " of " + count;
-        if (!(readValue(lz4) instanceof List<?> fields)
-            || fields.size() != 3
-            || !(fields.get(0) instanceof String key)
-            || !(fields.get(2) instanceof Long stamp)) {
+        List<EncodedValue> fields = readValue(lz4).elements();
+        if (fields.size() != 3 || !(fields.get(0).decode() instanceof String key)) {
           throw new CorruptSnapshotException(position + " is no key, value and stamp");
         }
+        long stamp = Unsigned.fromWire(fields.get(2).decode());
         if (byKey.put(key, new StoredRecords.StoredValue(fields.get(1), stamp)) != null) {
           throw new CorruptSnapshotException(position + ": " + key + " is there twice");
         }
@@ -115,7 +119,7 @@
       if (in.read() >= 0) {
         throw new CorruptSnapshotException("bytes that belong to nothing at the end of the file");
       }
-      return new StoredRecords(header.count("rev"), byKey);
+      return new StoredRecords(header.unsigned("rev"), byKey);
     } catch (EOFException e) {
       throw new CorruptSnapshotException("the file ends early, at " + position);
     } catch (IOException | RuntimeException | BadMessage e) {
@@ -123,7 +127,7 @@
     }
   }
 
-  private static Object readValue(InputStream in) throws IOException, BadMessage {
+  private static EncodedValue readValue(InputStream in) throws IOException, BadMessage {
     byte[] lengthPrefix = in.readNBytes(4);
     if (lengthPrefix.length < 4) {
       throw new EOFException();
@@ -140,6 +144,6 @@
     if (bytes.length < length) {
       throw new EOFException();
     }
-    return MessageCodec.decode(bytes);
+    return EncodedValue.of(bytes);
   }
 }
--- a/src/main/java/wickdrift/operator/StoredRecords.java
+++ b/src/main/java/wickdrift/operator/StoredRecords.java
@@ -9,6 +9,7 @@
 import wickdrift.protocol.BadMessage;
 import wickdrift.protocol.Document;
 import wickdrift.protocol.MessageCodec;
+import wickdrift.protocol.Unsigned;
 import wickdrift.transport.Caller.Response;
 
 /**
@@ -52,7 +53,7 @@
   private static StoredRecords tryRead(StateServiceCaller store)
       throws StateServiceCaller.UnavailableException {
     TreeMap<String, StoredValue> byKey = new TreeMap<>();
-    long firstRevision = Long.MAX_VALUE;
+    long firstRevision = Unsigned.MAX_VALUE;
     String lastKey = null;
     try {
       boolean hasMorePages = true;
@@ -60,15 +61,19 @@
         String path = "/store?prefix=" + StateServiceClient.PREFIX + "&most=" + ENTRIES_PER_PAGE;
         Document body =
             parseBody(store.call("GET", lastKey == null ? path : path + "&from=" + lastKey, null));
-        firstRevision = Math.min(firstRevision, body.count("ledgerRev"));
+        firstRevision = Unsigned.min(firstRevision, body.unsigned("ledgerRev"));
         for (Document e : body.documents("entries")) {
           lastKey = e.text("key");
-          byKey.put(lastKey, new StoredValue(e.raw("v"), e.count("stamp")));
+          byKey.put(lastKey, new StoredValue(e.value("v"), e.unsigned("stamp")));
         }
         hasMorePages = body.flag("truncated", false);
       }
       String path =
-          "/follow?prefix=" + StateServiceClient.PREFIX + "&from=" + firstRevision + "&holdMs=0";
+          "/follow?prefix="
+              + StateServiceClient.PREFIX
+              + "&from="
+              + Unsigned.toText(firstRevision)
+              + "&holdMs=0";
       Response response = store.call("GET", path, null);
       if (response.status() == 410) {
         return null;
@@ -77,24 +82,24 @@
       List<Document> changes = new ArrayList<>(body.documents("news"));
       List<Long> stamps = new ArrayList<>();
       for (Document change : changes) {
-        stamps.add(change.count("stamp"));
+        stamps.add(change.unsigned("stamp"));
       }
       List<Integer> order = new ArrayList<>();
       for (int i = 0; i < changes.size(); i++) {
         order.add(i);
       }
       // In the order of their stamps, so that the last change of each key is the one that remains.
-      order.sort(Comparator.comparing(stamps::get));
+      order.sort(Comparator.comparing(stamps::get, Unsigned::compare));
       for (int i : order) {
         Document change = changes.get(i);
         String writtenKey = change.textOrNull("write");
         if (writtenKey == null) {
           byKey.remove(change.text("delete"));
         } else {
-          byKey.put(writtenKey, new StoredValue(change.raw("v"), stamps.get(i)));
+          byKey.put(writtenKey, new StoredValue(change.value("v"), stamps.get(i)));
         }
       }
-      return new StoredRecords(body.count("ledgerRev"), byKey);
+      return new StoredRecords(body.unsigned("ledgerRev"), byKey);
     } catch (BadMessage e) {
       throw new StateServiceCaller.UnavailableException(
           "the state service answers what can't be read: " + e.getMessage());
--- a/src/main/java/wickdrift/protocol/Command.java
+++ b/src/main/java/wickdrift/protocol/Command.java
@@ -18,7 +18,7 @@
   int index();
 
   /** The number of the attempt of the task. */
-  int attempt();
+  long attempt();
 
   /** Encodes the command for the protocol. */
   Map<String, Object> toWire();
@@ -27,7 +27,7 @@
   sealed interface Direct extends Command {}
 
   /** Starts an attempt of a task. */
-  record Run(String job, int index, int attempt) implements Command {
+  record Run(String job, int index, long attempt) implements Command {
     @Override
     public Map<String, Object> toWire() {
       return fields("run", this);
@@ -35,7 +35,7 @@
   }
 
   /** Stops an attempt, which has {@code graceS} seconds to save its state. */
-  record Halt(String job, int index, int attempt, double graceS) implements Direct {
+  record Halt(String job, int index, long attempt, double graceS) implements Direct {
     @Override
     public Map<String, Object> toWire() {
       Map<String, Object> fields = fields("halt", this);
@@ -45,7 +45,7 @@
   }
 
   /** Removes an exited attempt from the worker's reports. */
-  record Clear(String job, int index, int attempt) implements Direct {
+  record Clear(String job, int index, long attempt) implements Direct {
     @Override
     public Map<String, Object> toWire() {
       return fields("clear", this);
@@ -56,7 +56,7 @@
     Map<String, Object> fields = new LinkedHashMap<>();
     fields.put("verb", verb);
     fields.put("shard", command.job() + "/" + command.index());
-    fields.put("try", command.attempt());
+    fields.put("try", Unsigned.toWire(command.attempt()));
     return fields;
   }
 }
--- a/src/main/java/wickdrift/protocol/Document.java
+++ b/src/main/java/wickdrift/protocol/Document.java
@@ -6,103 +6,148 @@
 import java.util.Map;
 
 /**
- * Typed, validating access to the fields of one decoded map. Each accessor throws {@link
- * BadMessage}, with the name of the field, for a value of the wrong type or out of range.
+ * Typed, validating access to the fields of one map. Each accessor throws {@link BadMessage}, with
+ * the name of the field, for a value of the wrong type or out of range. A field is decoded and
+ * checked only by its accessor, so a field that nobody reads refuses no message.
  */
 public final class Document {
-  private final Map<?, ?> map;
+  private static final double MAX_AMOUNT = 1e15;
 
-  private Document(Map<?, ?> map) {
-    this.map = map;
+  /** The values are decoded, or each an {@link EncodedValue}. */
+  private final Map<?, ?> fields;
+
+  private Document(Map<?, ?> fields) {
+    this.fields = fields;
   }
 
-  /** Wraps a decoded value, which must be a map. */
+  /** Wraps a decoded or encoded value, which must be a map. */
   public static Document of(Object value) throws BadMessage {
     if (value instanceof Map<?, ?> m) {
       return new Document(m);
     }
+    if (value instanceof EncodedValue encoded) {
+      return new Document(encoded.fields());
+    }
     throw new BadMessage("not a map");
   }
 
-  /** Decodes a MessagePack body, which must hold a map. */
+  /** Reads a MessagePack body, which must hold a map. */
   public static Document parse(byte[] body) throws BadMessage {
-    return of(MessageCodec.decode(body));
+    return of(EncodedValue.of(body));
+  }
+
+  /** Whether a field is present and not null. */
+  public boolean has(String key) {
+    return fields.get(key) != null;
+  }
+
+  /** Returns a field as it was received: encoded if the map was; null if it is absent or null. */
+  public Object value(String key) {
+    return fields.get(key);
   }
 
-  /** Returns the unchecked value of a field, or null if it is absent or null. */
-  public Object raw(String key) {
-    return map.get(key);
+  /** Returns the decoded value of a field, or null if it is absent or null. */
+  public Object raw(String key) throws BadMessage {
+    Object value = fields.get(key);
+    return value instanceof EncodedValue encoded ? encoded.decode() : value;
+  }
+
+  /** Returns the value of a field; a list or map that is encoded remains so. */
+  private Object scalar(String key) throws BadMessage {
+    Object value = fields.get(key);
+    return value instanceof EncodedValue encoded ? encoded.decodeScalar() : value;
+  }
+
+  private BadMessage invalid(String key, String reason) {
+    int offset =
+        fields.get(key) instanceof EncodedValue encoded ? encoded.offset() : BadMessage.NO_OFFSET;
+    return new BadMessage(key + " " + reason, offset);
   }
 
   /**
-   * Returns all fields except the given ones. The result holds the fields that a newer build added
-   * to a stored record; they are kept when this build rewrites the record.
+   * Returns all fields except the given ones, as they were received. The result holds the fields
+   * that a newer build added to a stored record; they are kept when this build rewrites the record.
    */
   public Map<String, Object> fieldsExcept(String... excludedKeys) {
     List<String> excluded = List.of(excludedKeys);
     Map<String, Object> remaining = null;
-    for (Map.Entry<?, ?> entry : map.entrySet()) {
+    for (Map.Entry<?, ?> entry : fields.entrySet()) {
       if (!excluded.contains(entry.getKey())) {
         remaining = remaining == null ? new LinkedHashMap<>() : remaining;
-        remaining.put((String) entry.getKey(), entry.getValue());
+        Object value = entry.getValue();
+        remaining.put(
+            (String) entry.getKey(),
+            value instanceof EncodedValue encoded ? encoded.detached() : value);
       }
     }
     return remaining == null ? Map.of() : remaining;
   }
 
-  /** Returns the wrapped map. */
-  public Object rawMap() {
-    return map;
+  /** Returns the fields in the form in which {@link MessageCodec} encodes them. */
+  public Map<?, ?> rawMap() {
+    return fields;
   }
 
   /** Returns a required text field. */
   public String text(String key) throws BadMessage {
     String s = textOrNull(key);
     if (s == null) {
-      throw new BadMessage(key + " is missing");
+      throw invalid(key, "is missing");
     }
     return s;
   }
 
   /** Returns a text field, or null if it is absent or null. */
   public String textOrNull(String key) throws BadMessage {
-    Object v = map.get(key);
+    Object v = scalar(key);
     if (v == null) {
       return null;
     }
     if (v instanceof String s) {
       return s;
     }
-    throw new BadMessage(key + " is not text");
+    throw invalid(key, "is not text");
   }
 
-  /** Returns a required non-negative integer field. */
+  /**
+   * Returns a required integer field of the service's own records, from 0 to 2^63 - 1. Counts of
+   * the protocol are read by {@link #unsigned(String)}.
+   */
   public long count(String key) throws BadMessage {
-    Object v = map.get(key);
-    if (v == null) {
-      throw new BadMessage(key + " is missing");
+    long number = unsigned(key);
+    if (number < 0) {
+      throw invalid(key, "is out of range");
     }
-    return asCount(key, v);
+    return number;
   }
 
-  /** Returns a non-negative integer field, or the default value if it is absent or null. */
+  /** Returns an integer field from 0 to 2^63 - 1, or the default if it is absent or null. */
   public long count(String key, long defaultValue) throws BadMessage {
-    Object v = map.get(key);
-    return v == null ? defaultValue : asCount(key, v);
+    return has(key) ? count(key) : defaultValue;
   }
 
-  private static long asCount(String key, Object v) throws BadMessage {
-    if (v instanceof Long l && l >= 0) {
-      return l;
+  /** Returns a required integer field from 0 to 2^64 - 1; see {@link Unsigned}. */
+  public long unsigned(String key) throws BadMessage {
+    Object v = scalar(key);
+    if (v == null) {
+      throw invalid(key, "is missing");
+    }
+    if (!Unsigned.isInRange(v)) {
+      throw invalid(key, "is not a count");
     }
-    throw new BadMessage(key + " is not a count");
+    return Unsigned.fromWire(v);
+  }
+
+  /** Returns an integer field from 0 to 2^64 - 1, or the default if it is absent or null. */
+  public long unsigned(String key, long defaultValue) throws BadMessage {
+    return has(key) ? unsigned(key) : defaultValue;
   }
 
   /** Returns a required number field, integer or decimal, in the range 0 to 1e15. */
   public double amount(String key) throws BadMessage {
     Double d = amountOrNull(key);
     if (d == null) {
-      throw new BadMessage(key + " is missing");
+      throw invalid(key, "is missing");
     }
     return d;
   }
@@ -117,49 +162,59 @@
 
   /** Returns a number field in the range 0 to 1e15, or null if it is absent or null. */
   public Double amountOrNull(String key) throws BadMessage {
-    Object v = map.get(key);
+    Object v = scalar(key);
     if (v == null) {
       return null;
     }
     if (v instanceof Number n) {
       double d = n.doubleValue();
-      if (d >= 0 && d <= 1e15) {
+      if (d >= 0 && d <= MAX_AMOUNT) {
         return d;
       }
     }
-    throw new BadMessage(key + " is not an amount");
+    throw invalid(key, "is not an amount");
   }
 
   /** Returns a required boolean field. */
   public boolean flag(String key) throws BadMessage {
-    Object v = map.get(key);
+    Object v = scalar(key);
     if (v instanceof Boolean b) {
       return b;
     }
-    throw new BadMessage(key + (v == null ? " is missing" : " is not true or false"));
+    throw invalid(key, v == null ? "is missing" : "is not true or false");
   }
 
   /** Returns a boolean field, or the default value if it is absent or null. */
   public boolean flag(String key, boolean defaultValue) throws BadMessage {
-    return map.get(key) == null ? defaultValue : flag(key);
+    return has(key) ? flag(key) : defaultValue;
   }
 
-  /** Returns a list field; an empty list if it is absent or null. */
+  /** Returns a list field with its decoded elements; an empty list if it is absent or null. */
   public List<?> list(String key) throws BadMessage {
-    Object v = map.get(key);
+    Object v = fields.get(key);
     if (v == null) {
       return List.of();
     }
+    if (v instanceof EncodedValue encoded && encoded.isList()) {
+      return (List<?>) encoded.decode();
+    }
     if (v instanceof List<?> l) {
       return l;
     }
-    throw new BadMessage(key + " is not a list");
+    throw invalid(key, "is not a list");
+  }
+
+  /** Returns the elements of a list field, encoded if the map was. */
+  private List<?> elements(String key) throws BadMessage {
+    return fields.get(key) instanceof EncodedValue encoded && encoded.isList()
+        ? encoded.elements()
+        : list(key);
   }
 
   /** Returns a field that holds a list of maps; an empty list if it is absent or null. */
   public List<Document> documents(String key) throws BadMessage {
     List<Document> documents = new ArrayList<>();
-    for (Object element : list(key)) {
+    for (Object element : elements(key)) {
       documents.add(of(element));
     }
     return documents;
@@ -168,9 +223,10 @@
   /** Returns a field that holds a list of texts; an empty list if it is absent or null. */
   public List<String> texts(String key) throws BadMessage {
     List<String> texts = new ArrayList<>();
-    for (Object element : list(key)) {
-      if (!(element instanceof String s)) {
-        throw new BadMessage(key + " holds something that is not text");
+    for (Object element : elements(key)) {
+      Object decoded = element instanceof EncodedValue encoded ? encoded.decodeScalar() : element;
+      if (!(decoded instanceof String s)) {
+        throw invalid(key, "holds something that is not text");
       }
       texts.add(s);
     }
--- a/src/main/java/wickdrift/protocol/JobSpec.java
+++ b/src/main/java/wickdrift/protocol/JobSpec.java
@@ -118,7 +118,7 @@
    */
   public static String missingField(Document submission) {
     return REQUIRED_FIELDS.stream()
-        .filter(field -> submission.raw(field) == null)
+        .filter(field -> !submission.has(field))
         .findFirst()
         .orElse(null);
   }
@@ -133,12 +133,12 @@
     if (!validId(id)) {
       throw new BadMessage("ref is not a job id");
     }
-    long tasks = submission.count("shards");
+    long tasks = submission.unsigned("shards");
     if (tasks < 1 || tasks > MAX_TASKS) {
       throw new BadMessage("shards is out of range");
     }
     List<String> types =
-        submission.raw("flavours") == null ? null : List.copyOf(submission.texts("flavours"));
+        !submission.has("flavours") ? null : List.copyOf(submission.texts("flavours"));
     if (types != null && types.size() > 64) {
       throw new BadMessage("flavours is too long");
     }
--- a/src/main/java/wickdrift/protocol/Report.java
+++ b/src/main/java/wickdrift/protocol/Report.java
@@ -49,7 +49,7 @@
    * @param saved whether the attempt saved its state
    */
   public record Entry(
-      String job, int index, int attempt, Phase phase, String exitReason, boolean saved) {
+      String job, int index, long attempt, Phase phase, String exitReason, boolean saved) {
     /** Returns the name of the task: job and index. */
     public String task() {
       return job + "/" + index;
@@ -86,7 +86,9 @@
 
   /** Returns whether another report of the same worker is at least as recent as this one. */
   public boolean notNewerThan(Report other) {
-    return tenure < other.tenure || tenure == other.tenure && tick <= other.tick;
+    return tenure == other.tenure
+        ? !Unsigned.isGreater(tick, other.tick)
+        : Unsigned.isGreater(other.tenure, tenure);
   }
 
   /**
@@ -112,7 +114,7 @@
           new Entry(
               taskName.substring(0, slash),
               index,
-              (int) task.count("try"),
+              task.unsigned("try"),
               parsePhase(task.text("phase")),
               task.textOrNull("exitReason"),
               task.flag("kept", false)));
@@ -123,9 +125,9 @@
         report.text("flavour"),
         report.text("region"),
         report.flag("reclaimable", false),
-        report.count("tenure"),
-        report.count("tick"),
-        WorkerToken.fromWire(report.count("epoch", 0)),
+        report.unsigned("tenure"),
+        report.unsigned("tick"),
+        WorkerToken.fromWire(report.unsigned("epoch", 0)),
         report.amountOrNull("warningS"),
         tasks);
   }
--- a/src/test/java/wickdrift/sim/SimSetup.java
+++ b/src/test/java/wickdrift/sim/SimSetup.java
@@ -5,7 +5,16 @@
 
 /** The configuration of a simulated world. It must not be changed after the world is created. */
 final class SimSetup {
+  /** Few enough for most tests to go beyond 2^63. */
+  private static final long REVISIONS_BEFORE_SIGN_BIT = 60;
+
+  /** More than any test uses. */
+  private static final long REVISIONS_BEFORE_LAST = 1L << 32;
+
+  private static final long TICKS_BEFORE_SIGN_BIT = 10;
+
   private final long seed;
+  private boolean plainMessages;
   private int machines;
   private int capacity;
   private String controllers = "aaa";
@@ -31,6 +40,37 @@
     this.capacity = capacity;
   }
 
+  /**
+   * Returns the number from which the state service counts revisions and leases: small, just below
+   * 2^63, or in the last part of what 64 bits hold.
+   */
+  long firstRevision() {
+    if (plainMessages) {
+      return 0;
+    }
+    return switch (Math.floorMod(seed, 3)) {
+      case 0 -> 0;
+      case 1 -> Long.MAX_VALUE - REVISIONS_BEFORE_SIGN_BIT;
+      default -> -REVISIONS_BEFORE_LAST;
+    };
+  }
+
+  /** Returns the number from which workers count their reports; most tests go beyond 2^63. */
+  long firstTick() {
+    return plainMessages ? 0 : Long.MAX_VALUE - TICKS_BEFORE_SIGN_BIT;
+  }
+
+  /** Returns how messages to controllers are rewritten. */
+  MessageVariation variation() {
+    return new MessageVariation(seed, plainMessages ? 0 : 1);
+  }
+
+  /** Has all stand-ins send what builds up to level 6 understand. */
+  SimSetup plainMessages() {
+    plainMessages = true;
+    return this;
+  }
+
   long seed() {
     return seed;
   }
