Slow, half-sent and idle connections take no memory, sockets or time from others

What callers saw: 200 connections with 60,000 of 65,536 bytes of a submission, each renewed when it was closed, and the controller answered nobody any more; the others removed it from the view. With 1,600 connections that had sent half a request head every other connection was refused.

Cause: Netty received into direct memory whatever the allocator preferred (ioBuffer), and the allocation that was refused slept in java.nio.Bits.reserveMemory on the event loop (seen in the stack, with an allocator that prefers the heap as well). Nothing bounded the bytes or the time of a request that is under way: each byte renewed the idle limit of 60 s. At the limit of sockets only idle connections of workers made way.

Why it works: everything is received into the heap; ServerConnections bounds time, bytes and sockets in the order that design.md gives; HttpClient and PeerLink have bounds of the same kind. aUserReplacesTheWorkerConnectionThatIsIdleLongest asked that a worker's connection makes way before a user's idle one; the order is the other way round now and the new tests check all three steps of it.

A report above 64 KiB is not forwarded, since peers close the connection on which a larger frame arrives.

--- a/src/main/java/wickdrift/coordination/ReportRelay.java
+++ b/src/main/java/wickdrift/coordination/ReportRelay.java
@@ -33,6 +33,9 @@
   private static final long REPLY_TIMEOUT_MS = 1500;
   private static final int MAX_PENDING_REPORTS = 200;
 
+  /** A peer closes the connection on which a much larger frame arrives. */
+  private static final int MAX_FORWARDED_BYTES = 64 * 1024;
+
   /**
    * A forwarded report whose worker waits for the answer.
    *
@@ -104,7 +107,10 @@
   public boolean forward(Exchange exchange, Report report, String owner) {
     Consumer<ByteBuffer> peer = peers.get(owner);
     FrameHeader header = identity.headerTo(owner);
-    if (peer == null || header == null || pendingReports.size() >= MAX_PENDING_REPORTS) {
+    if (peer == null
+        || header == null
+        || pendingReports.size() >= MAX_PENDING_REPORTS
+        || exchange.body().length > MAX_FORWARDED_BYTES) {
       return false;
     }
     long requestId = requestIds.next();
--- a/src/main/java/wickdrift/daemon/ServeCommand.java
+++ b/src/main/java/wickdrift/daemon/ServeCommand.java
@@ -75,14 +75,18 @@
     Map<String, Consumer<ByteBuffer>> peers = new HashMap<>();
     settings.peers().forEach(peer -> peers.put(peer.node(), link.outgoingLink(peer.address())));
     String incarnation = Long.toString(new SecureRandom().nextLong() >>> 24, 36);
+    Metrics metrics = new Metrics();
     Controller controller =
         new Controller(
-            settings, Tuning.defaults(settings), loop, client, peers, incarnation, new Metrics());
+            settings, Tuning.defaults(settings), loop, client, peers, incarnation, metrics);
     controllerHolder[0] = controller;
     try {
       link.listen(HttpClient.parseAddress(settings.peerListenAddress()));
-      new HttpServer(loop.group(), settings.maxSockets() / 2, controller::handle)
-          .listen(HttpClient.parseAddress(settings.listenAddress()));
+      HttpServer server =
+          new HttpServer(loop.group(), settings.maxSockets() / 2, controller::handle);
+      metrics.registerGauge("connections.overdue", server::overdueConnections);
+      metrics.registerGauge("connections.replaced", server::replacedConnections);
+      server.listen(HttpClient.parseAddress(settings.listenAddress()));
     } catch (IOException e) {
       System.err.println("wickdrift: " + e.getMessage());
       return EXIT_BAD_SETTINGS;
--- a/src/main/java/wickdrift/transport/HttpClient.java
+++ b/src/main/java/wickdrift/transport/HttpClient.java
@@ -1,12 +1,13 @@
 package wickdrift.transport;
 
 import io.netty.bootstrap.Bootstrap;
+import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.Unpooled;
-import io.netty.buffer.UnpooledByteBufAllocator;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoopGroup;
@@ -26,6 +27,7 @@
 import java.util.ArrayDeque;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
@@ -44,7 +46,13 @@
    * The protocol sets no size limit for the response to a watch. This limit bounds the memory that
    * a faulty server can make this process use.
    */
-  private static final int MAX_RESPONSE_BYTES = 6 * 1024 * 1024;
+  private static final int MAX_VITAL_RESPONSE_BYTES = 6 * 1024 * 1024;
+
+  /** A worker's answer is a report, which the protocol limits to 64 KiB as JSON. */
+  private static final int MAX_RESPONSE_BYTES = 512 * 1024;
+
+  /** Responses that are incomplete take at most this fraction of the heap. */
+  private static final int HEAP_DIVISOR_FOR_INCOMPLETE_RESPONSES = 8;
 
   private static final int MAX_IDLE_PER_ADDRESS = 6;
 
@@ -67,6 +75,13 @@
 
   private int openConnections;
 
+  /** Requests whose responses have begun to arrive. */
+  private final Set<PendingRequest> incomplete = new LinkedHashSet<>();
+
+  private long incompleteBytes;
+  private final long maxIncompleteBytes =
+      Runtime.getRuntime().maxMemory() / HEAP_DIVISOR_FOR_INCOMPLETE_RESPONSES;
+
   private record IdleConnection(String address, long idleSinceNs) {}
 
   /**
@@ -118,16 +133,21 @@
             .group(group)
             .channel(NioSocketChannel.class)
             .option(ChannelOption.TCP_NODELAY, true)
-            .option(ChannelOption.ALLOCATOR, UnpooledByteBufAllocator.DEFAULT)
+            .option(ChannelOption.ALLOCATOR, HeapBuffers.ALLOCATOR)
+            .option(ChannelOption.RCVBUF_ALLOCATOR, HeapBuffers.RECEIVE_ALLOCATOR)
             .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) Math.min(timeoutMs, 3000))
             .handler(
                 new ChannelInitializer<SocketChannel>() {
                   @Override
                   protected void initChannel(SocketChannel c) {
+                    boolean vital = vitalAddresses.contains(address);
+                    int maxBytes = vital ? MAX_VITAL_RESPONSE_BYTES : MAX_RESPONSE_BYTES;
+                    ResponseHandler responseHandler = new ResponseHandler();
                     c.pipeline()
+                        .addLast(new ArrivalHandler(responseHandler))
                         .addLast(new HttpClientCodec())
-                        .addLast(new HttpObjectAggregator(MAX_RESPONSE_BYTES))
-                        .addLast(new ResponseHandler());
+                        .addLast(new HttpObjectAggregator(maxBytes))
+                        .addLast(responseHandler);
                   }
                 })
             .connect(parseAddress(address));
@@ -209,6 +229,7 @@
     private java.util.concurrent.ScheduledFuture<?> timeoutTask;
     private Channel channel;
     private boolean finished;
+    private long receivedBytes;
 
     PendingRequest(String address, Consumer<Response> onResponse) {
       this.address = address;
@@ -233,6 +254,8 @@
         return;
       }
       finished = true;
+      incomplete.remove(this);
+      incompleteBytes -= receivedBytes;
       timeoutTask.cancel(false);
       if (channel != null) {
         ResponseHandler responseHandler = channel.pipeline().get(ResponseHandler.class);
@@ -250,6 +273,48 @@
     }
   }
 
+  /**
+   * Counts the memory that a response takes before it is complete. At the limit the largest
+   * response is given up, one of a worker before any other.
+   */
+  private void bytesReceived(PendingRequest request, int bytes) {
+    incomplete.add(request);
+    request.receivedBytes += bytes;
+    incompleteBytes += bytes;
+    while (incompleteBytes > maxIncompleteBytes) {
+      PendingRequest largest = request;
+      for (PendingRequest other : incomplete) {
+        if (isGivenUpBefore(other, largest)) {
+          largest = other;
+        }
+      }
+      largest.finish(Response.NO_RESPONSE, false);
+    }
+  }
+
+  private boolean isGivenUpBefore(PendingRequest a, PendingRequest b) {
+    boolean aIsVital = vitalAddresses.contains(a.address);
+    boolean bIsVital = vitalAddresses.contains(b.address);
+    return aIsVital == bIsVital ? a.receivedBytes > b.receivedBytes : bIsVital;
+  }
+
+  /** Records the bytes that arrive on one connection before anything else is done with them. */
+  private final class ArrivalHandler extends ChannelInboundHandlerAdapter {
+    private final ResponseHandler responseHandler;
+
+    ArrivalHandler(ResponseHandler responseHandler) {
+      this.responseHandler = responseHandler;
+    }
+
+    @Override
+    public void channelRead(ChannelHandlerContext ctx, Object message) {
+      if (responseHandler.pendingRequest != null) {
+        bytesReceived(responseHandler.pendingRequest, ((ByteBuf) message).capacity());
+      }
+      ctx.fireChannelRead(message);
+    }
+  }
+
   /** Passes the responses of one connection to its pending request. */
   private final class ResponseHandler extends SimpleChannelInboundHandler<FullHttpResponse> {
     private PendingRequest pendingRequest;
--- a/src/main/java/wickdrift/transport/PeerLink.java
+++ b/src/main/java/wickdrift/transport/PeerLink.java
@@ -5,7 +5,6 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.Unpooled;
-import io.netty.buffer.UnpooledByteBufAllocator;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandler;
 import io.netty.channel.ChannelHandlerContext;
@@ -17,10 +16,14 @@
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.LengthFieldBasedFrameDecoder;
-import io.netty.handler.timeout.IdleStateHandler;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.ByteBuffer;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -34,11 +37,17 @@
   private static final int MAX_FRAME_BYTES = 80 * 1024;
   private static final int MAX_INBOUND_CONNECTIONS = 64;
   private static final int CONNECT_TIMEOUT_MS = 1000;
-  private static final int IDLE_TIMEOUT_S = 30;
+
+  /** A peer sends several frames a second; bytes that complete no frame count as silence. */
+  private static final long SILENCE_TIMEOUT_MS = 30_000;
+
+  private static final long SILENCE_CHECK_INTERVAL_MS = 1000;
 
   private final EventLoopGroup group;
   private final Consumer<ByteBuffer> frameHandler;
-  private int inboundConnections;
+
+  /** When each inbound connection has brought a frame, or was opened; the longest ago first. */
+  private final Map<Channel, Long> lastFrameNsByInbound = new LinkedHashMap<>();
 
   /**
    * Creates the links of one controller.
@@ -56,7 +65,47 @@
    * @throws IOException if the address cannot be bound, see {@link PortBinder}
    */
   public Channel listen(InetSocketAddress address) throws IOException, InterruptedException {
-    return PortBinder.bindWithRetry(server(), address);
+    Channel channel = PortBinder.bindWithRetry(server(), address);
+    group
+        .next()
+        .scheduleWithFixedDelay(
+            this::closeSilentConnections,
+            SILENCE_CHECK_INTERVAL_MS,
+            SILENCE_CHECK_INTERVAL_MS,
+            TimeUnit.MILLISECONDS);
+    return channel;
+  }
+
+  /** Adds an inbound connection; at the limit it replaces the one that is silent for longest. */
+  private void addInbound(Channel channel) {
+    if (lastFrameNsByInbound.size() >= MAX_INBOUND_CONNECTIONS) {
+      closeInbound(lastFrameNsByInbound.keySet().iterator().next());
+    }
+    lastFrameNsByInbound.put(channel, System.nanoTime());
+    channel.closeFuture().addListener(closed -> lastFrameNsByInbound.remove(channel));
+  }
+
+  private void frameReceived(Channel channel) {
+    if (lastFrameNsByInbound.remove(channel) != null) {
+      lastFrameNsByInbound.put(channel, System.nanoTime());
+    }
+  }
+
+  private void closeInbound(Channel channel) {
+    lastFrameNsByInbound.remove(channel);
+    channel.close();
+  }
+
+  private void closeSilentConnections() {
+    long nowNs = System.nanoTime();
+    List<Channel> silent = new ArrayList<>();
+    lastFrameNsByInbound.forEach(
+        (channel, lastFrameNs) -> {
+          if (nowNs - lastFrameNs > TimeUnit.MILLISECONDS.toNanos(SILENCE_TIMEOUT_MS)) {
+            silent.add(channel);
+          }
+        });
+    silent.forEach(this::closeInbound);
   }
 
   private ServerBootstrap server() {
@@ -65,19 +114,14 @@
         .channel(NioServerSocketChannel.class)
         .option(ChannelOption.SO_REUSEADDR, true)
         .childOption(ChannelOption.TCP_NODELAY, true)
-        .childOption(ChannelOption.ALLOCATOR, UnpooledByteBufAllocator.DEFAULT)
+        .childOption(ChannelOption.ALLOCATOR, HeapBuffers.ALLOCATOR)
+        .childOption(ChannelOption.RCVBUF_ALLOCATOR, HeapBuffers.RECEIVE_ALLOCATOR)
         .childHandler(
             new ChannelInitializer<SocketChannel>() {
               @Override
               protected void initChannel(SocketChannel ch) {
-                if (inboundConnections >= MAX_INBOUND_CONNECTIONS) {
-                  ch.close();
-                  return;
-                }
-                inboundConnections++;
-                ch.closeFuture().addListener(f -> inboundConnections--);
+                addInbound(ch);
                 ch.pipeline()
-                    .addLast(new IdleStateHandler(IDLE_TIMEOUT_S, 0, 0))
                     .addLast(new LengthFieldBasedFrameDecoder(MAX_FRAME_BYTES, 0, 4, 0, 4))
                     .addLast(new FrameHandler());
               }
@@ -122,7 +166,8 @@
               .group(group)
               .channel(NioSocketChannel.class)
               .option(ChannelOption.TCP_NODELAY, true)
-              .option(ChannelOption.ALLOCATOR, UnpooledByteBufAllocator.DEFAULT)
+              .option(ChannelOption.ALLOCATOR, HeapBuffers.ALLOCATOR)
+              .option(ChannelOption.RCVBUF_ALLOCATOR, HeapBuffers.RECEIVE_ALLOCATOR)
               .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MS)
               .handler(new WriteOnlyHandler())
               .connect(address)
@@ -154,18 +199,14 @@
     }
   }
 
-  /** Passes received frames to the handler; closes the connection when it is idle or fails. */
+  /** Passes received frames to the handler; closes the connection when it fails. */
   private final class FrameHandler extends SimpleChannelInboundHandler<ByteBuf> {
     @Override
     protected void channelRead0(ChannelHandlerContext ctx, ByteBuf msg) {
+      frameReceived(ctx.channel());
       frameHandler.accept(ByteBuffer.wrap(ByteBufUtil.getBytes(msg)));
     }
 
-    @Override
-    public void userEventTriggered(ChannelHandlerContext ctx, Object event) {
-      ctx.close();
-    }
-
     @Override
     public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
       closeFailed(ctx, cause);
--- a/src/test/java/wickdrift/transport/SocketsTest.java
+++ b/src/test/java/wickdrift/transport/SocketsTest.java
@@ -1,6 +1,7 @@
 package wickdrift.transport;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
@@ -14,15 +15,20 @@
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
+import java.net.SocketException;
+import java.net.SocketTimeoutException;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.Semaphore;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 import wickdrift.protocol.MessageCodec;
 
 /**
@@ -47,7 +53,11 @@
 
   private InetSocketAddress startServer(int maxConnections)
       throws IOException, InterruptedException {
-    HttpServer server = new HttpServer(loop.group(), maxConnections, x -> x.reply(200, BODY));
+    return listen(new HttpServer(loop.group(), maxConnections, x -> x.reply(200, BODY)));
+  }
+
+  private static InetSocketAddress listen(HttpServer server)
+      throws IOException, InterruptedException {
     return (InetSocketAddress)
         server.listen(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0)).localAddress();
   }
@@ -67,7 +77,7 @@
           return response.toString();
         }
       }
-    } catch (java.net.SocketException e) {
+    } catch (SocketException e) {
       return "";
     }
     return "";
@@ -91,21 +101,57 @@
     assertTrue(user.startsWith("HTTP/1.1 200") && !user.contains("connection: close"));
   }
 
+  /** Opens connections until the next one has to replace another. */
+  private void fill(InetSocketAddress server, List<Socket> open, int count) throws IOException {
+    for (int i = open.size(); i < count; i++) {
+      Socket user = openConnection(server);
+      assertTrue(request(user, "GET", "/up").startsWith("HTTP/1.1 200"), "user " + i);
+      open.add(user);
+    }
+  }
+
+  private Socket openIncomplete(InetSocketAddress server, String part) throws Exception {
+    Socket socket = openConnection(server);
+    socket.getOutputStream().write(part.getBytes(StandardCharsets.US_ASCII));
+    // The server has read the part once it has answered a later request.
+    request(openConnection(server), "GET", "/up");
+    sockets.get(sockets.size() - 1).close();
+    return socket;
+  }
+
+  private boolean isClosed(Socket socket) throws IOException {
+    socket.setSoTimeout(300);
+    try {
+      return socket.getInputStream().read() < 0;
+    } catch (SocketTimeoutException open) {
+      return false;
+    } catch (SocketException reset) {
+      return true;
+    }
+  }
+
   @Test
-  void aUserReplacesTheWorkerConnectionThatIsIdleLongest() throws Exception {
+  void aNewConnectionReplacesAnIncompleteRequestThenAnIdleUserThenAnIdleWorker() throws Exception {
     InetSocketAddress server = startServer(MAX_CONNECTIONS);
-    Socket first = openConnection(server);
-    request(first, "POST", "/hello");
-    Socket second = openConnection(server);
-    request(second, "POST", "/hello");
-    for (int i = 0; i < MAX_CONNECTIONS - 1; i++) {
-      assertTrue(
-          request(openConnection(server), "GET", "/up").startsWith("HTTP/1.1 200"), "user " + i);
-    }
-    assertEquals("", request(first, "POST", "/hello"), "connection closed for the last user");
-    assertTrue(
-        request(second, "POST", "/hello").startsWith("HTTP/1.1 200"),
-        "other worker connections stay open");
+    Socket worker = openConnection(server);
+    request(worker, "POST", "/hello");
+    Socket secondWorker = openConnection(server);
+    request(secondWorker, "POST", "/hello");
+    Socket incomplete = openIncomplete(server, "POST /api/jobs HTTP/1.1\r\n");
+    Socket secondIncomplete = openIncomplete(server, "POST /api/jobs HTTP/1.1\r\n");
+    List<Socket> open = new ArrayList<>();
+    fill(server, open, MAX_CONNECTIONS - 4);
+    assertFalse(isClosed(incomplete));
+    fill(server, open, MAX_CONNECTIONS - 3);
+    assertTrue(isClosed(incomplete), "the oldest incomplete request is replaced first");
+    fill(server, open, MAX_CONNECTIONS - 2);
+    assertTrue(isClosed(secondIncomplete), "then the other incomplete request");
+    assertFalse(isClosed(open.get(0)));
+    fill(server, open, MAX_CONNECTIONS - 1);
+    assertTrue(isClosed(open.get(0)), "then the user's connection idle for longest");
+    assertFalse(isClosed(open.get(1)), "and no other");
+    assertTrue(request(worker, "POST", "/hello").startsWith("HTTP/1.1 200"), "no worker's");
+    assertTrue(request(secondWorker, "POST", "/hello").startsWith("HTTP/1.1 200"), "no worker's");
   }
 
   @Test
@@ -141,6 +187,155 @@
     assertTrue(refused > 0, "no call to a worker was refused");
   }
 
+  @Test
+  void amongWorkersTheConnectionIdleForLongestIsReplacedAndNoneThatAwaitsItsAnswer()
+      throws Exception {
+    Semaphore unanswered = new Semaphore(0);
+    InetSocketAddress server =
+        listen(
+            new HttpServer(
+                loop.group(),
+                MAX_CONNECTIONS,
+                exchange -> {
+                  if (exchange.path().equals("/never")) {
+                    unanswered.release();
+                  } else {
+                    exchange.reply(200, BODY);
+                  }
+                }));
+    Socket first = openConnection(server);
+    request(first, "POST", "/hello");
+    Socket second = openConnection(server);
+    request(second, "POST", "/hello");
+    List<Socket> waiting = new ArrayList<>();
+    for (int i = 0; i < MAX_CONNECTIONS - 1; i++) {
+      Socket socket = openConnection(server);
+      socket
+          .getOutputStream()
+          .write("GET /never HTTP/1.1\r\n\r\n".getBytes(StandardCharsets.US_ASCII));
+      assertTrue(unanswered.tryAcquire(10, TimeUnit.SECONDS));
+      waiting.add(socket);
+    }
+    assertTrue(isClosed(first), "the worker's connection idle for longest");
+    assertFalse(isClosed(second), "other worker connections stay open");
+    for (Socket socket : waiting) {
+      assertFalse(isClosed(socket), "a request that awaits its answer");
+    }
+  }
+
+  @Test
+  void aRequestThatIsNotCompleteInTimeIsClosedWhateverTricklesInAndAnIdleConnectionStays()
+      throws Exception {
+    InetSocketAddress server = startServer(MAX_CONNECTIONS);
+    Socket idle = openConnection(server);
+    assertTrue(request(idle, "GET", "/up").startsWith("HTTP/1.1 200"));
+    Socket slow = openConnection(server);
+    slow.getOutputStream()
+        .write(
+            "POST /api/jobs HTTP/1.1\r\nContent-Length: 65536\r\n\r\n"
+                .getBytes(StandardCharsets.US_ASCII));
+    long startNs = System.nanoTime();
+    boolean closed = false;
+    while (!closed && System.nanoTime() - startNs < TimeUnit.SECONDS.toNanos(20)) {
+      closed = isClosed(slow);
+      try {
+        slow.getOutputStream().write(7);
+      } catch (SocketException reset) {
+        closed = true;
+      }
+    }
+    assertTrue(closed, "a byte now and then keeps a request open for ever");
+    assertTrue(request(idle, "GET", "/up").startsWith("HTTP/1.1 200"), "the idle connection");
+  }
+
+  @Test
+  void incompleteBodiesTakeBoundedMemoryAndTheOldestIsClosedFirst() throws Exception {
+    int maxBytes = 512 * 1024;
+    int bodies = 40;
+    ServerConnections bounds = new ServerConnections(MAX_CONNECTIONS * bodies, maxBytes);
+    InetSocketAddress server =
+        listen(new HttpServer(loop.group(), bounds, x -> x.reply(200, BODY)));
+    String head = "POST /api/jobs HTTP/1.1\r\nContent-Length: 65536\r\n\r\n";
+    List<Socket> halfSent = new ArrayList<>();
+    for (int i = 0; i < bodies; i++) {
+      Socket socket = openConnection(server);
+      socket.getOutputStream().write(head.getBytes(StandardCharsets.US_ASCII));
+      socket.getOutputStream().write(new byte[60_000]);
+      assertTrue(request(openConnection(server), "GET", "/up").startsWith("HTTP/1.1 200"));
+      halfSent.add(socket);
+    }
+    assertTrue(isClosed(halfSent.get(0)), "the oldest");
+    CompletableFuture<Long> bytes = new CompletableFuture<>();
+    loop.execute(() -> bytes.complete(bounds.incompleteBytes()));
+    assertTrue(bytes.get(10, TimeUnit.SECONDS) <= maxBytes, bytes + " bytes are kept");
+  }
+
+  @Test
+  void aClientThatDoesNotReadItsAnswersIsClosed() throws Exception {
+    Map<String, Object> large = Map.of("text", "x".repeat(60_000));
+    InetSocketAddress server =
+        listen(new HttpServer(loop.group(), MAX_CONNECTIONS, x -> x.reply(200, large)));
+    Socket deaf = openConnection(server);
+    byte[] poll = "GET /up HTTP/1.1\r\n\r\n".getBytes(StandardCharsets.US_ASCII);
+    boolean closed = false;
+    for (int i = 0; !closed && i < 2000; i++) {
+      try {
+        deaf.getOutputStream().write(poll);
+        TimeUnit.MILLISECONDS.sleep(2);
+      } catch (SocketException reset) {
+        closed = true;
+      }
+    }
+    assertTrue(closed, "answers pile up for a client that reads none");
+  }
+
+  /** Requests as the protocol and HTTP/1.1 allow them. */
+  @ParameterizedTest
+  @ValueSource(
+      strings = {
+        "POST /api/jobs HTTP/1.1\r\nhost: a\r\ncontent-length: 2\r\n\r\nok",
+        "POST /api/jobs HTTP/1.1\r\nHOST: a\r\nCONTENT-LENGTH: 2\r\nX-Other: b\r\n\r\nok",
+        "POST /api/jobs HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n"
+            + "1\r\no\r\n1;x=y\r\nk\r\n0\r\n\r\n",
+        "POST /api/jobs HTTP/1.1\r\nConnection: keep-alive, x\r\nContent-Length: 2\r\n\r\nok",
+        "POST /api/jobs?x=1 HTTP/1.1\r\nContent-Length: 2\r\n\r\nok",
+        "POST http://a:8080/api/jobs HTTP/1.1\r\nHost: a:8080\r\nContent-Length: 2\r\n\r\nok",
+        "POST /api/%6aobs HTTP/1.1\r\nContent-Length: 2\r\n\r\nok",
+        "POST /api/jobs HTTP/1.0\r\nContent-Length: 2\r\n\r\nok",
+      })
+  void requestsOfEveryFormAreTaken(String request) throws Exception {
+    CompletableFuture<String> received = new CompletableFuture<>();
+    InetSocketAddress server =
+        listen(
+            new HttpServer(
+                loop.group(),
+                MAX_CONNECTIONS,
+                exchange -> {
+                  String body = new String(exchange.body(), StandardCharsets.US_ASCII);
+                  received.complete(exchange.method() + " " + exchange.path() + " " + body);
+                  exchange.reply(200, BODY);
+                }));
+    Socket socket = openConnection(server);
+    socket.getOutputStream().write(request.getBytes(StandardCharsets.US_ASCII));
+    assertEquals("POST /api/jobs ok", received.get(10, TimeUnit.SECONDS).replace("?x=1", ""));
+  }
+
+  /** Silent connections and halves of frames, as many as a peer's port takes, keep no peer out. */
+  @Test
+  void connectionsWithoutFramesKeepNoPeerOut() throws Exception {
+    CompletableFuture<Integer> frameBytes = new CompletableFuture<>();
+    PeerLink link = new PeerLink(loop.group(), frame -> frameBytes.complete(frame.remaining()));
+    InetSocketAddress address =
+        (InetSocketAddress)
+            link.listen(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0)).localAddress();
+    byte[][] parts = {{}, {0, 0, 0, 9, 1}, {(byte) 0x80, 0, 0, 0}, {0x7f, (byte) 0xff, 0, 0}};
+    for (int i = 0; i < 300; i++) {
+      openConnection(address).getOutputStream().write(parts[i % parts.length]);
+    }
+    openConnection(address).getOutputStream().write(new byte[] {0, 0, 0, 2, 1, 2});
+    assertEquals(2, frameBytes.get(10, TimeUnit.SECONDS));
+  }
+
   private CompletableFuture<Integer> callOnLoop(HttpClient client, String address) {
     CompletableFuture<Integer> status = new CompletableFuture<>();
     loop.execute(() -> callFromLoop(client, address).thenAccept(status::complete));
