--- a/src/test/java/wickdrift/sim/ClientInputIT.java
+++ b/src/test/java/wickdrift/sim/ClientInputIT.java
@@ -19,6 +19,7 @@
 import org.junit.jupiter.api.TestInstance;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
+import wickdrift.protocol.MessageCodec;
 
 /** What clients send to real processes of the built jar, beside stand-ins for all the rest. */
 @TestInstance(TestInstance.Lifecycle.PER_CLASS)
@@ -105,6 +106,21 @@
     assertEquals(List.of(), stage.callOnLoop(stage.world::violations));
   }
 
+  @Test
+  void nothingThatAUserSendsForgesALogLine() throws Exception {
+    String forged = "req-1\nERROR Forged - all is lost";
+    Map<String, Object> job = SimJobs.job(1, "batch", 1, 1, 2);
+    job.put("ref", forged);
+    assertEquals(400, probe.request("POST", "/api/jobs", MessageCodec.encode(job)));
+    job.put("ref", "req-000001");
+    job.put("rank", forged);
+    job.put(forged, forged);
+    assertEquals(400, probe.request("POST", "/api/jobs", MessageCodec.encode(job)));
+    probe.request("GET", "/api/jobs/req-1%0aERROR%20Forged", new byte[0]);
+    assertTrue(logLines("cause=rank is unknown").size() == 1, "the refusal is not in the log");
+    assertEquals(List.of(), logLines("Forged"));
+  }
+
   /** Changes some bytes of sound messages, at the users' port and at that of the controllers. */
   @Test
   void changedMessagesEndNoThreadAndChangeNothing() throws Exception {
--- a/src/test/java/wickdrift/sim/SimWorld.java
+++ b/src/test/java/wickdrift/sim/SimWorld.java
@@ -30,6 +30,7 @@
 import wickdrift.protocol.JobSpec;
 import wickdrift.protocol.MessageCodec;
 import wickdrift.protocol.PeerFrame;
+import wickdrift.protocol.Unsigned;
 import wickdrift.settings.Settings;
 import wickdrift.transport.Caller;
 import wickdrift.transport.Caller.Response;
@@ -701,7 +702,7 @@
     fields.put("region", "a");
     fields.put("tenure", 1);
     fields.put("tick", 1);
-    fields.put("epoch", epoch);
+    fields.put("epoch", Unsigned.toWire(epoch));
     fields.put("shards", List.of());
     Response[] answer = new Response[1];
     net.caller("10.1.9.9:1", () -> true)
