--- a/src/test/java/wickdrift/transport/SocketsTest.java
+++ b/src/test/java/wickdrift/transport/SocketsTest.java
@@ -322,6 +322,46 @@
     assertEquals("POST /api/jobs ok", received.get(10, TimeUnit.SECONDS).replace("?x=1", ""));
   }
 
+  @Test
+  void aBodyThatWaitsForPermissionIsAskedFor() throws Exception {
+    InetSocketAddress server = startServer(MAX_CONNECTIONS);
+    Socket socket = openConnection(server);
+    socket.setSoTimeout(10_000);
+    String head = "POST /api/jobs HTTP/1.1\r\nExpect: 100-continue\r\nContent-Length: 2\r\n\r\n";
+    socket.getOutputStream().write(head.getBytes(StandardCharsets.US_ASCII));
+    String permission = "HTTP/1.1 100 Continue\r\n";
+    byte[] received = socket.getInputStream().readNBytes(permission.length());
+    assertEquals(permission, new String(received, StandardCharsets.US_ASCII));
+    socket.getOutputStream().write("ok".getBytes(StandardCharsets.US_ASCII));
+    byte[] rest = socket.getInputStream().readNBytes(60);
+    assertTrue(new String(rest, StandardCharsets.ISO_8859_1).contains("HTTP/1.1 200 OK"));
+  }
+
+  @Test
+  void anAnswerWithoutALengthEndsWithItsConnection() throws Exception {
+    try (ServerSocket server = new ServerSocket(0, 50, InetAddress.getLoopbackAddress())) {
+      Thread thread =
+          new Thread(
+              () -> {
+                try (Socket socket = server.accept()) {
+                  socket.getInputStream().read(new byte[4096]);
+                  String answer = "HTTP/1.1 200 OK\r\n\r\nbody";
+                  socket.getOutputStream().write(answer.getBytes(StandardCharsets.US_ASCII));
+                } catch (IOException closed) {
+                  return;
+                }
+              });
+      thread.start();
+      HttpClient client = new HttpClient(loop.group(), MAX_CONNECTIONS, Set.of());
+      CompletableFuture<Caller.Response> answer = new CompletableFuture<>();
+      String address = "127.0.0.1:" + server.getLocalPort();
+      loop.execute(() -> client.call(address, "GET", "/x", null, 5000, answer::complete));
+      Caller.Response response = answer.get(10, TimeUnit.SECONDS);
+      assertEquals(200, response.status());
+      assertEquals("body", new String(response.body(), StandardCharsets.US_ASCII));
+    }
+  }
+
   /** Silent connections and halves of frames, as many as a peer's port takes, keep no peer out. */
   @Test
   void connectionsWithoutFramesKeepNoPeerOut() throws Exception {
