--- a/src/test/java/wickdrift/sim/LargeCountsTest.java
+++ b/src/test/java/wickdrift/sim/LargeCountsTest.java
@@ -25,7 +25,7 @@
     SimWorld world = new SimWorld(4, 4, 4);
     world.run(8000);
     for (String node : world.nodes) {
-      Response[] answer = world.sendReport(node, "i-000900", token);
+      Response[] answer = world.sendReport(node, "i-000900", Unsigned.toWire(token));
       world.run(1000);
       assertEquals(421, answer[0].status(), node);
     }
--- a/src/test/java/wickdrift/sim/SimWorld.java
+++ b/src/test/java/wickdrift/sim/SimWorld.java
@@ -30,7 +30,6 @@
 import wickdrift.protocol.JobSpec;
 import wickdrift.protocol.MessageCodec;
 import wickdrift.protocol.PeerFrame;
-import wickdrift.protocol.Unsigned;
 import wickdrift.settings.Settings;
 import wickdrift.transport.Caller;
 import wickdrift.transport.Caller.Response;
@@ -692,9 +691,10 @@
   /**
    * Sends a report of a machine without tasks to a node.
    *
+   * @param epoch the token in the form in which it is encoded
    * @return an array of one element, which is set when the answer arrives
    */
-  public Response[] sendReport(String node, String machine, long epoch) {
+  public Response[] sendReport(String node, String machine, Number epoch) {
     Map<String, Object> fields = new LinkedHashMap<>();
     fields.put("host", machine);
     fields.put("address", "10.1.9.9:1");
@@ -702,7 +702,7 @@
     fields.put("region", "a");
     fields.put("tenure", 1);
     fields.put("tick", 1);
-    fields.put("epoch", Unsigned.toWire(epoch));
+    fields.put("epoch", epoch);
     fields.put("shards", List.of());
     Response[] answer = new Response[1];
     net.caller("10.1.9.9:1", () -> true)
